--- /dev/null
+++ b/damaskpier/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution system for a service mesh."""
--- /dev/null
+++ b/damaskpier/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: the versioned routing and traffic configuration."""
--- /dev/null
+++ b/damaskpier/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/damaskpier/errors.py
@@ -0,0 +1,380 @@
+"""Result codes and the exceptions of the package.
+
+Outcomes that a caller of a function has to expect are returned as a
+:class:`Refusal`. Exceptions stand for broken preconditions and for input
+that can not be used.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class Category(enum.Enum):
+    """Group of result codes; also the thousands digit of a code."""
+
+    SETTINGS = 1
+    BUNDLE = 2
+    CALL = 3
+    PLATFORM = 4
+    ROLLOUT = 5
+    REPLAY = 6
+
+
+class RunState(enum.IntEnum):
+    """What is known about the run of a request that got no answer."""
+
+    RUN = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+
+
+RUN_STATE_NAMES = {
+    RunState.RUN: 'run',
+    RunState.NOT_RUN: 'not-run',
+    RunState.UNKNOWN: 'unknown',
+}
+
+
+class ResultCode(NamedTuple):
+    """One row of the table of result codes."""
+
+    number: int
+    name: str
+    meaning: str
+    action: str
+
+    @property
+    def category(self) -> Category:
+        """Return the category that the number belongs to."""
+        return Category(self.number // 1000)
+
+    def __str__(self) -> str:
+        return f'DP-{self.number}'
+
+
+class Refusal(NamedTuple):
+    """Sentinel value for an operation that was refused or did not work."""
+
+    code: ResultCode
+    reason: str
+    run: RunState = RunState.NOT_RUN
+
+    def __str__(self) -> str:
+        return f'{self.code}: {self.reason}'
+
+
+_TABLE: dict[int, ResultCode] = {}
+
+
+def _code(number: int, name: str, meaning: str, action: str) -> ResultCode:
+    code = ResultCode(number, name, meaning, action)
+    if number in _TABLE:
+        raise ValueError(f'result code {number} is declared twice')
+    _TABLE[number] = code
+    return code
+
+
+def all_codes() -> tuple[ResultCode, ...]:
+    """Return every result code in ascending order."""
+    return tuple(_TABLE[number] for number in sorted(_TABLE))
+
+
+def by_number(number: int) -> ResultCode:
+    """Return the code with a number.
+
+    :raises KeyError: if there is no such code
+    """
+    return _TABLE[number]
+
+
+SETTINGS_UNREADABLE = _code(
+    1001,
+    'settings-unreadable',
+    'The settings file can not be read or is not INI.',
+    'Check the path and the syntax at the line that is given.',
+)
+SETTINGS_UNKNOWN = _code(
+    1002,
+    'settings-unknown',
+    'The settings file has a section or key that does not exist.',
+    'Remove it, or use the similar name that the message suggests.',
+)
+SETTINGS_INVALID = _code(
+    1003,
+    'settings-invalid',
+    'A setting has the wrong type or is out of range.',
+    'Correct the value; the settings reference lists types and ranges.',
+)
+SETTINGS_MISSING = _code(
+    1004,
+    'settings-missing',
+    'A setting without a default is not set.',
+    'Set it; the settings reference lists the required settings.',
+)
+
+BUNDLE_UNREADABLE = _code(
+    2001,
+    'bundle-unreadable',
+    'The bundle file can not be read or is not YAML.',
+    'Check the path and the syntax at the line that is given.',
+)
+BUNDLE_SCHEMA = _code(
+    2002,
+    'bundle-schema',
+    'The bundle does not match the schema.',
+    'Correct the part that the message names.',
+)
+BUNDLE_REFERENCE = _code(
+    2003,
+    'bundle-reference',
+    'A route points at a service that the bundle does not have.',
+    'Add the service or correct the route.',
+)
+BUNDLE_CONFLICT = _code(
+    2004,
+    'bundle-conflict',
+    'Two routes of the bundle match the same requests.',
+    'Change the method or path of one of them.',
+)
+BUNDLE_TOO_LARGE = _code(
+    2005,
+    'bundle-too-large',
+    'The bundle is larger than the platform accepts.',
+    'Split the bundle or remove unused routes.',
+)
+CONFIG_OLDER = _code(
+    2006,
+    'config-older',
+    'The configuration is not newer than the active one.',
+    'None; the node keeps the newer configuration.',
+)
+CONFIG_DIGEST = _code(
+    2007,
+    'config-digest',
+    'The received configuration does not have the expected digest.',
+    'None; the node asks for the whole configuration.',
+)
+
+CALL_NO_ROUTE = _code(
+    3001,
+    'call-no-route',
+    'No route of the active configuration matches the request.',
+    'Check the method and path, or sign off a bundle with the route.',
+)
+CALL_NO_WORKER = _code(
+    3002,
+    'call-no-worker',
+    'No worker of the service is known and ready.',
+    'Check that the upstreams run and announce themselves.',
+)
+CALL_OVERLOADED = _code(
+    3003,
+    'call-overloaded',
+    'The request was refused before it ran because of load.',
+    'Try again later; the request did not run.',
+)
+CALL_DEADLINE = _code(
+    3004,
+    'call-deadline',
+    'The request can not finish, or did not finish, by its deadline.',
+    'See the run state before sending the request again.',
+)
+CALL_UNKNOWN = _code(
+    3005,
+    'call-unknown',
+    'The connection failed after the request was sent.',
+    'The request may have run; look up its effect before repeating it.',
+)
+CALL_CONNECT = _code(
+    3006,
+    'call-connect',
+    'No connection to the worker could be opened.',
+    'Try again; the request did not run.',
+)
+CALL_TOO_LARGE = _code(
+    3007,
+    'call-too-large',
+    'The headers or the body of the request exceed the limit.',
+    'Send a smaller request.',
+)
+CALL_TOO_DEEP = _code(
+    3008,
+    'call-too-deep',
+    'The request passed through too many services.',
+    'Look for a loop between the services.',
+)
+CALL_DRAINING = _code(
+    3009,
+    'call-draining',
+    'The instance is leaving and takes no new requests.',
+    'Try again; the request did not run.',
+)
+CALL_NO_CONFIG = _code(
+    3010,
+    'call-no-config',
+    'The node has no configuration yet.',
+    'Sign off a bundle, or wait until the node has joined.',
+)
+CALL_BAD_HEADER = _code(
+    3011,
+    'call-bad-header',
+    'A damaskpier header of the request has an invalid value.',
+    'Correct the header that the message names.',
+)
+CALL_CANCELLED = _code(
+    3012,
+    'call-cancelled',
+    'The caller cancelled the request.',
+    'None.',
+)
+CALL_UPSTREAM_REFUSED = _code(
+    3013,
+    'call-upstream-refused',
+    'The upstream shed the request before it ran.',
+    'Try again later; the request did not run.',
+)
+
+PLATFORM_UNAVAILABLE = _code(
+    4001,
+    'platform-unavailable',
+    'The platform did not answer; nothing was written.',
+    'Try again when the platform is back.',
+)
+PLATFORM_UNKNOWN = _code(
+    4002,
+    'platform-unknown',
+    'The answer to a write was lost and could not be verified.',
+    'Read the state before repeating the command.',
+)
+PLATFORM_CONFLICT = _code(
+    4003,
+    'platform-conflict',
+    'Another writer changed the object first.',
+    'Look at the change that won, then try again on top of it.',
+)
+PLATFORM_NOT_FOUND = _code(
+    4004,
+    'platform-not-found',
+    'The object does not exist.',
+    'Check the name.',
+)
+PLATFORM_LIMITED = _code(
+    4005,
+    'platform-limited',
+    'The platform refused the call because of its rate limits.',
+    'Try again later.',
+)
+PLATFORM_TOO_LARGE = _code(
+    4006,
+    'platform-too-large',
+    'The value is larger than the platform accepts.',
+    'Write a smaller value.',
+)
+LEASE_LOST = _code(
+    4007,
+    'lease-lost',
+    'The lease lapsed or another holder has taken it.',
+    'None; the new holder goes on.',
+)
+
+ROLLOUT_DONE = _code(
+    5001,
+    'rollout-done',
+    'All traffic of the service is on the new version.',
+    'None.',
+)
+ROLLOUT_FAILURES = _code(
+    5002,
+    'rollout-failures',
+    'The new version fails more often than the old one.',
+    'Look at the evidence of the route, mend the version, move again.',
+)
+ROLLOUT_SLOW = _code(
+    5003,
+    'rollout-slow',
+    'The new version is slower than the old one.',
+    'Look at the evidence of the route, mend the version, move again.',
+)
+ROLLOUT_OPERATOR = _code(
+    5004,
+    'rollout-operator',
+    'An operator took the move back.',
+    'None.',
+)
+ROLLOUT_LATE = _code(
+    5005,
+    'rollout-late',
+    'The move could not finish by the stated time.',
+    'Check that enough workers of the new version are ready.',
+)
+ROLLOUT_OPEN = _code(
+    5006,
+    'rollout-open',
+    'The service already has an open move.',
+    'Wait for its verdict or take it back first.',
+)
+ROLLOUT_NO_EVIDENCE = _code(
+    5007,
+    'rollout-no-evidence',
+    'A route had too few requests to compare the versions.',
+    'Watch the route, or keep the old version running for longer.',
+)
+
+REPLAY_BAD_TRACE = _code(
+    6001,
+    'replay-bad-trace',
+    'A line of the trace can not be used.',
+    'Correct the line that the message names.',
+)
+REPLAY_BAD_EXPECTATION = _code(
+    6002,
+    'replay-bad-expectation',
+    'The stated outcome can not be used.',
+    'Correct the key that the message names.',
+)
+REPLAY_MISMATCH = _code(
+    6003,
+    'replay-mismatch',
+    'The replay did not give the stated outcome.',
+    'Compare the output with the stated outcome.',
+)
+
+
+class DamaskpierError(Exception):
+    """Base of all exceptions of the package.
+
+    :param code: result code of the error
+    :param reason: what is wrong, and where
+    """
+
+    def __init__(self, code: ResultCode, reason: str) -> None:
+        super().__init__(f'{code}: {reason}')
+        self.code = code
+        self.reason = reason
+
+    @property
+    def category(self) -> Category:
+        """Return the category of the result code."""
+        return self.code.category
+
+
+class SettingsError(DamaskpierError):
+    """The settings can not be used."""
+
+
+class BundleError(DamaskpierError):
+    """A bundle can not be used."""
+
+
+class PlatformError(DamaskpierError):
+    """A call of the platform did not work."""
+
+
+class ReplayError(DamaskpierError):
+    """A trace or a stated outcome can not be used."""
+
+
+class ServiceError(DamaskpierError):
+    """A service of the kernel is missing or registered twice."""
--- /dev/null
+++ b/damaskpier/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems."""
--- /dev/null
+++ b/damaskpier/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and distribution of state between nodes."""
--- /dev/null
+++ b/damaskpier/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against the decision code."""
--- /dev/null
+++ b/damaskpier/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic between upstream versions."""
--- /dev/null
+++ b/damaskpier/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and services between nodes."""
--- /dev/null
+++ b/damaskpier/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request from the caller to an upstream."""
--- /dev/null
+++ b/damaskpier/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by several parts, one module per topic."""
