--- /dev/null
+++ b/damaskpier/bundle/loader.py
@@ -0,0 +1,164 @@
+"""Loading of bundles from YAML, with line numbers in error messages."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import yaml
+
+from damaskpier.bundle import check
+from damaskpier.bundle import codec
+from damaskpier.bundle import model
+from damaskpier import errors
+
+if TYPE_CHECKING:
+    import pathlib
+
+# Faults that one error message lists.
+MAX_FAULTS = 20
+
+_Path = tuple[str | int, ...]
+
+
+def load(path: pathlib.Path) -> model.Bundle:
+    """Load and check a bundle.
+
+    :raises BundleError: if the file can not be used
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as exc:
+        raise errors.BundleError(
+            errors.BUNDLE_UNREADABLE, f'{path}: {exc.strerror}'
+        ) from exc
+    except UnicodeDecodeError as exc:
+        raise errors.BundleError(
+            errors.BUNDLE_UNREADABLE, f'{path}: not UTF-8: {exc.reason}'
+        ) from exc
+    return loads(text, str(path))
+
+
+def loads(text: str, source: str = '<bundle>') -> model.Bundle:
+    """Check a bundle given as YAML text.
+
+    Anchors and aliases are refused: a few lines with them can stand for any
+    number of resources.
+
+    :param source: name of the text in error messages
+    :raises BundleError: if the text can not be used; the message has one
+        line for each fault
+    """
+    document, lines = _parse(text, source)
+    faults = list(check.findings(document))
+    if faults:
+        messages = []
+        for fault in faults[:MAX_FAULTS]:
+            line = _line_of(lines, fault.path)
+            messages.append(f'{source}:{line}: {fault.refusal().reason}')
+        if len(faults) > MAX_FAULTS:
+            messages.append(f'and {len(faults) - MAX_FAULTS} more')
+        raise errors.BundleError(faults[0].code, '\n'.join(messages))
+    bundle = _bundle_of(document)
+    if refusal := check.check_bundle(bundle):
+        raise errors.BundleError(refusal.code, f'{source}: {refusal.reason}')
+    return bundle
+
+
+def dumps(bundle: model.Bundle) -> str:
+    """Return the YAML text of a bundle."""
+    return yaml.safe_dump(check.document_of(bundle), sort_keys=True)
+
+
+def _bundle_of(document: dict[str, Any]) -> model.Bundle:
+    resources = {}
+    for kind, prefix in (
+        ('services', codec.SERVICE_PREFIX),
+        ('routes', codec.ROUTE_PREFIX),
+    ):
+        for name, entry in document[kind].items():
+            resources[prefix + name] = entry
+    return codec.bundle_of(resources)
+
+
+def _parse(text: str, source: str) -> tuple[Any, dict[_Path, int]]:
+    """Return the document and the line of each of its paths."""
+    if len(text.encode()) > 2 * codec.MAX_BUNDLE_BYTES:
+        raise errors.BundleError(
+            errors.BUNDLE_TOO_LARGE,
+            f'{source}: {len(text.encode())} bytes of YAML, the limit is '
+            f'{2 * codec.MAX_BUNDLE_BYTES}',
+        )
+    loader = yaml.SafeLoader(text)
+    try:
+        _refuse_aliases(text)
+        node = loader.get_single_node()
+        lines: dict[_Path, int] = {}
+        return _construct(loader, node, (), lines), lines
+    except RecursionError as exc:
+        raise errors.BundleError(
+            errors.BUNDLE_UNREADABLE, f'{source}: nested too deeply'
+        ) from exc
+    except yaml.MarkedYAMLError as exc:
+        line = exc.problem_mark.line + 1 if exc.problem_mark else 0
+        raise errors.BundleError(
+            errors.BUNDLE_UNREADABLE, f'{source}:{line}: {exc.problem}'
+        ) from exc
+    except (yaml.YAMLError, ValueError) as exc:
+        raise errors.BundleError(
+            errors.BUNDLE_UNREADABLE, f'{source}: {exc}'
+        ) from exc
+    finally:
+        loader.dispose()
+
+
+def _refuse_aliases(text: str) -> None:
+    for event in yaml.parse(text, yaml.SafeLoader):
+        if isinstance(event, yaml.AliasEvent) or (
+            getattr(event, 'anchor', None) is not None
+        ):
+            raise yaml.MarkedYAMLError(
+                problem='anchors and aliases are not allowed',
+                problem_mark=event.start_mark,
+            )
+
+
+def _construct(
+    loader: yaml.SafeLoader,
+    node: yaml.Node | None,
+    path: _Path,
+    lines: dict[_Path, int],
+) -> Any:
+    if node is None:
+        return None
+    lines.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        found = {}
+        for key_node, value_node in node.value:
+            key = loader.construct_object(key_node)
+            if not isinstance(key, str):
+                raise yaml.MarkedYAMLError(
+                    problem=f'the name {key!r} is not text; write it in '
+                    'quotes',
+                    problem_mark=key_node.start_mark,
+                )
+            if key in found:
+                raise yaml.MarkedYAMLError(
+                    problem=f'{key!r} appears twice',
+                    problem_mark=key_node.start_mark,
+                )
+            lines[(*path, key)] = key_node.start_mark.line + 1
+            found[key] = _construct(loader, value_node, (*path, key), lines)
+        return found
+    if isinstance(node, yaml.SequenceNode):
+        return [
+            _construct(loader, item, (*path, index), lines)
+            for index, item in enumerate(node.value)
+        ]
+    return loader.construct_object(node)
+
+
+def _line_of(lines: dict[_Path, int], path: _Path) -> int:
+    while path and path not in lines:
+        path = path[:-1]
+    return lines.get(path, 1)
--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -278,6 +278,12 @@
     'The lease lapsed or another holder has taken it.',
     'None; the new holder goes on.',
 )
+LEASE_HELD = _code(
+    4008,
+    'lease-held',
+    'The lease has a holder, or has not been seen unchanged for its TTL.',
+    'None; the caller tries again when the lease may have lapsed.',
+)
 
 ROLLOUT_DONE = _code(
     5001,
@@ -321,6 +327,12 @@
     'A route had too few requests to compare the versions.',
     'Watch the route, or keep the old version running for longer.',
 )
+ROLLOUT_TIME = _code(
+    5008,
+    'rollout-time',
+    'The time by which the move must finish is not in the future.',
+    'State a later time.',
+)
 
 REPLAY_BAD_TRACE = _code(
     6001,
--- /dev/null
+++ b/damaskpier/platform/http.py
@@ -0,0 +1,450 @@
+"""Client of the object API over HTTP; service ``platform``.
+
+The protocol is described in :mod:`damaskpier.fakes.platform`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+import random
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+from urllib import parse
+
+import msgspec
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from damaskpier import errors
+from damaskpier.platform import base
+from damaskpier.platform import memory
+from damaskpier.platform import values
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier import config
+
+LOG = logging.getLogger(__name__)
+
+# Longest wait of a watch in the platform. The client gives up after the
+# margin, and earlier if nothing at all arrives for SILENCE_S: the platform
+# sends spaces while a watch waits.
+WATCH_WAIT_S = 20.0
+WATCH_MARGIN_S = 2.0
+SILENCE_S = 4
+# Outages end for all clients at the same time; the jittered delay spreads
+# their return.
+BACKOFF_FIRST_S = 0.2
+BACKOFF_MAX_S = 5.0
+# A lost answer is resolved by reading the object. If the write has not taken
+# effect by then, it may still do so, and only the outcome of a second
+# attempt with the same condition tells.
+WRITE_ATTEMPTS = 2
+MAX_CALLS = 32
+
+_NO_EFFECT_STATUS = {
+    429: errors.PLATFORM_LIMITED,
+    503: errors.PLATFORM_UNAVAILABLE,
+}
+_NOT_SENT_ERRORS = (
+    pycurl.E_COULDNT_CONNECT,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+)
+
+
+class Reply(NamedTuple):
+    """Answer of the platform to a call."""
+
+    status: int
+    body: bytes
+    version: int
+
+
+class _Pool:
+    """Connections that are replaced together.
+
+    libcurl chooses which open connection a call uses. After a timeout any of
+    them may be silent, so the next call gets a new pool and thereby a new
+    connection; the old pool is closed when its last call has ended.
+    """
+
+    def __init__(self) -> None:
+        self.client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS
+        )
+        self.calls = 0
+        self.is_retired = False
+
+    def close_if_unused(self) -> None:
+        """Close the connections if the pool is retired and has no calls."""
+        if self.is_retired and self.calls == 0:
+            self.client.close()
+
+
+class HttpObjectStore(base.ObjectStore):
+    """Object store that is reached over HTTP.
+
+    :param address: of the object API
+    :param timeout_s: limit of each call other than a watch
+    :param rng: of the jitter
+    :param sleep: waits for a number of seconds
+    """
+
+    def __init__(
+        self,
+        address: config.Address,
+        timeout_s: float = 1.0,
+        rng: random.Random | None = None,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        watch_wait_s: float = WATCH_WAIT_S,
+    ) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._url = f'http://{address}/v1'
+        self._timeout_s = timeout_s
+        self._rng = rng or random.Random()
+        self._sleep = sleep
+        self._watch_wait_s = watch_wait_s
+        self._pool: _Pool | None = None
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        if self._pool is not None:
+            self._pool.client.close()
+            self._pool = None
+
+    async def get(self, key: str) -> base.StoredObject | errors.Refusal:
+        """Return an object; refused with ``PLATFORM_NOT_FOUND``."""
+        reply = await self._call('get', 'GET', _object_path(key))
+        if isinstance(reply, errors.Refusal):
+            return _read_refusal(reply)
+        if reply.status == 404:
+            return memory.not_found(key)
+        if reply.status != 200:
+            return _unexpected(reply)
+        return base.StoredObject(key, reply.version, reply.body)
+
+    async def put(
+        self, key: str, value: bytes, if_version: int | None
+    ) -> base.StoredObject | errors.Refusal:
+        """Write an object if it still has a version.
+
+        See :meth:`damaskpier.platform.base.ObjectStore.put`. A refusal with
+        ``PLATFORM_CONFLICT`` after a lost answer has the run state
+        ``UNKNOWN``: the value may have been in force for a while before the
+        write that is there now.
+        """
+        if len(value) > base.MAX_VALUE_BYTES:
+            return memory.too_large(key, len(value))
+        run = errors.RunState.NOT_RUN
+        outcome: base.StoredObject | errors.Refusal = memory.unknown(key)
+        for _ in range(WRITE_ATTEMPTS):
+            outcome = await self._put_once(key, value, if_version)
+            if isinstance(outcome, base.StoredObject):
+                return outcome
+            if outcome.code is not errors.PLATFORM_UNKNOWN:
+                return _with_earlier(outcome, run)
+            run = errors.RunState.UNKNOWN
+            stored = await self._read_back(key)
+            if isinstance(stored, errors.Refusal):
+                return memory.unknown(f'{key}: {outcome.reason}')
+            if stored.version and values.is_same_write(stored.value, value):
+                return stored
+            if if_version is None:
+                return memory.unknown(f'{key}: {outcome.reason}')
+            if stored.version != if_version:
+                return memory.conflict(key, stored, run)
+        return outcome
+
+    async def delete(
+        self, key: str, if_version: int | None
+    ) -> bool | errors.Refusal:
+        """Delete an object; false if it did not exist.
+
+        An object that is gone after a lost answer counts as deleted.
+        """
+        run = errors.RunState.NOT_RUN
+        for _ in range(WRITE_ATTEMPTS):
+            reply = await self._call(
+                'delete', 'DELETE', _object_path(key), if_version=if_version
+            )
+            if isinstance(reply, Reply):
+                if reply.status in (204, 404):
+                    return (
+                        reply.status == 204 or run is errors.RunState.UNKNOWN
+                    )
+                if reply.status == 412:
+                    current = _current(key, reply)
+                    return memory.conflict(key, current, run)
+                return _unexpected(reply)
+            if reply.run is not errors.RunState.UNKNOWN:
+                return _with_earlier(reply, run)
+            run = errors.RunState.UNKNOWN
+        return memory.unknown(f'{key}: the answer to the deletion was lost')
+
+    async def list(
+        self, prefix: str, limit: int = 1000
+    ) -> list[base.StoredObject] | errors.Refusal:
+        """Return the objects whose keys begin with a prefix, by key."""
+        query = parse.urlencode({'prefix': prefix, 'limit': limit})
+        reply = await self._call('list', 'GET', f'/objects?{query}')
+        if isinstance(reply, errors.Refusal):
+            return _read_refusal(reply)
+        if reply.status != 200:
+            return _unexpected(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=_Listing).stored()
+        except msgspec.DecodeError as exc:
+            return memory.unavailable(f'the listing can not be read: {exc}')
+
+    async def watch(
+        self, prefix: str, after: int
+    ) -> AsyncIterator[list[base.Change] | errors.Refusal]:
+        """Yield changes of keys with a prefix, newer than a version."""
+        failures = 0
+        while True:
+            found = await self._watch_once(prefix, after)
+            if isinstance(found, errors.Refusal):
+                yield found
+                await self._sleep(self.backoff_s(failures))
+                failures += 1
+                continue
+            failures = 0
+            after = found.revision
+            if found.changes:
+                yield [
+                    base.Change(item.key, item.version, item.deleted)
+                    for item in found.changes
+                ]
+
+    def backoff_s(self, failures: int) -> float:
+        """Return a jittered delay after a number of failures in a row."""
+        limit = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2 ** min(failures, 10))
+        return limit * self._rng.uniform(0.5, 1.0)
+
+    async def _watch_once(
+        self, prefix: str, after: int
+    ) -> _Changes | errors.Refusal:
+        wait_s = self._watch_wait_s
+        query = parse.urlencode(
+            {'prefix': prefix, 'after': after, 'wait': wait_s}
+        )
+        reply = await self._call('watch', 'GET', f'/watch?{query}')
+        if isinstance(reply, errors.Refusal):
+            return _read_refusal(reply)
+        if reply.status != 200:
+            return _unexpected(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=_Changes)
+        except msgspec.DecodeError as exc:
+            return memory.unavailable(f'the changes can not be read: {exc}')
+
+    async def _put_once(
+        self, key: str, value: bytes, if_version: int | None
+    ) -> base.StoredObject | errors.Refusal:
+        reply = await self._call(
+            'put', 'PUT', _object_path(key), value, if_version
+        )
+        if isinstance(reply, errors.Refusal):
+            return reply
+        if reply.status == 200:
+            return base.StoredObject(key, reply.version, value)
+        if reply.status == 413:
+            return memory.too_large(key, len(value))
+        if reply.status != 412:
+            return _unexpected(reply)
+        current = _current(key, reply)
+        # libcurl sends a request again by itself when a reused connection
+        # is closed before the answer, so the conflict may be with the first
+        # of the two.
+        if current and values.is_same_write(current.value, value):
+            return current
+        return memory.conflict(key, current)
+
+    async def _read_back(self, key: str) -> base.StoredObject | errors.Refusal:
+        """Return an object after a lost answer; version 0 if none."""
+        self.counters['read_back'] += 1
+        stored = await self.get(key)
+        if isinstance(stored, errors.Refusal) and (
+            stored.code is errors.PLATFORM_NOT_FOUND
+        ):
+            return base.StoredObject(key, 0, b'')
+        return stored
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        if_version: int | None = None,
+    ) -> Reply | errors.Refusal:
+        self.counters[kind] += 1
+        self.counters['bytes_out'] += len(path) + len(body or b'')
+        request = self._request(kind, method, path, body, if_version)
+        if self._pool is None:
+            self._pool = _Pool()
+        pool = self._pool
+        pool.calls += 1
+        try:
+            response = await pool.client.fetch(request, raise_error=False)
+        finally:
+            pool.calls -= 1
+            pool.close_if_unused()
+        self.counters['bytes_in'] += len(response.body or b'')
+        if response.code == 599:
+            return self._failed(pool, kind, response)
+        if response.code in _NO_EFFECT_STATUS:
+            self.counters['refused'] += 1
+            return errors.Refusal(
+                _NO_EFFECT_STATUS[response.code],
+                f'the platform answered with status {response.code}',
+            )
+        return Reply(
+            response.code, response.body or b'', _version_of(response)
+        )
+
+    def _request(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        if_version: int | None,
+    ) -> httpclient.HTTPRequest:
+        headers = {}
+        if if_version is not None:
+            headers['If-Match'] = f'"{if_version}"'
+        timeout_s = self._timeout_s
+        if kind == 'watch':
+            timeout_s = self._watch_wait_s + WATCH_MARGIN_S
+        return httpclient.HTTPRequest(
+            self._url + path,
+            method=method,
+            headers=headers,
+            body=body,
+            connect_timeout=min(self._timeout_s, timeout_s),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=_watch_silence if kind == 'watch' else None,
+        )
+
+    def _failed(
+        self, pool: _Pool, kind: str, response: httpclient.HTTPResponse
+    ) -> errors.Refusal:
+        self.counters['failed'] += 1
+        error = response.error
+        number = getattr(error, 'errno', None)
+        reason = f'{kind}: {error}'
+        if number in _NOT_SENT_ERRORS:
+            return memory.unavailable(reason)
+        self._retire(pool)
+        # The time of pretransfer is set when the request is about to be
+        # sent.
+        if number == pycurl.E_OPERATION_TIMEDOUT and (
+            not response.time_info.get('pretransfer')
+        ):
+            return memory.unavailable(reason)
+        return memory.unknown(reason)
+
+    def _retire(self, pool: _Pool) -> None:
+        if pool is not self._pool:
+            return
+        self.counters['reconnects'] += 1
+        self._pool = None
+        pool.is_retired = True
+        pool.close_if_unused()
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``platform``."""
+    app.add_service(
+        'platform',
+        HttpObjectStore(
+            app.cfg.address('platform', 'address'),
+            app.cfg.number('platform', 'timeout'),
+        ),
+    )
+
+
+class _Item(msgspec.Struct):
+    key: str
+    version: int
+    value: bytes
+
+
+class _Listing(msgspec.Struct):
+    revision: int
+    objects: list[_Item]
+
+    def stored(self) -> list[base.StoredObject]:
+        return [
+            base.StoredObject(item.key, item.version, item.value)
+            for item in self.objects
+        ]
+
+
+class _ChangeItem(msgspec.Struct):
+    key: str
+    version: int
+    deleted: bool
+
+
+class _Changes(msgspec.Struct):
+    revision: int
+    changes: list[_ChangeItem]
+
+
+def _watch_silence(curl: Any) -> None:
+    curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+    curl.setopt(pycurl.LOW_SPEED_TIME, SILENCE_S)
+
+
+def _object_path(key: str) -> str:
+    return '/objects/' + parse.quote(key, safe='/')
+
+
+def _version_of(response: httpclient.HTTPResponse) -> int:
+    try:
+        return int(response.headers.get('ETag', '0').strip('"'))
+    except ValueError:
+        return 0
+
+
+def _current(key: str, reply: Reply) -> base.StoredObject | None:
+    if not reply.version:
+        return None
+    return base.StoredObject(key, reply.version, reply.body)
+
+
+def _read_refusal(refusal: errors.Refusal) -> errors.Refusal:
+    """Return the refusal of a read, which has no effect to be unsure of."""
+    if refusal.code is errors.PLATFORM_UNKNOWN:
+        return memory.unavailable(refusal.reason)
+    return refusal
+
+
+def _with_earlier(
+    refusal: errors.Refusal, run: errors.RunState
+) -> errors.Refusal:
+    """Return a refusal that takes an earlier, lost attempt into account."""
+    if run is errors.RunState.NOT_RUN:
+        return refusal
+    if refusal.code is errors.PLATFORM_CONFLICT:
+        return refusal._replace(run=run)
+    return memory.unknown(refusal.reason)
+
+
+def _unexpected(reply: Reply) -> errors.Refusal:
+    reason = f'unexpected status {reply.status} of the platform'
+    if reply.status >= 500:
+        return memory.unknown(reason)
+    return memory.unavailable(reason)
--- /dev/null
+++ b/damaskpier/platform/moves.py
@@ -0,0 +1,205 @@
+"""States of moves in the platform: the objects ``rollouts/<move>``."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.platform import objects
+from damaskpier.platform import values
+from damaskpier.rollout import model
+
+if TYPE_CHECKING:
+    from damaskpier.platform import base
+
+WRITE_ATTEMPTS = 8
+
+
+class MoveRecord(NamedTuple):
+    """State of a move as it is stored, with its evidence."""
+
+    state: model.MoveState
+    evidence: dict[str, Any]
+    by_whom: str
+    updated_at: float  # seconds since the epoch
+    store_version: int
+
+
+async def read_move(
+    store: base.ObjectStore, move: str
+) -> MoveRecord | errors.Refusal:
+    """Return the stored state of a move."""
+    stored = await store.get(objects.rollout_key(move))
+    if isinstance(stored, errors.Refusal):
+        return stored
+    return parse_move(stored)
+
+
+async def list_moves(
+    store: base.ObjectStore,
+) -> list[MoveRecord] | errors.Refusal:
+    """Return the stored states of all moves, without unreadable ones."""
+    found = await store.list(objects.ROLLOUT_PREFIX)
+    if isinstance(found, errors.Refusal):
+        return found
+    records = [parse_move(stored) for stored in found]
+    return [
+        record for record in records if not isinstance(record, errors.Refusal)
+    ]
+
+
+def parse_move(stored: base.StoredObject) -> MoveRecord | errors.Refusal:
+    """Return the state that an object holds."""
+    try:
+        fields = values.decode(stored.value)
+        state = model.MoveState(
+            fields['move'],
+            int(fields['epoch']),
+            int(fields['seq']),
+            model.Phase(fields['phase']),
+            {name: float(share) for name, share in fields['shares'].items()},
+            fields['reason'],
+            int(fields['result']),
+        )
+        return MoveRecord(
+            state,
+            fields['evidence'],
+            fields['by_whom'],
+            float(fields['updated_at']),
+            stored.version,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        return errors.Refusal(
+            errors.BUNDLE_SCHEMA, f'{stored.key} can not be read: {exc!r}'
+        )
+
+
+async def write_move_state(
+    store: base.ObjectStore,
+    state: model.MoveState,
+    evidence: dict[str, Any],
+    by_whom: str,
+    now: float,
+) -> MoveRecord | errors.Refusal:
+    """Write the decision about a move if it is newer than the stored one.
+
+    :param evidence: JSON object that is stored with the state
+    :param now: seconds since the epoch
+    :returns: what is stored now, which is the newer state after a write
+        that was overtaken by its own successor, or a refusal:
+        ``LEASE_LOST`` if a higher epoch has written, ``PLATFORM_CONFLICT``
+        if the stored state is newer or the move is taken back
+    """
+    for _ in range(WRITE_ATTEMPTS):
+        current = await read_move(store, state.move)
+        if isinstance(current, errors.Refusal):
+            if current.code is not errors.PLATFORM_NOT_FOUND:
+                return current
+            if_version = 0
+        else:
+            if current.state == state:
+                return current
+            if refusal := _overtaken(current, state):
+                return refusal
+            if_version = current.store_version
+        outcome = await _put(store, state, evidence, by_whom, now, if_version)
+        if isinstance(outcome, MoveRecord):
+            return outcome
+        if outcome.code is not errors.PLATFORM_CONFLICT:
+            return outcome
+    return outcome
+
+
+async def write_taken_back(
+    store: base.ObjectStore,
+    move: str,
+    by_whom: str,
+    reason: str,
+    result: errors.ResultCode,
+    epoch: int | None,
+    now: float,
+) -> MoveRecord | errors.Refusal:
+    """Make ``taken_back`` the state of a move, unless it is already.
+
+    :param epoch: fencing token of the decider's lease, None for operators
+    """
+    for _ in range(WRITE_ATTEMPTS):
+        current = await read_move(store, move)
+        state = model.MoveState(
+            move,
+            epoch or 0,
+            1,
+            model.Phase.TAKEN_BACK,
+            {},
+            reason,
+            result.number,
+        )
+        evidence: dict[str, Any] = {}
+        if_version = 0
+        if not isinstance(current, errors.Refusal):
+            if current.state.phase is model.Phase.TAKEN_BACK:
+                return current
+            if epoch is not None and current.state.epoch > epoch:
+                return _fenced(current, epoch)
+            state = state._replace(
+                epoch=max(current.state.epoch, epoch or 0),
+                seq=current.state.seq + 1,
+                shares=dict.fromkeys(current.state.shares, 0.0),
+            )
+            evidence = current.evidence
+            if_version = current.store_version
+        elif current.code is not errors.PLATFORM_NOT_FOUND:
+            return current
+        outcome = await _put(store, state, evidence, by_whom, now, if_version)
+        if isinstance(outcome, MoveRecord):
+            return outcome
+        if outcome.code is not errors.PLATFORM_CONFLICT:
+            return outcome
+    return outcome
+
+
+async def _put(
+    store: base.ObjectStore,
+    state: model.MoveState,
+    evidence: dict[str, Any],
+    by_whom: str,
+    now: float,
+    if_version: int,
+) -> MoveRecord | errors.Refusal:
+    fields = state._asdict()
+    fields['phase'] = state.phase.value
+    fields['evidence'] = evidence
+    fields['by_whom'] = by_whom
+    fields['updated_at'] = now
+    fields['write_id'] = values.new_write_id()
+    outcome = await store.put(
+        objects.rollout_key(state.move), values.encode(fields), if_version
+    )
+    if isinstance(outcome, errors.Refusal):
+        return outcome
+    return MoveRecord(state, evidence, by_whom, now, outcome.version)
+
+
+def _overtaken(
+    current: MoveRecord, state: model.MoveState
+) -> errors.Refusal | None:
+    if current.state.epoch > state.epoch:
+        return _fenced(current, state.epoch)
+    if current.state.order < state.order:
+        return None
+    return errors.Refusal(
+        errors.PLATFORM_CONFLICT,
+        f'move {state.move} is {current.state.phase.value} by '
+        f'{current.by_whom} (epoch {current.state.epoch}, seq '
+        f'{current.state.seq})',
+    )
+
+
+def _fenced(current: MoveRecord, epoch: int) -> errors.Refusal:
+    return errors.Refusal(
+        errors.LEASE_LOST,
+        f'move {current.state.move}: epoch {current.state.epoch} of '
+        f'{current.by_whom} follows {epoch}',
+    )
--- /dev/null
+++ b/damaskpier/platform/signoff.py
@@ -0,0 +1,454 @@
+"""Sign-off and take-back: the changes of ``config/head``.
+
+The content of a bundle is written before the head that refers to it. A
+version is allocated by the conditional update of the head, so versions
+strictly increase and each has one winner. The head also lists the writes of
+the last versions in ``recent``: a writer whose answer was lost finds its
+write there even after the next version.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+from typing import NamedTuple
+
+from damaskpier.bundle import check
+from damaskpier.bundle import codec
+from damaskpier.bundle import model
+from damaskpier import errors
+from damaskpier.platform import base
+from damaskpier.platform import moves
+from damaskpier.platform import objects
+from damaskpier.platform import values
+from damaskpier.rollout import model as rollout_model
+
+LOG = logging.getLogger(__name__)
+
+# Time for a move where the operator states none.
+DEFAULT_MOVE_S = 600.0
+# Heads whose bundles are kept.
+KEPT_BUNDLES = 20
+KEPT_MOVES = 200
+# Pruning lists all bundles, so it runs only after each 20 versions.
+PRUNE_INTERVAL = 20
+# A take-back has to get through while operators sign off; each attempt
+# loses only to a write of another one.
+TAKE_BACK_ATTEMPTS = 20
+# The bundle of a head that was replaced long ago may be pruned between the
+# two reads of a snapshot.
+READ_ATTEMPTS = 3
+
+
+class StoredHead(NamedTuple):
+    """Head as it is stored, with the version of its object."""
+
+    head: model.Head
+    store_version: int
+    recent: tuple[dict[str, Any], ...]
+
+    def has_write(self, write_id: str) -> bool:
+        """Tell whether a write led to this head or one shortly before."""
+        return any(item['write_id'] == write_id for item in self.recent)
+
+    def has_digest(self, digest: str) -> bool:
+        """Tell whether this head protects a bundle from being pruned."""
+        return any(item['digest'] == digest for item in self.recent)
+
+
+async def read_head(
+    store: base.ObjectStore,
+) -> StoredHead | errors.Refusal:
+    """Return the head; refused with ``PLATFORM_NOT_FOUND`` before any."""
+    stored = await store.get(objects.CONFIG_HEAD)
+    if isinstance(stored, errors.Refusal):
+        return stored
+    return parse_head(stored)
+
+
+def parse_head(stored: base.StoredObject) -> StoredHead | errors.Refusal:
+    """Return the head that an object holds."""
+    try:
+        head = codec.decode_head(stored.value)
+        recent = tuple(values.decode(stored.value).get('recent', ()))
+    except errors.BundleError as exc:
+        return errors.Refusal(exc.code, f'{stored.key}: {exc.reason}')
+    return StoredHead(head, stored.version, recent)
+
+
+async def read_bundle(
+    store: base.ObjectStore, digest: str
+) -> model.Bundle | errors.Refusal:
+    """Return the bundle with a digest, which is checked."""
+    stored = await store.get(objects.bundle_key(digest))
+    if isinstance(stored, errors.Refusal):
+        return stored
+    if codec.digest(stored.value) != digest:
+        return errors.Refusal(
+            errors.CONFIG_DIGEST, f'{stored.key} holds other content'
+        )
+    try:
+        return codec.decode_bundle(stored.value)
+    except errors.BundleError as exc:
+        return errors.Refusal(exc.code, f'{stored.key}: {exc.reason}')
+
+
+async def read_snapshot(
+    store: base.ObjectStore,
+) -> model.Snapshot | errors.Refusal:
+    """Return the signed-off configuration."""
+    read = await _read_current(store)
+    if isinstance(read, errors.Refusal):
+        return read
+    current, bundle = read
+    return model.Snapshot(current.head, bundle)
+
+
+async def sign_off(
+    store: base.ObjectStore,
+    bundle: model.Bundle,
+    base_version: int | None,
+    operator: str,
+    by: float | None,
+    note: str,
+    now: float,
+) -> model.Head | errors.Refusal:
+    """Put a bundle in force as a new version.
+
+    :param base_version: version that the bundle was derived from, 0 before
+        the first one; None for whatever is in force
+    :param by: time by which the moves that start must finish, in seconds
+        since the epoch; None for :data:`DEFAULT_MOVE_S` from now
+    :param now: seconds since the epoch
+    :returns: the new head, or a refusal. ``PLATFORM_UNKNOWN`` is the only
+        one after which the bundle may be in force.
+    """
+    if refusal := check.check_bundle(bundle):
+        return refusal
+    read = await _read_current(store)
+    current, old = None, None
+    if not isinstance(read, errors.Refusal):
+        current, old = read
+    elif read.code is not errors.PLATFORM_NOT_FOUND:
+        return read
+    version = current.head.version if current else 0
+    if base_version is not None and base_version != version:
+        return _conflict(current, f'the bundle is based on {base_version}')
+    planned = await _plan_moves(store, current, old, bundle, by, now)
+    if isinstance(planned, errors.Refusal):
+        return planned
+    head = _next_head(current, bundle, planned, operator, note, now)
+    return await _commit(store, current, head, bundle)
+
+
+async def take_back(
+    store: base.ObjectStore,
+    move: str,
+    by_whom: str,
+    reason: str,
+    result: errors.ResultCode,
+    epoch: int | None,
+    now: float,
+) -> model.Head | errors.Refusal:
+    """Take a move back; to repeat the call after a refusal is safe.
+
+    The move's state becomes ``taken_back`` first, then a new head has the
+    old version of the service and no longer the move.
+
+    :param move: identifier of the move
+    :param epoch: fencing token of the decider's lease, None for operators
+    :param now: seconds since the epoch
+    :returns: the head that no longer has the move, which may be older than
+        the call
+    """
+    state = None
+    for _ in range(TAKE_BACK_ATTEMPTS):
+        read = await _read_current(store)
+        if isinstance(read, errors.Refusal):
+            return read
+        current, bundle = read
+        found = _find_move(current.head, move)
+        if found is None:
+            return await _taken_back_before(store, current, move)
+        if state is None:
+            state = await moves.write_taken_back(
+                store, move, by_whom, reason, result, epoch, now
+            )
+            if isinstance(state, errors.Refusal):
+                return state
+        spec = bundle.services[found.service]._replace(version=found.old)
+        restored = bundle._replace(
+            services={**bundle.services, found.service: spec}
+        )
+        others = tuple(
+            item for item in current.head.moves if item.move != move
+        )
+        note = f'take back {move}: {reason}'
+        head = _next_head(current, restored, others, by_whom, note, now)
+        outcome = await _commit(store, current, head, restored)
+        if not isinstance(outcome, errors.Refusal):
+            return outcome
+        if outcome.code is not errors.PLATFORM_CONFLICT:
+            return outcome
+    return errors.Refusal(
+        errors.PLATFORM_CONFLICT,
+        f'{move}: the head changed {TAKE_BACK_ATTEMPTS} times in a row',
+    )
+
+
+async def prune(store: base.ObjectStore) -> int | errors.Refusal:
+    """Delete bundles and move states that are no longer needed.
+
+    A bundle is deleted only if it is older than the head that does not
+    refer to it. Whoever is about to refer to it on top of that head has
+    written the object after reading the head, so that the conditional
+    deletion does not succeed.
+
+    :returns: number of deleted objects
+    """
+    current = await read_head(store)
+    if isinstance(current, errors.Refusal):
+        return current
+    bundles = await store.list(objects.BUNDLE_PREFIX)
+    if isinstance(bundles, errors.Refusal):
+        return bundles
+    states = await store.list(objects.ROLLOUT_PREFIX)
+    if isinstance(states, errors.Refusal):
+        return states
+    in_force = {objects.rollout_key(move.move) for move in current.head.moves}
+    old_states = sorted(
+        (item for item in states if item.key not in in_force),
+        key=lambda item: item.version,
+    )[:-KEPT_MOVES]
+    unused = [
+        item
+        for item in bundles
+        if item.version < current.store_version
+        and not current.has_digest(
+            item.key.removeprefix(objects.BUNDLE_PREFIX)
+        )
+    ]
+    deleted = 0
+    for item in unused + old_states:
+        if await store.delete(item.key, item.version) is True:
+            deleted += 1
+    return deleted
+
+
+async def _read_current(
+    store: base.ObjectStore,
+) -> tuple[StoredHead, model.Bundle] | errors.Refusal:
+    for attempt in range(READ_ATTEMPTS):
+        current = await read_head(store)
+        if isinstance(current, errors.Refusal):
+            return current
+        bundle = await read_bundle(store, current.head.digest)
+        if not isinstance(bundle, errors.Refusal):
+            return current, bundle
+        if bundle.code is not errors.PLATFORM_NOT_FOUND:
+            return bundle
+    # Not the code of an object that is missing: a head exists.
+    return errors.Refusal(errors.CONFIG_DIGEST, bundle.reason)
+
+
+async def _plan_moves(
+    store: base.ObjectStore,
+    current: StoredHead | None,
+    old: model.Bundle | None,
+    new: model.Bundle,
+    by: float | None,
+    now: float,
+) -> tuple[model.Move, ...] | errors.Refusal:
+    """Return the moves of a new head; refused with ``ROLLOUT_OPEN``."""
+    if current is None or old is None:
+        return ()
+    planned = []
+    earlier = {move.service: move for move in current.head.moves}
+    for name, before in old.services.items():
+        after = new.services.get(name)
+        if after is not None and after.version == before.version:
+            if name in earlier:
+                planned.append(earlier[name])
+            continue
+        if name in earlier:
+            if refusal := await _refuse_open(store, earlier[name]):
+                return refusal
+        if after is None:
+            continue
+        if by is not None and by <= now:
+            return errors.Refusal(
+                errors.ROLLOUT_TIME,
+                f'service {name!r} can not move by {by:.0f}, now is {now:.0f}',
+            )
+        version = current.head.version + 1
+        planned.append(
+            model.Move(
+                f'{name}-{before.version}-{after.version}-{version}',
+                name,
+                before.version,
+                after.version,
+                now,
+                now + DEFAULT_MOVE_S if by is None else by,
+            )
+        )
+    return tuple(planned)
+
+
+async def _refuse_open(
+    store: base.ObjectStore, move: model.Move
+) -> errors.Refusal | None:
+    """Return a refusal unless a move is done.
+
+    A move that is taken back but still in the head is about to leave it;
+    until then the bundle of the head has the version that is taken back.
+    """
+    record = await moves.read_move(store, move.move)
+    if isinstance(record, errors.Refusal):
+        if record.code is not errors.PLATFORM_NOT_FOUND:
+            return record
+        phase = rollout_model.Phase.RUNNING
+    else:
+        phase = record.state.phase
+    if phase is rollout_model.Phase.DONE:
+        return None
+    what = 'is open'
+    if phase is rollout_model.Phase.TAKEN_BACK:
+        what = 'is being taken back'
+    return errors.Refusal(
+        errors.ROLLOUT_OPEN,
+        f'service {move.service!r}: move {move.move} {what}',
+    )
+
+
+def _next_head(
+    current: StoredHead | None,
+    bundle: model.Bundle,
+    planned: tuple[model.Move, ...],
+    signed_by: str,
+    note: str,
+    now: float,
+) -> model.Head:
+    previous = current.head if current else None
+    return model.Head(
+        previous.version + 1 if previous else 1,
+        codec.digest_of(bundle),
+        planned,
+        signed_by,
+        now,
+        values.new_write_id(),
+        note,
+        previous.version if previous else 0,
+        previous.digest if previous else '',
+    )
+
+
+async def _commit(
+    store: base.ObjectStore,
+    current: StoredHead | None,
+    head: model.Head,
+    bundle: model.Bundle,
+) -> model.Head | errors.Refusal:
+    """Write a bundle and then the head that refers to it."""
+    if refusal := await _put_bundle(store, current, head.digest, bundle):
+        return refusal
+    entry = {
+        'version': head.version,
+        'write_id': head.write_id,
+        'digest': head.digest,
+    }
+    recent = (*(current.recent if current else ()), entry)[-KEPT_BUNDLES:]
+    value = codec.head_fields(head)
+    value['recent'] = recent
+    if_version = current.store_version if current else 0
+    outcome = await store.put(
+        objects.CONFIG_HEAD, values.encode(value), if_version
+    )
+    if isinstance(outcome, errors.Refusal):
+        if refusal := await _explain(store, head, outcome):
+            return refusal
+    LOG.info('config: version %d is signed off', head.version)
+    if head.version % PRUNE_INTERVAL == 0:
+        pruned = await prune(store)
+        if isinstance(pruned, errors.Refusal):
+            LOG.warning('platform: pruning failed: %s', pruned)
+    return head
+
+
+async def _put_bundle(
+    store: base.ObjectStore,
+    current: StoredHead | None,
+    digest: str,
+    bundle: model.Bundle,
+) -> errors.Refusal | None:
+    if current is not None and current.has_digest(digest):
+        return None
+    key = objects.bundle_key(digest)
+    content = codec.encode_bundle(bundle)
+    # An object that exists already is written again, see prune().
+    outcome = await store.put(key, content, None)
+    if isinstance(outcome, errors.Refusal):
+        if outcome.code is errors.PLATFORM_UNKNOWN:
+            return errors.Refusal(errors.PLATFORM_UNAVAILABLE, outcome.reason)
+        return outcome
+    # After a lost answer the content may be that of an older write.
+    if current is not None and outcome.version < current.store_version:
+        return errors.Refusal(
+            errors.PLATFORM_UNAVAILABLE, f'{key} could not be written'
+        )
+    return None
+
+
+async def _explain(
+    store: base.ObjectStore, head: model.Head, refusal: errors.Refusal
+) -> errors.Refusal | None:
+    """Return why a head was not written, None if it was."""
+    if refusal.code not in (
+        errors.PLATFORM_CONFLICT,
+        errors.PLATFORM_UNKNOWN,
+    ):
+        return refusal
+    now = await read_head(store)
+    if isinstance(now, errors.Refusal):
+        if refusal.run is errors.RunState.NOT_RUN:
+            return refusal
+        return errors.Refusal(
+            errors.PLATFORM_UNKNOWN, refusal.reason, errors.RunState.UNKNOWN
+        )
+    if now.has_write(head.write_id):
+        return None
+    if now.head.version < head.version:
+        # The write is not in force, but may still be on its way.
+        return refusal
+    return _conflict(now, f'version {head.version} was taken')
+
+
+def _conflict(current: StoredHead | None, reason: str) -> errors.Refusal:
+    if current is None:
+        text = 'no version is signed off'
+    else:
+        text = (
+            f'version {current.head.version} was signed off by '
+            f'{current.head.signed_by}'
+        )
+    return errors.Refusal(errors.PLATFORM_CONFLICT, f'{reason}; {text}')
+
+
+def _find_move(head: model.Head, move: str) -> model.Move | None:
+    for item in head.moves:
+        if item.move == move:
+            return item
+    return None
+
+
+async def _taken_back_before(
+    store: base.ObjectStore, current: StoredHead, move: str
+) -> model.Head | errors.Refusal:
+    record = await moves.read_move(store, move)
+    if isinstance(record, errors.Refusal):
+        return record
+    if record.state.phase is rollout_model.Phase.TAKEN_BACK:
+        return current.head
+    return errors.Refusal(
+        errors.PLATFORM_NOT_FOUND,
+        f'move {move} is no longer in force at version {current.head.version}',
+    )
--- /dev/null
+++ b/tests/test_platform/conftest.py
@@ -0,0 +1,48 @@
+"""Fixtures of the platform tests."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from damaskpier.bundle import loader
+from damaskpier import config
+from damaskpier.fakes import platform as fake
+from damaskpier.platform import http
+
+BUNDLE = """\
+services:
+  ledger: {version: v1, slots: 20}
+  parcels: {version: v1}
+routes:
+  ledger.retire: {service: ledger, method: POST, path: /ledger/retire}
+  parcels.get: {service: parcels, method: GET, path: /parcels/*}
+"""
+
+
+@pytest.fixture
+def bundle():
+    """Return a bundle of two services in version v1."""
+    return loader.loads(BUNDLE)
+
+
+@pytest.fixture
+async def running():
+    """Serve a stand-in for the platform."""
+    running = fake.start_platform(fake.Platform())
+    yield running
+    await running.stop()
+
+
+@pytest.fixture
+async def store(running):
+    """Return a client of the stand-in."""
+    store = http.HttpObjectStore(
+        config.Address('127.0.0.1', running.port),
+        timeout_s=5.0,
+        rng=random.Random(1),
+    )
+    await store.start()
+    yield store
+    await store.stop()
--- /dev/null
+++ b/tests/test_platform/test_http.py
@@ -0,0 +1,44 @@
+"""Tests of the HTTP client against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskpier import errors
+from damaskpier.platform import base
+
+
+async def test_objects_have_versions_and_conditional_updates(store):
+    first = await store.put('config/head', b'{"a":1}', 0)
+    assert await store.get('config/head') == first
+    refused = await store.put('config/head', b'{"a":2}', 0)
+    assert refused.code is errors.PLATFORM_CONFLICT
+    second = await store.put('config/head', b'{"a":2}', first.version)
+    assert second.version > first.version
+    assert await store.list('config/') == [second]
+    assert await store.delete('config/head', second.version) is True
+    missing = await store.get('config/head')
+    assert missing.code is errors.PLATFORM_NOT_FOUND
+    assert await store.delete('config/head', None) is False
+
+
+async def test_watch_answers_with_keys_and_versions(store):
+    old = await store.put('config/head', b'{}', 0)
+    await store.put('audit/1', b'{}', 0)
+    watch = store.watch('config/', old.version)
+    waiting = asyncio.ensure_future(anext(watch))
+    new = await store.put('config/head', b'{"a":1}', old.version)
+    changes = await asyncio.wait_for(waiting, 30)
+    assert changes == [base.Change('config/head', new.version, False)]
+
+
+async def test_a_value_over_the_limit_is_refused(store, running):
+    """Guards against a value that the platform accepts only in part."""
+    value = b'x' * (base.MAX_VALUE_BYTES + 1)
+    refused = await store.put('bundles/x', value, None)
+    assert refused.code is errors.PLATFORM_TOO_LARGE
+    assert running.platform.counters['put'] == 0
+    reply = await store._put_once('bundles/x', value, None)
+    assert reply.code is errors.PLATFORM_TOO_LARGE
+    kept = await store.put('bundles/x', value[:-1], None)
+    assert await store.get('bundles/x') == kept
