--- /dev/null
+++ b/damaskpier/mesh/joiner.py
@@ -0,0 +1,207 @@
+"""Search for a parent: candidates, redirects and pauses."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from damaskpier.mesh import model
+from damaskpier.mesh import parent as parent_module
+
+if TYPE_CHECKING:
+    from damaskpier import application
+    from damaskpier.mesh import tree as tree_module
+
+LOG = logging.getLogger(__name__)
+
+# Bounds the connections that a node opens in one round, whatever redirects
+# it receives.
+MAX_ATTEMPTS = 14
+MAX_HINTS = 4
+MAX_KNOWN = 3
+MAX_SEEDS = 3
+
+Candidate = tuple[model.NodeRecord, bool]
+
+
+class Joiner:
+    """Keeps the node attached to a parent.
+
+    Each round tries, in this order: nodes named by hints or by a parent
+    that left, the siblings that come first after the loss of a region's
+    head, the former ancestors, some known nodes of the region, the seeds,
+    the holders of the leases, and nodes of other regions.
+
+    :param rng: generator for the order of candidates and for pauses
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        tree: tree_module.Tree,
+        rng: random.Random,
+    ) -> None:
+        self._app = app
+        self._tree = tree
+        self._rng = rng
+        self._hints: collections.deque[model.NodeRecord] = collections.deque(
+            maxlen=MAX_HINTS
+        )
+        self._wake = asyncio.Event()
+        self._former: parent_module.Parent | None = None
+        self.failed_rounds = 0
+        self.attempts = 0
+        self.target = ''  # id of the node that is being attached to
+
+    @property
+    def former(self) -> parent_module.Parent | None:
+        """Return the last parent."""
+        return self._former
+
+    def hint(self, record: model.NodeRecord) -> None:
+        """Try a node at once, or first in the next round."""
+        if all(item.node_id != record.node_id for item in self._hints):
+            self._hints.append(record)
+        self._wake.set()
+
+    def wake(self) -> None:
+        """End a pause between rounds."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Attach again and again until the task is cancelled."""
+        while True:
+            self._wake.clear()
+            if self._tree.needs_no_parent():
+                self.failed_rounds = 0
+                await self._wake.wait()
+                continue
+            parent, task = await self._round()
+            if parent is None:
+                self.failed_rounds += 1
+                self._tree.round_failed()
+                await self._pause()
+                continue
+            self.failed_rounds = 0
+            try:
+                await task
+            finally:
+                parent.close('this node stops')
+                self._former = parent
+                self._tree.detached(parent)
+
+    async def _round(
+        self,
+    ) -> tuple[parent_module.Parent | None, asyncio.Task[None] | None]:
+        pending = collections.deque(self._candidates())
+        tried: set[tuple[str, int, bool]] = set()
+        while pending and len(tried) < MAX_ATTEMPTS:
+            target, placed = pending.popleft()
+            key = (target.host, target.rpc_port, placed)
+            if key in tried or self._is_self(target):
+                continue
+            if self._tree.needs_no_parent():
+                break
+            tried.add(key)
+            parent, task = await self._attempt(target, placed)
+            answer = parent.answer.result()
+            if answer.attached:
+                return parent, task
+            if answer.candidates:
+                # If the named nodes do not answer, this one is asked to
+                # keep the node below itself.
+                pending.appendleft((target, True))
+                pending.extendleft(
+                    (record, True) for record in reversed(answer.candidates)
+                )
+        return None, None
+
+    async def _attempt(
+        self, target: model.NodeRecord, placed: bool
+    ) -> tuple[parent_module.Parent, asyncio.Task[None]]:
+        self.attempts += 1
+        self.target = target.node_id
+        parent = parent_module.Parent(self._app, self._tree, target, placed)
+        task = asyncio.create_task(parent.run())
+        try:
+            await asyncio.shield(parent.answer)
+        except asyncio.CancelledError:
+            parent.close('this node stops')
+            task.cancel()
+            raise
+        finally:
+            self.target = ''
+        return parent, task
+
+    def _is_self(self, record: model.NodeRecord) -> bool:
+        own = self._tree.local
+        return record.node_id == own.node_id or (
+            (record.host, record.rpc_port) == (own.host, own.rpc_port)
+        )
+
+    def _candidates(self) -> list[Candidate]:
+        found: list[Candidate] = [(node, True) for node in self._hints]
+        self._hints.clear()
+        if self._tree.holds_region():
+            return found + self._foreign()
+        own = self._tree.local
+        former = self._former
+        if former is not None:
+            if former.left:
+                found += [(node, True) for node in former.successors]
+            if self._tree.was_head(former):
+                found += [
+                    (node, True)
+                    for node in sorted(former.siblings)
+                    if node.node_id < own.node_id
+                ]
+            found += [(node, True) for node in former.ancestors[-2::-1]]
+        known = self._tree.some_nodes(
+            own.region, MAX_KNOWN, self._tree.below() | {own.node_id}
+        )
+        found += [(node, False) for node in known]
+        seeds = list(self._app.cfg.addresses('mesh', 'seeds'))
+        self._rng.shuffle(seeds)
+        found += [
+            (
+                model.NodeRecord(
+                    '', 0, 0, '', '', seed.host, seed.port, seed.port
+                ),
+                False,
+            )
+            for seed in seeds[:MAX_SEEDS]
+        ]
+        holder = self._tree.roots.region_holder
+        if holder is not None:
+            found.append((holder, True))
+        return found + self._foreign()
+
+    def _foreign(self) -> list[Candidate]:
+        found: list[Candidate] = []
+        holder = self._tree.roots.fleet_holder
+        if holder is not None:
+            found.append((holder, True))
+        if self._former is not None:
+            found += [(node, True) for node in self._former.successors]
+        regions = {node.region for node in self._tree.nodes()}
+        for region in sorted(regions - {self._tree.local.region}):
+            found += [
+                (node, False) for node in self._tree.some_nodes(region, 1)
+            ]
+        return found
+
+    async def _pause(self) -> None:
+        timing = self._tree.timing
+        longest = min(
+            timing.backoff_high_s,
+            timing.backoff_low_s * 2 ** min(self.failed_rounds, 10),
+        )
+        pause = longest * self._rng.uniform(0.5, 1.5)
+        try:
+            async with asyncio.timeout(pause):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
--- /dev/null
+++ b/damaskpier/mesh/reader.py
@@ -0,0 +1,122 @@
+"""Watches the platform on a region root."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpier.bundle import model as bundle_model
+from damaskpier import errors
+from damaskpier.mesh import placement
+from damaskpier.platform import moves
+from damaskpier.platform import objects
+from damaskpier.platform import signoff
+
+if TYPE_CHECKING:
+    from damaskpier import application
+    from damaskpier.mesh import tree as tree_module
+    from damaskpier.platform import base
+
+LOG = logging.getLogger(__name__)
+
+
+class Reader:
+    """Brings the head, its bundle and the move states into the tree.
+
+    Runs while the node holds its region's lease.
+    """
+
+    def __init__(
+        self, app: application.Application, tree: tree_module.Tree
+    ) -> None:
+        self._app = app
+        self._tree = tree
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to watch."""
+        if self._tasks:
+            return
+        self._tasks = [asyncio.create_task(self._watch_head())]
+        if self._app.has_service('rollouts'):
+            self._tasks.append(asyncio.create_task(self._watch_moves()))
+
+    async def stop(self) -> None:
+        """End the watches."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def _store(self) -> base.ObjectStore:
+        return self._app.service('platform')
+
+    async def _watch_head(self) -> None:
+        async for _ in self._changes(objects.CONFIG_HEAD):
+            while not await self._read_head():
+                await asyncio.sleep(self._tree.timing.read_retry_s)
+
+    async def _watch_moves(self) -> None:
+        async for keys in self._changes(objects.ROLLOUT_PREFIX):
+            for key in keys:
+                while not await self._read_move(key):
+                    await asyncio.sleep(self._tree.timing.read_retry_s)
+
+    async def _changes(self, prefix: str) -> AsyncIterator[set[str]]:
+        watch = self._store.watch(prefix, 0)
+        async with contextlib.aclosing(watch):
+            async for changes in watch:
+                if isinstance(changes, errors.Refusal):
+                    LOG.warning('mesh: watch of %s: %s', prefix, changes)
+                    continue
+                yield {item.key for item in changes if not item.deleted}
+
+    async def _read_head(self) -> bool:
+        """Bring a new head into force; false to try again."""
+        active = self._app.service('active')
+        if self._tree.tier() != placement.TIER_FLEET and active.version():
+            # The fleet root reads the bundle once and sends it here.
+            await self._wait_for_tree(active.version())
+        stored = await signoff.read_head(self._store)
+        if isinstance(stored, errors.Refusal):
+            LOG.warning('mesh: the head can not be read: %s', stored)
+            return (
+                stored.code is errors.PLATFORM_NOT_FOUND
+                or stored.code.category is errors.Category.BUNDLE
+            )
+        head = stored.head
+        if head.version <= active.version():
+            return True
+        bundle = await signoff.read_bundle(self._store, head.digest)
+        if isinstance(bundle, errors.Refusal):
+            LOG.warning('mesh: the bundle can not be read: %s', bundle)
+            if bundle.code.category is errors.Category.BUNDLE:
+                active.refuse(head.version, bundle)
+                return True
+            return False
+        active.offer(bundle_model.Snapshot(head, bundle))
+        return True
+
+    async def _wait_for_tree(self, before: int) -> None:
+        active = self._app.service('active')
+        steps = 10
+        for _ in range(steps):
+            if active.version() > before:
+                return
+            await asyncio.sleep(self._tree.timing.fetch_grace_s / steps)
+
+    async def _read_move(self, key: str) -> bool:
+        move = key.removeprefix(objects.ROLLOUT_PREFIX)
+        found = await moves.read_move(self._store, move)
+        if isinstance(found, errors.Refusal):
+            LOG.warning('mesh: move %s can not be read: %s', move, found)
+            return found.code in (
+                errors.PLATFORM_NOT_FOUND,
+                errors.BUNDLE_SCHEMA,
+            )
+        self._app.service('rollouts').merge(found.state)
+        return True
--- /dev/null
+++ b/damaskpier/mesh/wire.py
@@ -0,0 +1,181 @@
+"""Conversion between the data of the mesh and its messages."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+from typing import TYPE_CHECKING
+import zlib
+
+from damaskpier.mesh import model
+from damaskpier.rollout import model as rollout_model
+from damaskpier.rpc import mesh_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Smaller messages gain nothing from compression.
+PACK_ABOVE_BYTES = 600
+# Several times the view of a fleet of the target scale.
+MAX_UNPACKED_BYTES = 16 * 1024 * 1024
+
+
+def record_to_pb(record: model.NodeRecord) -> mesh_pb2.NodeRecord:
+    """Return the message of a record."""
+    return mesh_pb2.NodeRecord(**record._asdict())
+
+
+def record_from_pb(msg: mesh_pb2.NodeRecord) -> model.NodeRecord:
+    """Return the record of a message."""
+    return model.NodeRecord(
+        msg.node_id,
+        msg.incarnation,
+        msg.seq,
+        msg.region,
+        msg.failure_domain,
+        msg.host,
+        msg.rpc_port,
+        msg.http_port,
+        msg.gone,
+        msg.service,
+        msg.version,
+        msg.slots,
+        msg.ready,
+        msg.draining,
+    )
+
+
+def records_from_pb(
+    msgs: Iterable[mesh_pb2.NodeRecord],
+) -> list[model.NodeRecord]:
+    """Return the records of messages."""
+    return [record_from_pb(msg) for msg in msgs]
+
+
+def delta_to_pb(
+    records: Iterable[model.NodeRecord], domains: Iterable[str] = ()
+) -> mesh_pb2.MembershipDelta:
+    """Return the message of records, compressed where that is worth it.
+
+    :param domains: failure domains of which the records are all
+    """
+    delta = mesh_pb2.MembershipDelta(
+        records=[record_to_pb(record) for record in records],
+        domains=sorted(domains),
+    )
+    if delta.ByteSize() <= PACK_ABOVE_BYTES:
+        return delta
+    return mesh_pb2.MembershipDelta(
+        packed=zlib.compress(delta.SerializeToString(), 1)
+    )
+
+
+def delta_from_pb(
+    msg: mesh_pb2.MembershipDelta,
+) -> tuple[list[model.NodeRecord], set[str]]:
+    """Return the records and the complete failure domains of a message."""
+    if msg.packed:
+        text = zlib.decompressobj().decompress(msg.packed, MAX_UNPACKED_BYTES)
+        msg = mesh_pb2.MembershipDelta.FromString(text)
+    return [record_from_pb(item) for item in msg.records], set(msg.domains)
+
+
+def digests_to_pb(digests: dict[str, int]) -> list[mesh_pb2.MembershipDigest]:
+    """Return the messages of digests per failure domain."""
+    return [
+        mesh_pb2.MembershipDigest(failure_domain=name, digest=value)
+        for name, value in sorted(digests.items())
+    ]
+
+
+def digests_from_pb(
+    msgs: Iterable[mesh_pb2.MembershipDigest],
+) -> dict[str, int]:
+    """Return the digests per failure domain of messages."""
+    return {msg.failure_domain: msg.digest for msg in msgs}
+
+
+def redirect_to_pb(
+    records: Iterable[model.NodeRecord], reason: str, leaving: bool = False
+) -> mesh_pb2.Redirect:
+    """Return a message that sends a node elsewhere, or refuses it.
+
+    :param leaving: whether the sender stops
+    """
+    return mesh_pb2.Redirect(
+        candidates=[record_to_pb(record) for record in records],
+        reason=reason,
+        leaving=leaving,
+    )
+
+
+def record_hash(record: model.NodeRecord) -> int:
+    """Return a 64-bit hash of a record's identity and order."""
+    text = f'{record.node_id}/{record.incarnation}/{record.seq}'
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'little')
+
+
+def move_to_pb(state: rollout_model.MoveState) -> mesh_pb2.MoveState:
+    """Return the message of a move state."""
+    return mesh_pb2.MoveState(
+        move=state.move,
+        epoch=state.epoch,
+        seq=state.seq,
+        phase=state.phase.value,
+        shares=[
+            mesh_pb2.RouteShare(route=route, share=share)
+            for route, share in sorted(state.shares.items())
+        ],
+        reason=state.reason,
+        result=state.result,
+    )
+
+
+def move_from_pb(msg: mesh_pb2.MoveState) -> rollout_model.MoveState:
+    """Return the move state of a message.
+
+    :raises ValueError: if the phase is not known
+    """
+    return rollout_model.MoveState(
+        msg.move,
+        msg.epoch,
+        msg.seq,
+        rollout_model.Phase(msg.phase),
+        {item.route: item.share for item in msg.shares},
+        msg.reason,
+        msg.result,
+    )
+
+
+def holder_of(record: model.NodeRecord, admin_port: int = 0) -> dict[str, Any]:
+    """Return the fields that name a node as the holder of a lease."""
+    return {
+        'node_id': record.node_id,
+        'host': record.host,
+        'rpc_port': record.rpc_port,
+        'http_port': record.http_port,
+        'admin_port': admin_port,
+        'region': record.region,
+        'failure_domain': record.failure_domain,
+    }
+
+
+def record_of_holder(holder: dict[str, Any]) -> model.NodeRecord | None:
+    """Return what a lease tells of its holder; None if it is not usable.
+
+    The record has order (0, 0), so that it never replaces a real one.
+    """
+    try:
+        return model.NodeRecord(
+            str(holder['node_id']),
+            0,
+            0,
+            str(holder['region']),
+            str(holder['failure_domain']),
+            str(holder['host']),
+            int(holder['rpc_port']),
+            int(holder['http_port']),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
