--- a/damaskpier/application.py
+++ b/damaskpier/application.py
@@ -60,6 +60,7 @@
                 await self.stop()
                 raise
         LOG.info('kernel: started %s', ', '.join(self._started))
+        self.events.emit('started')
 
     async def stop(self) -> None:
         """Stop the started services, last one first."""
--- /dev/null
+++ b/damaskpier/rollout/decider.py
@@ -0,0 +1,213 @@
+"""Service that decides moves while this node holds the fleet lease."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier import registry
+from damaskpier.platform import objects
+from damaskpier.platform import signoff
+from damaskpier.rollout import controller
+from damaskpier.rollout import model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.bundle import model as bundle_model
+
+LOG = logging.getLogger(__name__)
+
+FLEET_LEASE = 'fleet'
+STEP_INTERVAL_S = 0.25
+WRITE_RETRY_S = 1.0
+
+
+class Decider(registry.Service):
+    """Runs one controller per move of the active configuration.
+
+    Decisions go down the tree at once and to the platform as soon as it
+    takes them. The platform's copy is what a later holder of the lease
+    starts from.
+
+    :param clock: seconds since the epoch
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._controllers: dict[str, controller.MoveController] = {}
+        self._epoch = 0
+        self._recorder = _Recorder(app, clock)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to decide whenever the lease is held."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop deciding; states already sent stay in force."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def evidence_of(self, move: str) -> dict | None:
+        """Return the evidence of a move that this node decides."""
+        ctl = self._controllers.get(move)
+        return ctl.evidence_summary() if ctl is not None else None
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except Exception:
+                LOG.exception('rollout: a round of decisions failed')
+            await asyncio.sleep(STEP_INTERVAL_S)
+
+    async def _round(self) -> None:
+        leases = self._app.service('leases')
+        if not _may_decide(leases):
+            self._controllers.clear()
+            return
+        snapshot = self._app.service('active').current()
+        if snapshot is None:
+            return
+        epoch = leases.epoch(FLEET_LEASE)
+        if epoch != self._epoch:
+            self._controllers.clear()
+            self._epoch = epoch
+        await self._add_controllers(snapshot, epoch)
+        self._decide()
+        await self._recorder.write_pending(epoch)
+
+    async def _add_controllers(
+        self, snapshot: bundle_model.Snapshot, epoch: int
+    ) -> None:
+        moves = {move.move: move for move in snapshot.head.moves}
+        for name in list(self._controllers):
+            if name not in moves:
+                del self._controllers[name]
+        for name, move in moves.items():
+            if name in self._controllers:
+                continue
+            routes = tuple(
+                route
+                for route in snapshot.bundle.routes.values()
+                if route.service == move.service
+            )
+            if not await self._load_state(name):
+                continue
+            ctl = controller.MoveController(move, routes, epoch)
+            known = self._app.service('rollouts').state(name)
+            if known is not None:
+                ctl.resume(known)
+            self._controllers[name] = ctl
+
+    async def _load_state(self, name: str) -> bool:
+        """Merge the stored state of a move; false if it can not be read."""
+        store = self._app.service('platform')
+        found = await store.get(objects.rollout_key(name))
+        if isinstance(found, errors.Refusal):
+            # A state that arrived through the tree is at least as new as the
+            # stored one, so an outage of the platform need not stop it.
+            known = self._app.service('rollouts').state(name)
+            return (
+                found.code is errors.PLATFORM_NOT_FOUND or known is not None
+            )
+        state = signoff.decode_state(found.value)
+        self._app.service('rollouts').merge(state)
+        return True
+
+    def _decide(self) -> None:
+        now = self._clock()
+        cells, trips = self._app.service('evidence').take()
+        for name, ctl in self._controllers.items():
+            ctl.observe([cell for cell in cells if cell.move == name], now)
+            for notice in trips:
+                if notice.move == name:
+                    ctl.observe_trip(notice, now)
+            state = ctl.step(now)
+            if state is None:
+                continue
+            self._app.service('rollouts').merge(state)
+            self._recorder.add(state, ctl.evidence_summary())
+
+
+class _Recorder:
+    """Writes decisions to the platform, the latest one of each move."""
+
+    def __init__(
+        self, app: application.Application, clock: Callable[[], float]
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._pending: dict[str, tuple[model.MoveState, dict]] = {}
+        self._retry_at = 0.0
+
+    def add(self, state: model.MoveState, evidence: dict) -> None:
+        """Queue a state; it replaces an older one of the same move."""
+        self._pending[state.move] = (state, evidence)
+
+    async def write_pending(self, epoch: int) -> None:
+        """Write the queued states, or try again later."""
+        if self._clock() < self._retry_at:
+            return
+        for move, (state, evidence) in list(self._pending.items()):
+            refusal = await self._write(state, evidence, epoch)
+            if refusal is None or refusal.code is errors.LEASE_LOST:
+                # A decision made meanwhile stays queued.
+                if self._pending.get(move, (None,))[0] is state:
+                    del self._pending[move]
+                continue
+            LOG.warning(
+                'rollout: state of %s is not stored yet: %s', move, refusal
+            )
+            self._retry_at = self._clock() + WRITE_RETRY_S
+            return
+
+    async def _write(
+        self, state: model.MoveState, evidence: dict, epoch: int
+    ) -> errors.Refusal | None:
+        store = self._app.service('platform')
+        if state.phase is model.Phase.TAKEN_BACK:
+            done = await signoff.take_back(
+                store,
+                state.move,
+                by_whom=self._app.cfg.text('node', 'id'),
+                reason=state.reason,
+                result=state.result,
+                epoch=epoch,
+                now=self._clock(),
+            )
+        else:
+            done = await signoff.write_move_state(
+                store, state, evidence, now=self._clock()
+            )
+        return done if isinstance(done, errors.Refusal) else None
+
+
+def _may_decide(leases) -> bool:
+    """Tell whether this node is the decider.
+
+    A holder that ran all the time goes on while the platform is down: no
+    other node can take the lease then. After a pause it has to confirm.
+    """
+    return leases.held(FLEET_LEASE) or leases.held_through_outage(FLEET_LEASE)
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``decider``."""
+    app.add_service(
+        'decider',
+        Decider(app),
+        after=('platform', 'leases', 'active', 'rollouts', 'tree'),
+    )
--- /dev/null
+++ b/damaskpier/rollout/service.py
@@ -0,0 +1,192 @@
+"""Services that hold the move states and the evidence of a node."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import registry
+from damaskpier.rollout import evidence
+from damaskpier.rollout import model
+from damaskpier.rollout import trip
+from damaskpier.rollout import wire
+from damaskpier.rpc import mesh_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.bundle import model as bundle_model
+
+LOG = logging.getLogger(__name__)
+
+# States of moves that left the configuration are kept for the answers that
+# are still under way and for nodes that reattach with an old configuration.
+MAX_STATES = 256
+
+
+class Rollouts(registry.Service):
+    """Move states on this node, and the choice of a version by them.
+
+    :param rng: source of the choice of a version per request
+    :param clock: seconds since the epoch; windows of evidence of different
+        nodes are merged by it
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        rng: random.Random,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._app = app
+        self._rng = rng
+        self._clock = clock
+        self._states: dict[str, model.MoveState] = {}
+
+    async def start(self) -> None:
+        """Follow the configuration, to forget the states of old moves."""
+        self._app.events.connect('config-applied', self._config_applied)
+
+    def states(self) -> list[model.MoveState]:
+        """Return the known state of each move."""
+        return list(self._states.values())
+
+    def state(self, move: str) -> model.MoveState | None:
+        """Return the known state of a move."""
+        return self._states.get(move)
+
+    def merge(self, state: model.MoveState) -> bool:
+        """Take over a state unless the known one is as new.
+
+        :returns: whether the state was new; the event ``rollout-changed``
+            is emitted then
+        """
+        known = self._states.get(state.move)
+        if known is not None and known.order >= state.order:
+            return False
+        self._states[state.move] = state
+        if known is None or known.phase is not state.phase:
+            LOG.info('rollout: move %s is %s', state.move, state.phase.value)
+        self._app.events.emit('rollout-changed', state)
+        return True
+
+    def share(self, service: str, route: str) -> float:
+        """Return the share of a route that goes to the new version."""
+        snapshot = self._app.service('active').current()
+        move = snapshot.move_of(service) if snapshot else None
+        state = self._states.get(move.move) if move else None
+        return _share_of(state, route)
+
+    def pick_version(
+        self,
+        snapshot: bundle_model.Snapshot,
+        route: bundle_model.RouteSpec,
+    ) -> str:
+        """Return the version that the next request of a route goes to."""
+        move = snapshot.move_of(route.service)
+        if move is None:
+            return snapshot.bundle.services[route.service].version
+        share = _share_of(self._states.get(move.move), route.name)
+        if share <= 0 or self._tripped(move.move, route.name):
+            return move.old
+        if share >= 1 or self._rng.random() < share:
+            return move.new
+        return move.old
+
+    def record(self, sample: model.Sample) -> None:
+        """Count the outcome of a request of a route with a move."""
+        share = _share_of(self._states.get(sample.move), sample.route)
+        self._app.service('evidence').record(sample, share)
+
+    def _tripped(self, move: str, route: str) -> bool:
+        return self._app.service('evidence').tripped(move, route)
+
+    def _config_applied(self, snapshot: bundle_model.Snapshot) -> None:
+        current = {move.move for move in snapshot.head.moves}
+        old = [move for move in self._states if move not in current]
+        for move in old[: max(0, len(self._states) - MAX_STATES)]:
+            del self._states[move]
+
+
+class Evidence(registry.Service):
+    """Counts of this node and of the nodes below it, not yet sent."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        cfg = app.cfg
+        self._node_id = cfg.text('node', 'id')
+        self._clock = clock
+        self._store = evidence.EvidenceStore(
+            cfg.text('node', 'failure_domain')
+        )
+        self._trip = trip.LocalTrip(self._node_id)
+        self._trips: dict[tuple[str, str, str], trip.TripNotice] = {}
+
+    def record(self, sample: model.Sample, share: float) -> None:
+        """Count an outcome and check it for a local trip."""
+        now = self._clock()
+        self._store.record(sample, now)
+        notice = self._trip.record(sample, share, now)
+        if notice is not None:
+            LOG.warning(
+                'rollout: no more requests of %s to the new version of %s: '
+                '%s',
+                notice.route,
+                notice.move,
+                notice.reason,
+            )
+            self._add_trip(notice)
+
+    def tripped(self, move: str, route: str) -> bool:
+        """Tell whether this node stopped sending to a new version."""
+        return self._trip.tripped(move, route)
+
+    def merge(self, delta: mesh_pb2.EvidenceDelta) -> None:
+        """Add the counts and trips that a child sent."""
+        self._store.merge([wire.from_message(cell) for cell in delta.cells])
+        for message in delta.trips:
+            self._add_trip(wire.trip_from_message(message))
+
+    def drain(self) -> mesh_pb2.EvidenceDelta | None:
+        """Return what has not been sent, or None if there is nothing."""
+        cells, trips = self.take()
+        if not cells and not trips:
+            return None
+        return mesh_pb2.EvidenceDelta(
+            cells=[wire.to_message(cell) for cell in cells],
+            trips=[wire.trip_to_message(notice) for notice in trips],
+        )
+
+    def take(
+        self,
+    ) -> tuple[list[evidence.EvidenceCell], list[trip.TripNotice]]:
+        """Return and remove the closed windows and the trips."""
+        trips = list(self._trips.values())
+        self._trips.clear()
+        return self._store.drain(self._clock()), trips
+
+    def _add_trip(self, notice: trip.TripNotice) -> None:
+        key = (notice.move, notice.route, notice.node_id)
+        self._trips.setdefault(key, notice)
+
+
+def _share_of(state: model.MoveState | None, route: str) -> float:
+    if state is None or state.phase is model.Phase.TAKEN_BACK:
+        return 0.0
+    return state.shares.get(route, 0.0)
+
+
+def setup(app: application.Application) -> None:
+    """Register the services ``rollouts`` and ``evidence``."""
+    app.add_service('evidence', Evidence(app))
+    app.add_service(
+        'rollouts',
+        Rollouts(app, random.Random()),
+        after=('active', 'evidence'),
+    )
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools; not part of the installed package."""
--- /dev/null
+++ b/tools/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md."""
--- /dev/null
+++ b/tools/capacity/host.py
@@ -0,0 +1,169 @@
+"""Process that holds several nodes of one failure domain.
+
+Several nodes share a process, so that a few hundred nodes fit on one
+machine. Figures of processor time and memory are divided by the number of
+nodes after the cost of an empty process is taken off.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import logging
+import pathlib
+import resource
+import time
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier.cmd import node
+from damaskpier.mesh import model
+from tools.capacity import delay
+
+ANNOUNCE_INTERVAL_S = 1.0
+
+SETTINGS = """\
+[node]
+id = {node_id}
+region = {region}
+failure_domain = {domain}
+host = {host}
+[platform]
+address = {platform}
+[log]
+level = warning
+"""
+
+
+class Fleet:
+    """Nodes of this process and what is measured of them."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        self._args = args
+        self.apps: list[application.Application] = []
+        self.applied: dict[int, list[float]] = {}
+
+    async def start(self) -> None:
+        """Start all nodes, a few at a time."""
+        for index in range(self._args.first, self._args.last):
+            app = node.make_node(self._settings(index))
+            app.events.connect('config-applied', self._config_applied)
+            self.apps.append(app)
+            await app.start()
+            self._announce(app, index)
+        self._task = asyncio.create_task(self._announce_all())
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        self._task.cancel()
+        await asyncio.gather(*(app.stop() for app in self.apps))
+
+    def stats(self) -> dict:
+        """Return the figures of the process so far."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            'nodes': len(self.apps),
+            'cpu_s': usage.ru_utime + usage.ru_stime,
+            'rss_kb': _resident_kb(),
+            'monotonic': time.monotonic(),
+            'applied': self.applied,
+            'trees': [app.service('tree').status() for app in self.apps],
+            'known': [
+                len(app.service('membership').nodes()) for app in self.apps
+            ],
+        }
+
+    def _settings(self, index: int) -> config.Settings:
+        args = self._args
+        return config.loads(
+            SETTINGS.format(
+                node_id=f'n{index:04d}',
+                region=f'region-{args.region}',
+                domain=f'domain-{args.region}-{args.domain}',
+                host=f'127.0.{args.region}.{args.domain}',
+                platform=args.platform,
+            )
+        )
+
+    def _config_applied(self, snapshot) -> None:
+        times = self.applied.setdefault(snapshot.version, [])
+        # The monotonic clock is common to all processes of the machine.
+        times.append(time.monotonic())
+
+    def _announce(self, app: application.Application, index: int) -> None:
+        app.service('membership').announce(
+            model.Announcement(
+                service=f's{index % self._args.services:02d}',
+                version='v1',
+                address='127.0.0.1',
+                port=1,
+                slots=20,
+                connections=110,
+            )
+        )
+
+    async def _announce_all(self) -> None:
+        while True:
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            for index, app in enumerate(self.apps, self._args.first):
+                self._announce(app, index)
+
+
+class _StatsHandler(tornado.web.RequestHandler):
+    def initialize(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def get(self) -> None:
+        self.write(self._fleet.stats())
+
+
+def _resident_kb() -> int:
+    gc.collect()
+    text = pathlib.Path('/proc/self/status').read_text(encoding='ascii')
+    for line in text.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1])
+    return 0
+
+
+async def _run(args: argparse.Namespace) -> None:
+    delay.install(
+        asyncio.get_running_loop(), (args.region, args.domain)
+    )
+    fleet = Fleet(args)
+    await fleet.start()
+    sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
+    server = tornado.httpserver.HTTPServer(
+        tornado.web.Application([
+            ('/stats', _StatsHandler, {'fleet': fleet})
+        ])
+    )
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    args.ready_file.with_suffix('.part').write_text(json.dumps({'port': port}))
+    args.ready_file.with_suffix('.part').rename(args.ready_file)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the nodes until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--first', type=int, required=True)
+    parser.add_argument('--last', type=int, required=True)
+    parser.add_argument('--region', type=int, required=True)
+    parser.add_argument('--domain', type=int, required=True)
+    parser.add_argument('--services', type=int, required=True)
+    parser.add_argument('--platform', required=True)
+    parser.add_argument('--ready-file', type=pathlib.Path, required=True)
+    logging.basicConfig(level=logging.WARNING)
+    asyncio.run(_run(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
