Record decisions through the move states of the platform

Cause: the stored state is what a later decider starts from. Change: write, audit and take back through the operations of the platform part; a conflict or a higher epoch ends the writing of a state.

--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -9,7 +9,7 @@
 
 from damaskpier import errors
 from damaskpier import registry
-from damaskpier.platform import objects
+from damaskpier.platform import moves
 from damaskpier.platform import signoff
 from damaskpier.rollout import controller
 from damaskpier.rollout import model
@@ -114,23 +114,26 @@
 
     async def _load_state(self, name: str) -> bool:
         """Merge the stored state of a move; false if it can not be read."""
-        store = self._app.service('platform')
-        found = await store.get(objects.rollout_key(name))
-        if isinstance(found, errors.Refusal):
-            # A state that arrived through the tree is at least as new as the
-            # stored one, so an outage of the platform need not stop it.
-            known = self._app.service('rollouts').state(name)
-            return (
-                found.code is errors.PLATFORM_NOT_FOUND or known is not None
-            )
-        state = signoff.decode_state(found.value)
-        self._app.service('rollouts').merge(state)
-        return True
+        rollouts = self._app.service('rollouts')
+        record = await moves.read_move(self._app.service('platform'), name)
+        if not isinstance(record, errors.Refusal):
+            rollouts.merge(record.state)
+            return True
+        # A state that arrived through the tree is at least as new as the
+        # stored one, so an outage of the platform need not stop it.
+        return (
+            record.code is errors.PLATFORM_NOT_FOUND
+            or rollouts.state(name) is not None
+        )
 
     def _decide(self) -> None:
         now = self._clock()
+        rollouts = self._app.service('rollouts')
         cells, trips = self._app.service('evidence').take()
         for name, ctl in self._controllers.items():
+            known = rollouts.state(name)
+            if known is not None and known.phase is model.Phase.TAKEN_BACK:
+                continue
             ctl.observe([cell for cell in cells if cell.move == name], now)
             for notice in trips:
                 if notice.move == name:
@@ -138,7 +141,7 @@
             state = ctl.step(now)
             if state is None:
                 continue
-            self._app.service('rollouts').merge(state)
+            rollouts.merge(state)
             self._recorder.add(state, ctl.evidence_summary())
 
 
@@ -163,36 +166,64 @@
             return
         for move, (state, evidence) in list(self._pending.items()):
             refusal = await self._write(state, evidence, epoch)
-            if refusal is None or refusal.code is errors.LEASE_LOST:
-                # A decision made meanwhile stays queued.
-                if self._pending.get(move, (None,))[0] is state:
-                    del self._pending[move]
-                continue
-            LOG.warning(
-                'rollout: state of %s is not stored yet: %s', move, refusal
-            )
-            self._retry_at = self._clock() + WRITE_RETRY_S
-            return
+            if refusal is not None:
+                LOG.warning(
+                    'rollout: state of %s is not stored yet: %s',
+                    move,
+                    refusal,
+                )
+                self._retry_at = self._clock() + WRITE_RETRY_S
+                return
+            # A decision made meanwhile stays queued.
+            if self._pending[move][0] is state:
+                del self._pending[move]
 
     async def _write(
         self, state: model.MoveState, evidence: dict, epoch: int
     ) -> errors.Refusal | None:
+        """Write a state; a refusal means that it has to be tried again."""
         store = self._app.service('platform')
-        if state.phase is model.Phase.TAKEN_BACK:
-            done = await signoff.take_back(
-                store,
-                state.move,
-                by_whom=self._app.cfg.text('node', 'id'),
-                reason=state.reason,
-                result=state.result,
-                epoch=epoch,
-                now=self._clock(),
-            )
-        else:
-            done = await signoff.write_move_state(
-                store, state, evidence, now=self._clock()
-            )
-        return done if isinstance(done, errors.Refusal) else None
+        node_id = self._app.cfg.text('node', 'id')
+        now = self._clock()
+        done = await moves.write_move_state(
+            store, state, evidence, node_id, now
+        )
+        if isinstance(done, errors.Refusal):
+            # The stored state is newer, or that of a later decider.
+            final = (errors.LEASE_LOST, errors.PLATFORM_CONFLICT)
+            return None if done.code in final else done
+        self._app.service('rollouts').merge(done.state)
+        self._audit(state, evidence)
+        if done.state.phase is not model.Phase.TAKEN_BACK:
+            return None
+        head = await signoff.take_back(
+            store,
+            state.move,
+            node_id,
+            state.reason,
+            errors.by_number(state.result),
+            epoch,
+            now,
+        )
+        if not isinstance(head, errors.Refusal):
+            return None
+        final = (errors.LEASE_LOST, errors.PLATFORM_NOT_FOUND)
+        return None if head.code in final else head
+
+    def _audit(self, state: model.MoveState, evidence: dict) -> None:
+        # The entry's identifier makes a repeated write of it harmless.
+        self._app.service('audit').record(
+            actor=self._app.cfg.text('node', 'id'),
+            action=state.phase.value,
+            move=state.move,
+            result=state.result,
+            detail={
+                'reason': state.reason,
+                'shares': state.shares,
+                'evidence': evidence,
+            },
+            entry_id=f'{state.move}-{state.epoch}-{state.seq}',
+        )
 
 
 def _may_decide(leases) -> bool:
