--- /dev/null
+++ b/damaskpier/metrics.py
@@ -0,0 +1,110 @@
+"""Counters, gauges and latency histograms in the usual text format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hdrh import histogram
+
+from damaskpier import registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+
+PREFIX = 'damaskpier_'
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class _Histogram:
+    def __init__(self) -> None:
+        self.counts = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+        self.total_s = 0.0
+
+    def record(self, seconds: float) -> None:
+        micros = min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6)))
+        self.counts.record_value(micros)
+        self.total_s += seconds
+
+
+class Metrics(registry.Service):
+    """Holds the metrics of a process."""
+
+    def __init__(self) -> None:
+        self._counters: dict[str, dict[Labels, float]] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._histograms: dict[str, _Histogram] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        series = self._counters.setdefault(name, {})
+        key = tuple(labels.items())
+        series[key] = series.get(key, 0) + amount
+
+    def counted(self, name: str, **labels: str) -> float:
+        """Return the value of a counter."""
+        series = self._counters.get(name, {})
+        return series.get(tuple(labels.items()), 0)
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Declare a gauge whose value is read when it is shown."""
+        self._gauges[name] = read
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        entry = self._histograms.get(name)
+        if entry is None:
+            entry = self._histograms[name] = _Histogram()
+        entry.record(seconds)
+
+    def quantile_s(self, name: str, quantile: float) -> float:
+        """Return a quantile of a histogram in seconds, 0 if it is empty."""
+        entry = self._histograms.get(name)
+        if entry is None:
+            return 0.0
+        return entry.counts.get_value_at_percentile(quantile * 100) / 1e6
+
+    def text(self) -> str:
+        """Return all metrics in the text exposition format."""
+        lines: list[str] = []
+        for name, series in sorted(self._counters.items()):
+            full = f'{PREFIX}{name}_total'
+            lines.append(f'# TYPE {full} counter')
+            for labels, value in sorted(series.items()):
+                lines.append(f'{full}{_labels(labels)} {value:.17g}')
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f'# TYPE {PREFIX}{name} gauge')
+            lines.append(f'{PREFIX}{name} {read():.17g}')
+        for name, entry in sorted(self._histograms.items()):
+            full = f'{PREFIX}{name}_seconds'
+            lines.append(f'# TYPE {full} summary')
+            for quantile in QUANTILES:
+                value = self.quantile_s(name, quantile)
+                lines.append(f'{full}{{quantile="{quantile:g}"}} {value:.6f}')
+            lines.append(f'{full}_sum {entry.total_s:.6f}')
+            lines.append(f'{full}_count {entry.counts.get_total_count()}')
+        return '\n'.join(lines) + '\n'
+
+
+def _labels(labels: Labels) -> str:
+    if not labels:
+        return ''
+    parts = ','.join(f'{name}="{_escape(value)}"' for name, value in labels)
+    return '{' + parts + '}'
+
+
+def _escape(value: str) -> str:
+    return value.replace('\\', '\\\\').replace('"', '\\"').replace('\n', '\\n')
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``metrics``."""
+    app.add_service('metrics', Metrics())
--- /dev/null
+++ b/damaskpier/traffic/admin.py
@@ -0,0 +1,195 @@
+"""Admin server: announcements, health, status and metrics."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from damaskpier import errors
+from damaskpier.mesh import model
+from damaskpier import registry
+
+if TYPE_CHECKING:
+    from damaskpier import application
+
+MAX_ANNOUNCEMENT = 16 * 1024  # bytes
+MAX_NUMBER = 100_000
+
+
+class _Announcement(msgspec.Struct):
+    service: str
+    version: str
+    address: str
+    port: int
+    slots: int = 0
+    connections: int = 0
+    ready: bool = True
+    draining: bool = False
+
+
+class Admin(registry.Service):
+    """Serves the admin port of the node."""
+
+    def __init__(self, app: application.Application) -> None:
+        self.port = 0
+        self.draining = False
+        self._app = app
+        self._server: httpserver.HTTPServer | None = None
+        app.events.connect('node-draining', self._drains)
+
+    async def start(self) -> None:
+        """Listen on the admin port."""
+        handler_args = {'admin': self, 'app': self._app}
+        handlers = [
+            ('/announce', _AnnounceHandler, handler_args),
+            ('/healthz', _HealthHandler, handler_args),
+            ('/metrics', _MetricsHandler, handler_args),
+            ('/status', _StatusHandler, handler_args),
+        ]
+        self._server = httpserver.HTTPServer(
+            web.Application(handlers), max_body_size=MAX_ANNOUNCEMENT
+        )
+        sockets = netutil.bind_sockets(
+            self._app.cfg.integer('node', 'admin_port'),
+            self._app.cfg.text('node', 'host'),
+        )
+        self._server.add_sockets(sockets)
+        self.port = sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def _drains(self) -> None:
+        self.draining = True
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, admin: Admin, app: application.Application) -> None:
+        self.admin = admin
+        self.app = app
+
+    def _send_json(self, content: Any, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(content) + '\n')
+
+
+class _AnnounceHandler(_Handler):
+    def post(self) -> None:
+        """Take the announcement of the upstream."""
+        announcement = parse_announcement(self.request.body)
+        if isinstance(announcement, errors.Refusal):
+            self._send_json({'error': announcement.reason}, 400)
+            return
+        self.app.service('upstream').announced(announcement)
+        # An upstream that calls other services does so through its node.
+        frontend = self.app.service('frontend')
+        cfg = self.app.cfg
+        self._send_json(
+            {
+                'node': cfg.text('node', 'id'),
+                'http': f'{cfg.text("node", "host")}:{frontend.port}',
+                'draining': self.admin.draining,
+            }
+        )
+
+
+class _HealthHandler(_Handler):
+    def get(self) -> None:
+        """Tell whether the node takes requests."""
+        if self.admin.draining:
+            self._send_json({'state': 'draining'}, 503)
+        elif self.app.service('active').current() is None:
+            self._send_json({'state': 'no configuration'}, 503)
+        else:
+            self._send_json({'state': 'ready'})
+
+
+class _MetricsHandler(_Handler):
+    def get(self) -> None:
+        """Show the metrics."""
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self.app.service('metrics').text())
+
+
+class _StatusHandler(_Handler):
+    def get(self) -> None:
+        """Show what the node knows."""
+        self._send_json(status(self.app))
+
+
+def parse_announcement(body: bytes) -> model.Announcement | errors.Refusal:
+    """Return the announcement in a request body, or why it is invalid."""
+    try:
+        content = msgspec.json.decode(body, type=_Announcement)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return _invalid(str(exc))
+    announcement = model.Announcement(**msgspec.structs.asdict(content))
+    if not announcement.service or not announcement.version:
+        return _invalid('service and version must not be empty')
+    try:
+        ipaddress.ip_address(announcement.address)
+    except ValueError:
+        return _invalid(f'{announcement.address!r} is not an IP address')
+    if not 0 < announcement.port < 65536:
+        return _invalid(f'port {announcement.port} is out of range')
+    for number in (announcement.slots, announcement.connections):
+        if not 0 <= number <= MAX_NUMBER:
+            return _invalid(f'{number} is out of range')
+    return announcement
+
+
+def status(app: application.Application) -> dict[str, Any]:
+    """Return what the node knows, for operators."""
+    snapshot = app.service('active').current()
+    local = app.service('membership').local()
+    content: dict[str, Any] = {
+        'node': local.node_id,
+        'region': local.region,
+        'failure_domain': local.failure_domain,
+        'draining': app.service('admin').draining,
+        'version': 0 if snapshot is None else snapshot.version,
+        'moves': [],
+        'workers': {},
+    }
+    announcement = app.service('upstream').announcement
+    if announcement is not None:
+        content['upstream'] = announcement._asdict()
+        content['load'] = app.service('upstream').admission.load._asdict()
+    if snapshot is not None:
+        content['moves'] = [move._asdict() for move in snapshot.head.moves]
+        content['workers'] = {
+            name: [
+                {
+                    'node': record.node_id,
+                    'version': record.version,
+                    'routable': record.routable,
+                }
+                for record in app.service('membership').workers(name)
+            ]
+            for name in snapshot.bundle.services
+        }
+    if app.has_service('leases'):
+        held = getattr(app.service('leases'), 'names_held', None)
+        if held is not None:
+            content['leases'] = sorted(held())
+    return content
+
+
+def _invalid(reason: str) -> errors.Refusal:
+    return errors.Refusal(errors.CALL_BAD_HEADER, reason)
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``admin``."""
+    app.add_service('admin', Admin(app), after=('metrics', 'membership'))
--- /dev/null
+++ b/damaskpier/traffic/admission.py
@@ -0,0 +1,301 @@
+"""Admission of requests to the slots of the local upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import math
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Weight of a new service time in the running average.
+SERVICE_TIME_WEIGHT = 0.1
+# Routes whose service times are remembered; bounds memory when bundles
+# rename their routes often.
+MAX_ROUTES = 1024
+
+ADAPTIVE_START = 4
+ADAPTIVE_MAX = 256
+# A recent latency of up to this multiple of the long-term one is normal.
+LATENCY_TOLERANCE = 1.5
+SHORT_WEIGHT = 0.2
+LONG_WEIGHT = 0.01
+LIMIT_SMOOTHING = 0.2
+
+
+class Ticket:
+    """One request that waits for a slot or holds one.
+
+    :param deadline: end of the request's time on the admission's clock
+    :param done: called once, with None when the slot is granted or with the
+        refusal
+    """
+
+    __slots__ = ('deadline', 'done', 'route', 'granted_at', 'closed')
+
+    def __init__(
+        self,
+        deadline: float,
+        done: Callable[[errors.Refusal | None], None],
+        route: str,
+    ) -> None:
+        self.deadline = deadline
+        self.done = done
+        self.route = route
+        self.granted_at: float | None = None
+        self.closed = False
+
+
+class AdaptiveLimit:
+    """Finds the concurrency limit where the upstream does not state one.
+
+    The limit follows the ratio of the long-term to the recent latency: it
+    shrinks when requests take longer than usual and otherwise grows by its
+    square root, which leaves room for a short queue in the upstream.
+    """
+
+    def __init__(self) -> None:
+        self.limit = float(ADAPTIVE_START)
+        self._short = 0.0
+        self._long = 0.0
+
+    def finished(self, service_s: float, in_use: int) -> None:
+        """Take the service time of a request that has finished."""
+        if not self._long:
+            self._short = self._long = service_s
+        self._short += SHORT_WEIGHT * (service_s - self._short)
+        self._long += LONG_WEIGHT * (service_s - self._long)
+        # A load that has lasted must not become the new normal latency.
+        self._long = min(self._long, 2 * self._short)
+        if in_use * 2 < self.limit:
+            return
+        ratio = LATENCY_TOLERANCE * self._long / max(self._short, 1e-9)
+        gradient = min(1.0, max(0.5, ratio))
+        target = self.limit * gradient + math.sqrt(self.limit)
+        self.limit += LIMIT_SMOOTHING * (target - self.limit)
+        self.limit = min(float(ADAPTIVE_MAX), max(1.0, self.limit))
+
+
+class Admission:
+    """Grants the slots of one worker; the queue is ordered by deadline.
+
+    The class does no input or output, so that it can be driven by a virtual
+    clock.
+
+    :param clock: returns the time in seconds
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.in_use = 0
+        self.draining = False
+        self.service_s = 0.0  # running average of service times
+        self._route_s: dict[str, float] = {}
+        self._clock = clock
+        self._slots = 0
+        self._queue_limit = 0
+        self._adaptive = AdaptiveLimit()
+        self._queue: list[tuple[float, int, Ticket]] = []
+        self._queued = 0
+        self._order = itertools.count()
+
+    def configure(self, slots: int, queue: int) -> None:
+        """Set the number of slots (0: adaptive) and the queue's bound."""
+        self._slots = slots
+        self._queue_limit = queue
+        self._grant()
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests may run at a time."""
+        return self._slots or int(self._adaptive.limit)
+
+    @property
+    def load(self) -> messages.Load:
+        """Return the load as it is told to callers."""
+        return messages.Load(self.slots, self.in_use, self._queued)
+
+    def submit(
+        self,
+        deadline: float,
+        done: Callable[[errors.Refusal | None], None],
+        route: str = '',
+    ) -> Ticket:
+        """Ask for a slot; the outcome is given to ``done``.
+
+        A request that can be decided at once is decided before this returns.
+
+        :param route: name of the request's route, which tells how long it is
+            likely to take
+        """
+        now = self._clock()
+        ticket = Ticket(deadline, done, route)
+        refusal = self._refusal(ticket, now)
+        if refusal is not None:
+            ticket.closed = True
+            done(refusal)
+        elif self.in_use < self.slots:
+            self._start(ticket, now)
+        else:
+            entry = (deadline, next(self._order), ticket)
+            heapq.heappush(self._queue, entry)
+            self._queued += 1
+        return ticket
+
+    def release(self, ticket: Ticket, *, finished: bool = True) -> None:
+        """Give up a ticket, granted or still waiting.
+
+        :param finished: whether the request ran to its end, so that its time
+            counts as a service time
+        """
+        if ticket.closed:
+            return
+        ticket.closed = True
+        if ticket.granted_at is None:
+            self._queued -= 1
+            self._drop_closed()
+            return
+        self.in_use -= 1
+        if finished:
+            service_s = self._clock() - ticket.granted_at
+            self._learn(ticket.route, service_s)
+            if not self._slots:
+                self._adaptive.finished(service_s, self.in_use + 1)
+        self._grant()
+
+    def refuse_late(self, ticket: Ticket) -> None:
+        """Refuse a waiting request whose deadline has come."""
+        if ticket.closed or ticket.granted_at is not None:
+            return
+        self._close(ticket, self._too_late())
+        self._drop_closed()
+
+    def refuse_queued(self, refusal: errors.Refusal) -> None:
+        """Refuse every request that waits."""
+        waiting = [entry[2] for entry in self._queue]
+        self._queue.clear()
+        for ticket in waiting:
+            if not ticket.closed:
+                self._close(ticket, refusal)
+
+    def _learn(self, route: str, service_s: float) -> None:
+        weight = SERVICE_TIME_WEIGHT if self.service_s else 1.0
+        self.service_s += weight * (service_s - self.service_s)
+        if route not in self._route_s and len(self._route_s) >= MAX_ROUTES:
+            self._route_s.clear()
+        known_s = self._route_s.get(route, service_s)
+        known_s += SERVICE_TIME_WEIGHT * (service_s - known_s)
+        self._route_s[route] = known_s
+
+    def _expected_s(self, route: str) -> float:
+        return self._route_s.get(route, self.service_s)
+
+    def _refusal(self, ticket: Ticket, now: float) -> errors.Refusal | None:
+        deadline = ticket.deadline
+        expected_s = self._expected_s(ticket.route)
+        if self.draining:
+            return errors.Refusal(
+                errors.CALL_DRAINING, 'the worker is draining'
+            )
+        if now >= deadline:
+            return errors.Refusal(
+                errors.CALL_DEADLINE, 'the deadline has passed'
+            )
+        if self.in_use < self.slots:
+            # An idle worker takes the request all the same: without new
+            # requests, a service time that was long once stays so.
+            if now + expected_s > deadline and self.in_use:
+                return self._too_late()
+            return None
+        if self._queued >= self._queue_limit:
+            return errors.Refusal(
+                errors.CALL_OVERLOADED,
+                f'{self.in_use} requests run and {self._queued} wait',
+            )
+        ahead = sum(
+            1
+            for entry in self._queue
+            if entry[0] <= deadline and not entry[2].closed
+        )
+        wait_s = (ahead + 1) * self.service_s / self.slots
+        if now + wait_s + expected_s > deadline:
+            return self._too_late()
+        return None
+
+    def _too_late(self) -> errors.Refusal:
+        return errors.Refusal(
+            errors.CALL_DEADLINE,
+            'the request would not finish by its deadline',
+        )
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        self.in_use += 1
+        ticket.granted_at = now
+        ticket.done(None)
+
+    def _close(self, ticket: Ticket, refusal: errors.Refusal) -> None:
+        ticket.closed = True
+        self._queued -= 1
+        ticket.done(refusal)
+
+    def _drop_closed(self) -> None:
+        while self._queue and self._queue[0][2].closed:
+            heapq.heappop(self._queue)
+        # Cancelled entries deeper in the heap are removed when they are
+        # most of it, which keeps its size bounded.
+        if len(self._queue) > 2 * self._queued + 8:
+            self._queue = [e for e in self._queue if not e[2].closed]
+            heapq.heapify(self._queue)
+
+    def _grant(self) -> None:
+        while self._queue and self.in_use < self.slots:
+            ticket = heapq.heappop(self._queue)[2]
+            if ticket.closed:
+                continue
+            now = self._clock()
+            if now + self._expected_s(ticket.route) > ticket.deadline:
+                self._close(ticket, self._too_late())
+                continue
+            self._queued -= 1
+            self._start(ticket, now)
+
+
+async def acquire(
+    admission: Admission, deadline: float, remaining_s: float, route: str
+) -> Ticket | errors.Refusal:
+    """Wait for a slot.
+
+    :param deadline: end of the request's time on the admission's clock
+    :param remaining_s: time that is left until then
+    """
+    fut: asyncio.Future[errors.Refusal | None] | None = None
+    outcome: list[errors.Refusal | None] = []
+
+    def done(refusal: errors.Refusal | None) -> None:
+        outcome.append(refusal)
+        if fut is not None and not fut.done():
+            fut.set_result(refusal)
+
+    ticket = admission.submit(deadline, done, route)
+    if not outcome:
+        loop = asyncio.get_running_loop()
+        fut = loop.create_future()
+        # The queue looks at deadlines only when a slot becomes free, which
+        # never happens while an upstream is frozen.
+        timer = loop.call_later(remaining_s, admission.refuse_late, ticket)
+        try:
+            await fut
+        except asyncio.CancelledError:
+            # The slot may have been granted in the same loop iteration.
+            admission.release(ticket, finished=False)
+            raise
+        finally:
+            timer.cancel()
+    refusal = outcome[0]
+    return ticket if refusal is None else refusal
--- /dev/null
+++ b/damaskpier/traffic/curl.py
@@ -0,0 +1,178 @@
+"""HTTP client for the one upstream beside the node."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+from tornado import httputil
+
+if TYPE_CHECKING:
+    from damaskpier.traffic import messages
+
+# Unacknowledged data for this long ends an upstream connection.
+TCP_USER_TIMEOUT_MS = 3000
+CONNECT_TIMEOUT_S = 1.0
+CONNECTION_AGE_S = 300
+IDLE_AGE_S = 60
+
+# These errors happen before a connection exists, so that no byte of the
+# request can have left.
+_BEFORE_CONNECTION = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    )
+)
+
+
+class Failure(NamedTuple):
+    """Transfer that gave no complete answer."""
+
+    reason: str
+    sent: bool  # whether a byte of the request may have left
+    timed_out: bool
+    too_large: bool = False
+
+
+class UpstreamClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Tornado's curl client with cancellation and connection limits.
+
+    The library's ``fetch`` has no way to abort a transfer, so this class
+    ends one by taking its handle out of the multi handle, which makes
+    libcurl close the connection.
+    """
+
+    def initialize(  # type: ignore[override]
+        self, max_clients: int = 10, max_body_size: int = 1 << 22
+    ) -> None:
+        """Create the handles; ``max_clients`` bounds the connections."""
+        super().initialize(
+            max_clients=max_clients, max_body_size=max_body_size
+        )
+        self.set_connections(max_clients)
+
+    def set_connections(self, connections: int) -> None:
+        """Bound the connections, in use and idle."""
+        connections = max(1, connections)
+        self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, connections)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, connections)
+        while len(self._curls) < connections:
+            handle = self._curl_create()
+            self._curls.append(handle)
+            self._free_list.append(handle)
+
+    async def run(
+        self, request: httpclient.HTTPRequest
+    ) -> httpclient.HTTPResponse | Failure:
+        """Send a request; cancelling this closes its connection."""
+        fut = asyncio.get_running_loop().create_future()
+
+        def finished(response: httpclient.HTTPResponse) -> None:
+            if not fut.done():
+                fut.set_result(response)
+
+        proxy: Any = httpclient._RequestProxy(request, self.defaults)
+        self.fetch_impl(proxy, finished)
+        try:
+            response = await fut
+        except asyncio.CancelledError:
+            self._abort(proxy)
+            raise
+        if response.error is not None and response.code == 599:
+            return _failure(response)
+        return response
+
+    def _abort(self, request: Any) -> None:
+        for entry in self._requests:
+            if entry[0] is request:
+                self._requests.remove(entry)
+                return
+        for curl in self._curls:
+            info = getattr(curl, 'info', None)
+            if info is not None and info['request'] is request:
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, 'cancelled')
+                return
+
+
+def make_request(
+    url: str,
+    method: str,
+    headers: messages.Headers,
+    body: bytes,
+    timeout_s: float,
+    *,
+    fresh: bool,
+) -> httpclient.HTTPRequest:
+    """Return a request for :meth:`UpstreamClient.run`.
+
+    :param fresh: open a new connection. libcurl sends a request again by
+        itself when a reused connection breaks before the first byte of the
+        answer, so only requests that may run twice may reuse one.
+    """
+    fields = httputil.HTTPHeaders()
+    for name, value in headers:
+        fields.add(name, value)
+    # A GET without a body must not carry a Content-Length of zero.
+    has_body = bool(body) or method not in ('GET', 'HEAD', 'OPTIONS')
+    return httpclient.HTTPRequest(
+        url,
+        method=method,
+        headers=fields,
+        body=body if has_body else None,
+        connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+        request_timeout=timeout_s,
+        follow_redirects=False,
+        decompress_response=False,
+        allow_nonstandard_methods=True,
+        prepare_curl_callback=_prepare_fresh if fresh else _prepare_reused,
+    )
+
+
+def _prepare_reused(curl: pycurl.Curl) -> None:
+    # The caller's User-Agent, if there is one, stands in the headers.
+    curl.setopt(pycurl.USERAGENT, '')
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+    curl.setopt(pycurl.MAXLIFETIME_CONN, CONNECTION_AGE_S)
+    curl.setopt(pycurl.MAXAGE_CONN, IDLE_AGE_S)
+    curl.setopt(pycurl.PROXY, '')
+
+
+def _prepare_fresh(curl: pycurl.Curl) -> None:
+    _prepare_reused(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _set_socket_options(fd: int, purpose: int) -> int:
+    with socket.socket(fileno=os.dup(fd)) as sock:
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+    return pycurl.SOCKOPT_OK
+
+
+def _failure(response: httpclient.HTTPResponse) -> Failure:
+    exc = response.error
+    if not isinstance(exc, curl_httpclient.CurlError):
+        # The request could not be set up, for instance because of a header
+        # that is not valid.
+        return Failure(str(exc), sent=False, timed_out=False)
+    timed_out = exc.errno == pycurl.E_OPERATION_TIMEDOUT
+    connected = bool(response.time_info.get('pretransfer'))
+    return Failure(
+        f'curl error {exc.errno}: {exc.message}',
+        sent=exc.errno not in _BEFORE_CONNECTION
+        and (connected or not timed_out),
+        timed_out=timed_out,
+        too_large=exc.errno
+        in (pycurl.E_WRITE_ERROR, pycurl.E_FILESIZE_EXCEEDED),
+    )
--- /dev/null
+++ b/damaskpier/traffic/messages.py
@@ -0,0 +1,54 @@
+"""Data that passes between the parts of the request path."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpier import errors
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Request(NamedTuple):
+    """Request of a caller on its way to a worker.
+
+    ``deadline`` is a time of the node's monotonic clock in seconds.
+    """
+
+    request_id: str
+    route: str
+    service: str
+    version: str
+    method: str
+    target: str  # path and query
+    headers: Headers
+    body: bytes
+    deadline: float
+    depth: int
+    repeatable: bool
+
+
+class Answer(NamedTuple):
+    """Complete answer of an upstream."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    upstream_s: float = 0.0
+
+
+class Load(NamedTuple):
+    """Load of a worker as its node knows it."""
+
+    slots: int
+    in_use: int
+    queued: int
+
+
+class Reply(NamedTuple):
+    """Outcome of one attempt and the load that came with it."""
+
+    result: Answer | errors.Refusal
+    load: Load | None = None
--- /dev/null
+++ b/damaskpier/traffic/peers.py
@@ -0,0 +1,330 @@
+"""Calls between nodes: one multiplexed connection per peer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from grpclib import client
+from grpclib import exceptions
+
+from damaskpier import errors
+from damaskpier import registry
+from damaskpier.rpc import mesh_grpc
+from damaskpier.rpc import mesh_pb2
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from grpclib import server
+
+    from damaskpier import application
+    from damaskpier.mesh import model
+
+LOG = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CLOSE_S = 60.0
+SILENCE_S = 1.0
+PING_TIMEOUT_S = 1.5
+CHECK_INTERVAL_S = 0.25
+# The peer gets a deadline this much earlier, so that its refusal, which
+# knows the run state, arrives before the caller's node gives up.
+RETURN_MARGIN_S = 0.01
+
+_FAILURES = (OSError, exceptions.GRPCError, exceptions.StreamTerminatedError)
+
+
+class Channel:
+    """Connection to one peer, opened by the first call.
+
+    :param record: node to connect to
+    :param clock: returns the time in seconds; the library stamps what it
+        receives with the monotonic clock
+    """
+
+    def __init__(
+        self,
+        record: model.NodeRecord,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.address = (record.host, record.rpc_port)
+        self.closed = False
+        self.outstanding = 0
+        self.last_used = clock()
+        self._clock = clock
+        self._heard = clock()
+        self._channel = client.Channel(record.host, record.rpc_port)
+        self._calls = mesh_grpc.CallsStub(self._channel)
+        self._mesh = mesh_grpc.MeshStub(self._channel)
+        self._watch: asyncio.Task[None] | None = None
+
+    async def call(
+        self, request: messages.Request, caller_node: str
+    ) -> messages.Reply:
+        """Run a request on the peer's upstream."""
+        if self._watch is None:
+            self._watch = asyncio.create_task(self._watch_silence())
+        if not self.outstanding:
+            self._heard = self._clock()
+        self.outstanding += 1
+        sent = False
+        deadline_s = request.deadline - self._clock()
+        try:
+            async with asyncio.timeout(deadline_s):
+                async with self._calls.Call.open() as stream:
+                    async with asyncio.timeout(
+                        min(CONNECT_TIMEOUT_S, deadline_s)
+                    ):
+                        await stream.send_request()
+                    message = _pack(request, caller_node, self._clock())
+                    # The peer starts only when it has the whole message, so
+                    # nothing has run if this is not reached.
+                    sent = True
+                    await stream.send_message(message, end=True)
+                    reply = await stream.recv_message()
+        except TimeoutError:
+            return messages.Reply(_timed_out(sent))
+        except _FAILURES as exc:
+            return messages.Reply(_failed(exc, sent))
+        finally:
+            self.outstanding -= 1
+            self.last_used = self._clock()
+        if reply is None:
+            return messages.Reply(_failed('no reply', sent))
+        return _unpack_reply(reply)
+
+    def close(self) -> None:
+        """Close the connection; outstanding calls end as unknown."""
+        self.closed = True
+        if self._watch is not None:
+            self._watch.cancel()
+        self._channel.close()
+
+    async def _watch_silence(self) -> None:
+        while not self.closed:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = self._clock()
+            if not self.outstanding:
+                if now - self.last_used >= IDLE_CLOSE_S:
+                    self.close()
+                continue
+            if now - self._last_heard() < SILENCE_S:
+                continue
+            if not await self._ping():
+                LOG.warning(
+                    'traffic: the connection to %s:%d is silent', *self.address
+                )
+                self.close()
+
+    def _last_heard(self) -> float:
+        protocol = self._channel._protocol
+        if protocol is not None:
+            received = protocol.connection.last_data_received
+            if received is not None:
+                self._heard = max(self._heard, received)
+        return self._heard
+
+    async def _ping(self) -> bool:
+        try:
+            await self._mesh.Ping(
+                mesh_pb2.PingRequest(), timeout=PING_TIMEOUT_S
+            )
+        except (TimeoutError, *_FAILURES):
+            return False
+        self._heard = self._clock()
+        return True
+
+
+class Peers(registry.Service):
+    """Channels to the peers that this node calls."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._channels: dict[str, Channel] = {}
+        self._node_id = app.cfg.text('node', 'id')
+
+    async def stop(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def call(
+        self, record: model.NodeRecord, request: messages.Request
+    ) -> messages.Reply:
+        """Run a request on the worker beside a node."""
+        if record.node_id == self._node_id:
+            return await self._app.service('upstream').call(request)
+        return await self._channel(record).call(request, self._node_id)
+
+    def _channel(self, record: model.NodeRecord) -> Channel:
+        channel = self._channels.get(record.node_id)
+        address = (record.host, record.rpc_port)
+        if channel is None or channel.closed or channel.address != address:
+            if channel is not None and not channel.outstanding:
+                channel.close()
+            self._forget_closed()
+            channel = Channel(record, self._clock)
+            self._channels[record.node_id] = channel
+        return channel
+
+    def _forget_closed(self) -> None:
+        closed = [key for key, ch in self._channels.items() if ch.closed]
+        for key in closed:
+            del self._channels[key]
+
+
+class CallsHandler(mesh_grpc.CallsBase):
+    """Serves the calls of other nodes from the local upstream."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+
+    async def Call(  # noqa: N802
+        self,
+        stream: server.Stream[mesh_pb2.CallRequest, mesh_pb2.CallReply],
+    ) -> None:
+        """Run one request; a reset of the stream cancels it."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        request = _unpack(message, self._clock())
+        reply = await self._app.service('upstream').call(request)
+        await stream.send_message(_pack_reply(reply))
+
+
+def make_calls_handler(app: application.Application) -> CallsHandler:
+    """Return the handler that the gRPC server of the node serves."""
+    return CallsHandler(app)
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``peers``."""
+    app.add_service('peers', Peers(app), after=('metrics', 'upstream'))
+
+
+def _timed_out(sent: bool) -> errors.Refusal:
+    if sent:
+        return errors.Refusal(
+            errors.CALL_DEADLINE,
+            'no reply of the peer by the deadline',
+            errors.RunState.UNKNOWN,
+        )
+    return errors.Refusal(
+        errors.CALL_CONNECT, 'the connection to the peer timed out'
+    )
+
+
+def _failed(reason: object, sent: bool) -> errors.Refusal:
+    if sent:
+        return errors.Refusal(
+            errors.CALL_UNKNOWN,
+            f'the connection to the peer failed: {reason}',
+            errors.RunState.UNKNOWN,
+        )
+    return errors.Refusal(
+        errors.CALL_CONNECT, f'no connection to the peer: {reason}'
+    )
+
+
+def _pack(
+    request: messages.Request, caller_node: str, now: float
+) -> mesh_pb2.CallRequest:
+    remaining_s = request.deadline - now
+    if remaining_s > 4 * RETURN_MARGIN_S:
+        remaining_s -= RETURN_MARGIN_S
+    return mesh_pb2.CallRequest(
+        request_id=request.request_id,
+        route=request.route,
+        service=request.service,
+        version=request.version,
+        method=request.method,
+        target=request.target,
+        headers=[
+            mesh_pb2.Header(name=name, value=value)
+            for name, value in request.headers
+        ],
+        body=request.body,
+        deadline_ms=max(0, int(remaining_s * 1000)),
+        depth=request.depth,
+        repeatable=request.repeatable,
+        caller_node=caller_node,
+    )
+
+
+def _unpack(message: mesh_pb2.CallRequest, now: float) -> messages.Request:
+    return messages.Request(
+        request_id=message.request_id,
+        route=message.route,
+        service=message.service,
+        version=message.version,
+        method=message.method,
+        target=message.target,
+        headers=tuple((h.name, h.value) for h in message.headers),
+        body=message.body,
+        deadline=now + message.deadline_ms / 1000,
+        depth=message.depth,
+        repeatable=message.repeatable,
+    )
+
+
+def _pack_reply(reply: messages.Reply) -> mesh_pb2.CallReply:
+    result = reply.result
+    if isinstance(result, errors.Refusal):
+        message = mesh_pb2.CallReply(
+            result=result.code.number,
+            reason=result.reason,
+            run=int(result.run),
+        )
+    else:
+        message = mesh_pb2.CallReply(
+            status=result.status,
+            headers=[
+                mesh_pb2.Header(name=name, value=value)
+                for name, value in result.headers
+            ],
+            body=result.body,
+            upstream_us=int(result.upstream_s * 1e6),
+        )
+    if reply.load is not None:
+        message.load.slots = reply.load.slots
+        message.load.in_use = reply.load.in_use
+        message.load.queued = reply.load.queued
+    return message
+
+
+def _unpack_reply(message: mesh_pb2.CallReply) -> messages.Reply:
+    load = None
+    if message.HasField('load'):
+        told = message.load
+        load = messages.Load(told.slots, told.in_use, told.queued)
+    if message.result:
+        try:
+            code = errors.by_number(message.result)
+        except KeyError:
+            code = errors.CALL_UNKNOWN
+        run = errors.RunState(message.run)
+        return messages.Reply(errors.Refusal(code, message.reason, run), load)
+    return messages.Reply(
+        messages.Answer(
+            message.status,
+            tuple((h.name, h.value) for h in message.headers),
+            message.body,
+            message.upstream_us / 1e6,
+        ),
+        load,
+    )
--- /dev/null
+++ b/damaskpier/traffic/router.py
@@ -0,0 +1,256 @@
+"""Carries a request from its route to a worker, with retries."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.rollout import model as rollout_model
+from damaskpier.traffic import balancer
+from damaskpier.traffic import messages
+from damaskpier.traffic import retry
+from damaskpier.traffic import routes
+from damaskpier.traffic import selector
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.bundle import model
+
+# Records are looked up again after this time even without an event.
+REFRESH_S = 1.0
+
+
+class Outcome(NamedTuple):
+    """Result of a request and the upstream version that it went to."""
+
+    result: messages.Answer | errors.Refusal
+    version: str = ''
+    attempts: int = 0
+
+
+class _Workers:
+    """Workers of one version of a service."""
+
+    def __init__(self, chooser: selector.Selector) -> None:
+        self.chooser = chooser
+        self.refreshed = float('-inf')
+
+
+class Router:
+    """Routes requests by the active snapshot.
+
+    :param clock: returns the time in seconds
+    :param rng: source of all random choices
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._table: routes.RouteTable | None = None
+        self._workers: dict[tuple[str, str], _Workers] = {}
+        self._budgets: dict[str, retry.RetryBudget] = {}
+        app.events.connect('membership-changed', self._changed)
+
+    def table(self) -> routes.RouteTable | None:
+        """Return the routes of the active snapshot."""
+        snapshot = self._app.service('active').current()
+        if snapshot is None:
+            return None
+        if self._table is None or self._table.snapshot is not snapshot:
+            self._table = routes.RouteTable(snapshot)
+            self._forget_unused(snapshot)
+        return self._table
+
+    async def route(
+        self,
+        snapshot: model.Snapshot,
+        route: model.RouteSpec,
+        request: messages.Request,
+    ) -> Outcome:
+        """Run a request on a worker of its route's service.
+
+        :param snapshot: configuration that the request began with
+        :param request: request with its version left empty
+        """
+        picked = self._app.service('rollouts').pick_version(snapshot, route)
+        version, chooser = self._choose_version(snapshot, route, picked)
+        if chooser is None:
+            return Outcome(
+                errors.Refusal(
+                    errors.CALL_NO_WORKER,
+                    f'no worker of {route.service} {picked} is ready',
+                ),
+                picked,
+            )
+        began = self._clock()
+        outcome, lost = await self._attempts(
+            chooser, request._replace(version=version)
+        )
+        if version == picked:
+            self._record(snapshot, route, outcome, lost, began)
+        return outcome
+
+    async def _attempts(
+        self, chooser: selector.Selector, request: messages.Request
+    ) -> tuple[Outcome, bool]:
+        budget = self._budgets.get(request.service)
+        if budget is None:
+            budget = retry.RetryBudget(self._clock)
+            self._budgets[request.service] = budget
+        budget.called()
+        tried: list[str] = []
+        run = errors.RunState.NOT_RUN
+        lost = False
+        while True:
+            worker = chooser.pick(tried)
+            if worker is None:
+                refusal = errors.Refusal(
+                    errors.CALL_NO_WORKER, 'every worker is leaving', run
+                )
+                break
+            tried.append(worker.key)
+            result = await self._attempt(chooser, worker, request)
+            if isinstance(result, messages.Answer):
+                return Outcome(result, request.version, len(tried)), lost
+            lost = lost or result.run is errors.RunState.UNKNOWN
+            run = retry.merged_run(run, result.run)
+            refusal = result._replace(run=run)
+            if not retry.may_retry(
+                result,
+                repeatable=request.repeatable,
+                attempts=len(tried),
+                remaining_s=request.deadline - self._clock(),
+            ):
+                break
+            if not budget.take():
+                break
+            self._app.service('metrics').count('retries')
+        return Outcome(refusal, request.version, len(tried)), lost
+
+    async def _attempt(
+        self,
+        chooser: selector.Selector,
+        worker: balancer.base.Worker,
+        request: messages.Request,
+    ) -> messages.Answer | errors.Refusal:
+        chooser.started(worker)
+        began = self._clock()
+        reply = None
+        try:
+            reply = await self._app.service('peers').call(
+                worker.record, request
+            )
+        finally:
+            if reply is None:
+                chooser.abandoned(worker)
+        chooser.finished(worker, reply, self._clock() - began)
+        return reply.result
+
+    def _choose_version(
+        self,
+        snapshot: model.Snapshot,
+        route: model.RouteSpec,
+        picked: str,
+    ) -> tuple[str, selector.Selector | None]:
+        chooser = self._chooser(snapshot, route.service, picked)
+        if len(chooser):
+            return picked, chooser
+        other = self._other_version(snapshot, route, picked)
+        if other is not None:
+            chooser = self._chooser(snapshot, route.service, other)
+            if len(chooser):
+                return other, chooser
+        return picked, None
+
+    def _other_version(
+        self,
+        snapshot: model.Snapshot,
+        route: model.RouteSpec,
+        picked: str,
+    ) -> str | None:
+        """Return the version to use when the picked one has no worker."""
+        move = snapshot.move_of(route.service)
+        if move is None:
+            return None
+        if picked == move.new:
+            return move.old
+        if picked != move.old:
+            return None
+        # A share of 0 stands for a version that was taken back or that this
+        # node has stopped using; such a version gets no traffic at all.
+        share = self._app.service('rollouts').share(route.service, route.name)
+        return move.new if share > 0 else None
+
+    def _chooser(
+        self, snapshot: model.Snapshot, service: str, version: str
+    ) -> selector.Selector:
+        policy = balancer.DEFAULT_POLICY
+        spec = snapshot.bundle.services.get(service)
+        if spec is not None and spec.policy in balancer.POLICIES:
+            policy = spec.policy
+        entry = self._workers.get((service, version))
+        membership = self._app.service('membership')
+        if entry is None or entry.chooser.policy != policy:
+            entry = _Workers(
+                selector.Selector(
+                    membership.local(), policy, self._rng, self._clock
+                )
+            )
+            self._workers[service, version] = entry
+        now = self._clock()
+        if now - entry.refreshed >= REFRESH_S:
+            entry.refreshed = now
+            entry.chooser.update(
+                record
+                for record in membership.workers(service)
+                if record.version == version and record.routable
+            )
+        return entry.chooser
+
+    def _record(
+        self,
+        snapshot: model.Snapshot,
+        route: model.RouteSpec,
+        outcome: Outcome,
+        lost: bool,
+        began: float,
+    ) -> None:
+        move = snapshot.move_of(route.service)
+        if move is None or outcome.version not in (move.old, move.new):
+            return
+        if isinstance(outcome.result, messages.Answer):
+            failed = outcome.result.status >= 500
+        else:
+            failed = True
+        self._app.service('rollouts').record(
+            rollout_model.Sample(
+                move=move.move,
+                route=route.name,
+                is_new=outcome.version == move.new,
+                # A retry that worked does not hide a lost answer.
+                failed=failed or lost,
+                ms=(self._clock() - began) * 1000,
+            )
+        )
+
+    def _changed(self, *_: object) -> None:
+        for entry in self._workers.values():
+            entry.refreshed = float('-inf')
+
+    def _forget_unused(self, snapshot: model.Snapshot) -> None:
+        services = snapshot.bundle.services
+        for key in [k for k in self._workers if k[0] not in services]:
+            del self._workers[key]
+        for name in [k for k in self._budgets if k not in services]:
+            del self._budgets[name]
--- /dev/null
+++ b/damaskpier/traffic/upstream.py
@@ -0,0 +1,336 @@
+"""The upstream beside the node: announcements, admission and calls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier import registry
+from damaskpier.traffic import admission
+from damaskpier.traffic import curl
+from damaskpier.traffic import headers
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.mesh import model
+
+LOG = logging.getLogger(__name__)
+
+ANNOUNCEMENT_TTL_S = 3.0
+PROBE_INTERVAL_S = 5.0
+PROBE_TIMEOUT_S = 1.0
+PROBE_PATH = '/healthz'
+DEFAULT_CONNECTIONS = 32
+DEFAULT_QUEUE = 32
+# A probe takes a slot's worth of work from the upstream, so calls that
+# finished this recently replace it.
+IDLE_BEFORE_PROBE_S = PROBE_INTERVAL_S
+
+
+class Upstream(registry.Service):
+    """Calls the one upstream that this node stands beside.
+
+    :param clock: returns the time in seconds
+    :param rng: spreads the probes of the nodes over time
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.admission = admission.Admission(clock)
+        self.announcement: model.Announcement | None = None
+        self._app = app
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._client: curl.UpstreamClient | None = None
+        self._expiry: asyncio.TimerHandle | None = None
+        self._prober: asyncio.Task[None] | None = None
+        self._node_draining = False
+        self._failed_probes = 0
+        self._last_answer = 0.0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._running = 0
+        app.events.connect('config-applied', self._configure)
+        app.events.connect('node-draining', self._node_drains)
+
+    async def start(self) -> None:
+        """Create the client of the upstream and start the probes."""
+        self._client = curl.UpstreamClient(
+            max_clients=DEFAULT_CONNECTIONS,
+            max_body_size=self._app.cfg.integer('limits', 'max_body'),
+            force_instance=True,
+        )
+        self._prober = asyncio.create_task(self._probe_forever())
+
+    async def stop(self) -> None:
+        """Refuse new requests, let running ones end and close."""
+        await self.drain(self._app.cfg.number('limits', 'drain_timeout'))
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._prober is not None:
+            self._prober.cancel()
+            await asyncio.gather(self._prober, return_exceptions=True)
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+    def announced(self, announcement: model.Announcement) -> None:
+        """Take what the upstream says about itself.
+
+        A draining upstream gets no request after this returns; requests
+        that wait for a slot are refused so that they can run elsewhere.
+        """
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._expiry = asyncio.get_running_loop().call_later(
+            ANNOUNCEMENT_TTL_S, self._expired
+        )
+        changed = announcement != self.announcement
+        self.announcement = announcement
+        if not changed:
+            return
+        self._configure()
+        self.admission.draining = self._node_draining or announcement.draining
+        if announcement.draining:
+            self.admission.refuse_queued(_draining())
+        self._publish()
+
+    async def call(self, request: messages.Request) -> messages.Reply:
+        """Run a request on the upstream, or refuse it.
+
+        Cancelling the call closes the connection to the upstream.
+        """
+        self._running += 1
+        self._idle.clear()
+        try:
+            result = await self._admit(request)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+        return messages.Reply(result, self.admission.load)
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Refuse new requests and wait until the running ones have ended.
+
+        :return: whether all of them ended in time
+        """
+        self._node_draining = True
+        self.admission.draining = True
+        try:
+            await asyncio.wait_for(self._idle.wait(), timeout_s)
+        except TimeoutError:
+            LOG.warning(
+                'traffic: %d requests still run after %g s',
+                self._running,
+                timeout_s,
+            )
+            return False
+        return True
+
+    def _node_drains(self) -> None:
+        # The node goes on admitting for a moment, until other nodes have
+        # learned that it is leaving; only the record changes here.
+        self._node_draining = True
+        self._publish()
+
+    def _publish(self) -> None:
+        announcement = self.announcement
+        if announcement is not None:
+            if self._node_draining:
+                announcement = announcement._replace(draining=True)
+            elif self._failed_probes >= 2:
+                announcement = announcement._replace(ready=False)
+        self._app.service('membership').announce(announcement)
+
+    def _expired(self) -> None:
+        LOG.warning('traffic: the upstream has stopped announcing itself')
+        self.announcement = None
+        self._publish()
+
+    def _configure(self, *_: object) -> None:
+        announcement = self.announcement
+        if announcement is None:
+            return
+        slots, queue = announcement.slots, DEFAULT_QUEUE
+        snapshot = self._app.service('active').current()
+        if snapshot is not None:
+            spec = snapshot.bundle.services.get(announcement.service)
+            if spec is not None:
+                slots, queue = slots or spec.slots, spec.queue
+        self.admission.configure(slots, queue)
+        if self._client is not None:
+            self._client.set_connections(
+                announcement.connections or DEFAULT_CONNECTIONS
+            )
+
+    def _unavailable(self, request: messages.Request) -> errors.Refusal | None:
+        announcement = self.announcement
+        if announcement is None or self._client is None:
+            return errors.Refusal(
+                errors.CALL_NO_WORKER, 'no upstream has announced itself'
+            )
+        if announcement.draining:
+            return _draining()
+        wanted = (request.service, request.version)
+        if wanted != (announcement.service, announcement.version):
+            return errors.Refusal(
+                errors.CALL_NO_WORKER,
+                f'the upstream is {announcement.service} '
+                f'{announcement.version}',
+            )
+        if not announcement.ready:
+            return errors.Refusal(
+                errors.CALL_NO_WORKER, 'the upstream is not ready'
+            )
+        return None
+
+    async def _admit(
+        self, request: messages.Request
+    ) -> messages.Answer | errors.Refusal:
+        refusal = self._unavailable(request)
+        if refusal is not None:
+            return refusal
+        began = self._clock()
+        ticket = await admission.acquire(
+            self.admission,
+            request.deadline,
+            request.deadline - began,
+            request.route,
+        )
+        metrics = self._app.service('metrics')
+        metrics.observe('queue_wait', self._clock() - began)
+        if isinstance(ticket, errors.Refusal):
+            return ticket
+        finished = False
+        try:
+            result = await self._send(request)
+            # The time of a call that timed out is a lower bound of its
+            # service time, and the only sign of a frozen upstream.
+            finished = (
+                isinstance(result, messages.Answer)
+                or result.code is errors.CALL_DEADLINE
+            )
+        finally:
+            self.admission.release(ticket, finished=finished)
+        return result
+
+    async def _send(
+        self, request: messages.Request
+    ) -> messages.Answer | errors.Refusal:
+        # The upstream may have started to drain while the request waited.
+        refusal = self._unavailable(request)
+        if refusal is not None:
+            return refusal
+        assert self.announcement is not None
+        assert self._client is not None
+        began = self._clock()
+        remaining_s = request.deadline - began
+        if remaining_s < 0.001:
+            return errors.Refusal(
+                errors.CALL_DEADLINE, 'the deadline passed in the queue'
+            )
+        own = (
+            (headers.REQUEST_ID, request.request_id),
+            (headers.DEPTH, str(request.depth)),
+            (headers.DEADLINE, str(int(remaining_s * 1000))),
+        )
+        outcome = await self._client.run(
+            curl.make_request(
+                self._url(request.target),
+                request.method,
+                request.headers + own,
+                request.body,
+                remaining_s,
+                fresh=not request.repeatable,
+            )
+        )
+        took_s = self._clock() - began
+        self._app.service('metrics').observe('upstream_call', took_s)
+        if isinstance(outcome, curl.Failure):
+            return _refusal_of(outcome)
+        self._last_answer = self._clock()
+        if (
+            outcome.code == 503
+            and outcome.headers.get(headers.RUN) == 'not-run'
+        ):
+            return errors.Refusal(
+                errors.CALL_UPSTREAM_REFUSED, 'the upstream shed the request'
+            )
+        fields = headers.end_to_end(outcome.headers.get_all())
+        return messages.Answer(
+            outcome.code, fields, outcome.body or b'', took_s
+        )
+
+    def _url(self, target: str) -> str:
+        assert self.announcement is not None
+        host = self.announcement.address
+        if ':' in host:
+            host = f'[{host}]'
+        return f'http://{host}:{self.announcement.port}{target}'
+
+    async def _probe_forever(self) -> None:
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            idle_s = self._clock() - self._last_answer
+            if self.announcement is None or idle_s < IDLE_BEFORE_PROBE_S:
+                self._probed(True)
+                continue
+            if self._running:
+                continue
+            self._probed(await self._probe())
+
+    async def _probe(self) -> bool:
+        assert self._client is not None
+        outcome = await self._client.run(
+            curl.make_request(
+                self._url(PROBE_PATH),
+                'GET',
+                (),
+                b'',
+                PROBE_TIMEOUT_S,
+                fresh=False,
+            )
+        )
+        return not isinstance(outcome, curl.Failure) and outcome.code < 500
+
+    def _probed(self, healthy: bool) -> None:
+        before = self._failed_probes
+        self._failed_probes = 0 if healthy else before + 1
+        if (before >= 2) != (self._failed_probes >= 2):
+            self._publish()
+
+
+def _draining() -> errors.Refusal:
+    return errors.Refusal(errors.CALL_DRAINING, 'the upstream is draining')
+
+
+def _refusal_of(failure: curl.Failure) -> errors.Refusal:
+    run = errors.RunState.UNKNOWN if failure.sent else errors.RunState.NOT_RUN
+    if not failure.sent:
+        return errors.Refusal(errors.CALL_CONNECT, failure.reason, run)
+    if failure.too_large:
+        return errors.Refusal(
+            errors.CALL_TOO_LARGE, failure.reason, errors.RunState.RUN
+        )
+    if failure.timed_out:
+        return errors.Refusal(errors.CALL_DEADLINE, failure.reason, run)
+    return errors.Refusal(errors.CALL_UNKNOWN, failure.reason, run)
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``upstream``."""
+    app.add_service(
+        'upstream', Upstream(app), after=('metrics', 'active', 'membership')
+    )
