Add the operators' command line

Cause: operators need to validate, sign off and take back bundles, and to read verdicts, from a terminal and from programs. Measured: python -m pytest tests/test_operator -q passes. The test with incomplete status pages failed first with AttributeError in read_fleet.

--- /dev/null
+++ b/damaskpier/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' side: the commands of the ``damaskpier`` program."""
--- /dev/null
+++ b/damaskpier/operator/command.py
@@ -0,0 +1,202 @@
+"""Base of all commands: options, the platform and errors."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import os
+import pathlib
+import time
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from cleo.commands import command as cleo_command
+
+from damaskpier import config
+from damaskpier import errors
+from damaskpier.operator import admin
+from damaskpier.operator import exits
+from damaskpier.operator import output
+from damaskpier.operator import times
+from damaskpier.platform import base
+from damaskpier.platform import signoff
+
+if TYPE_CHECKING:
+    from damaskpier.bundle import model as bundle_model
+
+PLATFORM_VARIABLE = 'DAMASKPIER_PLATFORM'
+PLATFORM_TIMEOUT_S = 2.0
+
+T = TypeVar('T')
+
+
+class Environment:
+    """What commands take from outside; tests put their own parts in.
+
+    :param open_store: returns a client of the object API at an address
+    :param fetch: returns the JSON of a page, or None if there is none
+    :param now: seconds since the epoch
+    :param clock: monotonic seconds
+    :param sleep: waits for a number of seconds
+    """
+
+    def __init__(
+        self,
+        open_store: Callable[[config.Address], base.ObjectStore],
+        fetch: admin.Fetch,
+        now: Callable[[], float] = time.time,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self.open_store = open_store
+        self.fetch = fetch
+        self.now = now
+        self.clock = clock
+        self.sleep = sleep
+
+
+class CommandError(errors.DamaskpierError):
+    """A command ends because of an expected refusal.
+
+    :param action: replaces the action of the code's table row
+    """
+
+    def __init__(
+        self, code: errors.ResultCode, reason: str, action: str = ''
+    ) -> None:
+        super().__init__(code, reason)
+        self.action = action
+
+
+class Command(cleo_command.Command, abc.ABC):
+    """Command that runs as a coroutine and returns an exit code."""
+
+    def __init__(self, env: Environment) -> None:
+        super().__init__()
+        self.env = env
+
+    @abc.abstractmethod
+    async def run_command(self, out: output.Output) -> exits.Exit:
+        """Do the work of the command."""
+
+    def handle(self) -> int:
+        """Run the command and report an error with its code."""
+        out = output.Output(self.io, bool(self.option('json')))
+        try:
+            return int(asyncio.run(self.run_command(out)))
+        except KeyboardInterrupt:
+            return int(exits.Exit.INTERRUPTED)
+        except CommandError as exc:
+            out.error(exc.code, exc.reason, exc.action)
+            return int(exits.exit_of(exc.code))
+        except errors.DamaskpierError as exc:
+            out.error(exc.code, exc.reason)
+            return int(exits.exit_of(exc.code))
+
+    def platform_address(self) -> config.Address:
+        """Return the address of the object API.
+
+        :raises CommandError: if it is not given or has another form
+        """
+        text = self.option('platform')
+        source = '--platform'
+        if not text and self.option('config'):
+            cfg = config.load(pathlib.Path(self.option('config')))
+            return cfg.address('platform', 'address')
+        if not text:
+            text = os.environ.get(PLATFORM_VARIABLE, '')
+            source = PLATFORM_VARIABLE
+        if not text:
+            raise CommandError(
+                errors.SETTINGS_MISSING,
+                'the address of the platform is not given',
+                'Give --platform IP:PORT or --config FILE, or set '
+                f'{PLATFORM_VARIABLE}.',
+            )
+        try:
+            return config.parse_address(text)
+        except ValueError as exc:
+            raise CommandError(
+                errors.SETTINGS_INVALID, f'{source}: {exc}'
+            ) from exc
+
+    def required(self, name: str) -> str:
+        """Return an option that has to be given.
+
+        :raises CommandError: if it is missing or empty
+        """
+        text = self.option(name)
+        if not text:
+            raise CommandError(
+                errors.SETTINGS_MISSING,
+                f'--{name} is not given',
+                f'Give --{name}; see damaskpier {self.name} --help.',
+            )
+        return text
+
+    def duration(self, name: str) -> float | None:
+        """Return an option that holds a duration, in seconds."""
+        text = self.option(name)
+        if text is None:
+            return None
+        try:
+            return times.parse_duration(text)
+        except ValueError as exc:
+            raise CommandError(
+                errors.SETTINGS_INVALID, f'--{name}: {exc}'
+            ) from exc
+
+
+class PlatformCommand(Command):
+    """Command that works on the objects of the platform."""
+
+    async def run_command(self, out: output.Output) -> exits.Exit:
+        """Open the platform, do the work and close the platform."""
+        store = self.env.open_store(self.platform_address())
+        await store.start()
+        try:
+            return await self.run_on(store, out)
+        finally:
+            await store.stop()
+
+    @abc.abstractmethod
+    async def run_on(
+        self, store: base.ObjectStore, out: output.Output
+    ) -> exits.Exit:
+        """Do the work of the command with an open platform."""
+
+
+async def active_snapshot(
+    store: base.ObjectStore,
+) -> bundle_model.Snapshot:
+    """Return the active configuration.
+
+    :raises CommandError: if there is none or the platform does not answer
+    """
+    snapshot = await signoff.read_snapshot(store)
+    if isinstance(snapshot, errors.Refusal):
+        raise no_head(snapshot)
+    return snapshot
+
+
+def no_head(refusal: errors.Refusal) -> CommandError:
+    """Return the error for a refusal to read the active version."""
+    if refusal.code is errors.PLATFORM_NOT_FOUND:
+        return CommandError(
+            refusal.code,
+            'no bundle has been signed off yet',
+            'Sign off a bundle first; see damaskpier sign-off --help.',
+        )
+    return CommandError(refusal.code, refusal.reason)
+
+
+def unless_refused(result: T | errors.Refusal) -> T:
+    """Return a result, or raise the refusal that stands in its place.
+
+    :raises CommandError: if the result is a refusal
+    """
+    if isinstance(result, errors.Refusal):
+        raise CommandError(result.code, result.reason)
+    return result
--- /dev/null
+++ b/damaskpier/operator/signoff.py
@@ -0,0 +1,148 @@
+"""Commands that change what is in force: sign off and take back."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TYPE_CHECKING
+
+from cleo import helpers
+
+from damaskpier.bundle import loader
+from damaskpier import errors
+from damaskpier.operator import command
+from damaskpier.operator import exits
+from damaskpier.operator import follow
+from damaskpier.operator import output
+from damaskpier.operator import status
+from damaskpier.operator import times
+from damaskpier.operator import versions
+from damaskpier.platform import signoff
+
+if TYPE_CHECKING:
+    from damaskpier.platform import base
+
+
+class SignOff(command.PlatformCommand):
+    """Makes a bundle the active configuration."""
+
+    name = 'sign-off'
+    description = 'Sign off a bundle: check it and put it in force.'
+    arguments = [helpers.argument('file', 'Bundle in YAML form.')]
+    options = [
+        helpers.option(
+            'by',
+            None,
+            'Time by which a move must finish: a duration such as 10m or an '
+            f'ISO time; {signoff.DEFAULT_MOVE_S / 60:.0f}m if not given.',
+            flag=False,
+        ),
+        helpers.option(
+            'operator', None, 'Name for the audit trail. Required.', flag=False
+        ),
+        helpers.option(
+            'note', None, 'Reason for the audit trail. Required.', flag=False
+        ),
+        helpers.option(
+            'base',
+            None,
+            'Version that the bundle was made from; refused if another '
+            'version is active. The active version by default.',
+            flag=False,
+        ),
+        *status.WAIT_OPTIONS,
+    ]
+
+    async def run_on(
+        self, store: base.ObjectStore, out: output.Output
+    ) -> exits.Exit:
+        """Check the bundle, write it and report the new version."""
+        limit_s = self.duration('wait-limit')
+        operator = self.required('operator')
+        note = self.required('note')
+        now = self.env.now()
+        by = self._by(now)
+        bundle = loader.load(pathlib.Path(self.argument('file')))
+        base_version = versions.number(self.option('base'))
+        head = command.unless_refused(
+            await signoff.sign_off(
+                store, bundle, base_version, operator, by, note, now
+            )
+        )
+        moves = [move for move in head.moves if move.start >= now]
+        out.text(f'Signed off as version {head.version}.')
+        for move in moves:
+            out.text(
+                f'Move {move.move}: {move.service} {move.old} -> {move.new}, '
+                f'by {output.format_time(move.by)}'
+            )
+        views = [status.move_view(move) for move in moves]
+        out.data(
+            {
+                'event': 'signed-off',
+                'version': head.version,
+                'digest': head.digest,
+                'moves': [item.document() for item in views],
+            }
+        )
+        if not self.option('wait'):
+            return exits.Exit.OK
+        follower = follow.Follower(self.env, store, out, limit_s)
+        return await follower.follow(head.version, views)
+
+    def _by(self, now: float) -> float | None:
+        text = self.option('by')
+        if text is None:
+            return None
+        try:
+            return times.parse_time(text, now)
+        except ValueError as exc:
+            raise command.CommandError(
+                errors.SETTINGS_INVALID, f'--by: {exc}'
+            ) from exc
+
+
+class TakeBack(command.PlatformCommand):
+    """Takes a move back."""
+
+    name = 'take-back'
+    description = 'Take a move back: all traffic returns to the old version.'
+    arguments = [helpers.argument('move', 'Name of the move.')]
+    options = [
+        helpers.option(
+            'reason', None, 'Reason for the audit trail. Required.', flag=False
+        ),
+        helpers.option(
+            'operator', None, 'Name for the audit trail. Required.', flag=False
+        ),
+        *status.WAIT_OPTIONS,
+    ]
+
+    async def run_on(
+        self, store: base.ObjectStore, out: output.Output
+    ) -> exits.Exit:
+        """Write the state of the move and the version that undoes it."""
+        limit_s = self.duration('wait-limit')
+        reason = self.required('reason')
+        operator = self.required('operator')
+        move = self.argument('move')
+        head = command.unless_refused(
+            await signoff.take_back(
+                store,
+                move,
+                operator,
+                reason,
+                errors.ROLLOUT_OPERATOR,
+                None,
+                self.env.now(),
+            )
+        )
+        out.text(
+            f'Move {move} is taken back; active version is {head.version}.'
+        )
+        out.data(
+            {'event': 'taken-back', 'move': move, 'version': head.version}
+        )
+        if not self.option('wait'):
+            return exits.Exit.OK
+        follower = follow.Follower(self.env, store, out, limit_s)
+        return await follower.follow(head.version, [])
--- /dev/null
+++ b/damaskpier/operator/view.py
@@ -0,0 +1,184 @@
+"""What operators see of the fleet: the active version and its moves."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.operator import admin
+from damaskpier.platform import objects
+from damaskpier.rollout import model
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from damaskpier.platform import base
+
+# Words for the phases in the output; a running move has no verdict yet.
+VERDICTS = {
+    model.Phase.RUNNING: 'open',
+    model.Phase.DONE: 'done',
+    model.Phase.TAKEN_BACK: 'taken back',
+}
+
+
+class MoveView(NamedTuple):
+    """Move with its last known state."""
+
+    move: str
+    service: str = ''
+    old: str = ''
+    new: str = ''
+    by: float = 0.0  # seconds since the epoch
+    epoch: int = 0
+    seq: int = 0
+    phase: model.Phase = model.Phase.RUNNING
+    shares: dict[str, float] = {}
+    reason: str = ''
+    result: int = 0
+    evidence: Any = None
+
+    @property
+    def order(self) -> tuple[bool, int, int]:
+        """Return the key that orders the states of one move."""
+        return self.phase is model.Phase.TAKEN_BACK, self.epoch, self.seq
+
+    @property
+    def verdict(self) -> str:
+        """Return ``open``, ``done`` or ``taken back``."""
+        return VERDICTS[self.phase]
+
+    def document(self) -> dict[str, Any]:
+        """Return the view for JSON output."""
+        return {
+            'move': self.move,
+            'service': self.service,
+            'from': self.old,
+            'to': self.new,
+            'by': self.by,
+            'verdict': self.verdict,
+            'shares': self.shares,
+            'reason': self.reason,
+            'result': f'DP-{self.result}' if self.result else '',
+            'evidence': self.evidence,
+        }
+
+
+class FleetView(NamedTuple):
+    """Configuration in force in the fleet, as its root knows it."""
+
+    root: str
+    nodes: int
+    applied: int | None  # nodes on the active version, None if not known
+    lowest_version: int | None
+
+    def document(self) -> dict[str, Any]:
+        """Return the view for JSON output."""
+        return dict(self._asdict())
+
+
+def merge_state(view: MoveView, state: Any) -> MoveView:
+    """Return a view with a state, unless the view's own state is newer.
+
+    :param state: document of a move's state; parts that are missing or
+        have another form are left out
+    """
+    if not isinstance(state, dict):
+        return view
+    try:
+        phase = model.Phase(state.get('phase', 'running'))
+        shares = state.get('shares') or {}
+        merged = view._replace(
+            epoch=int(state.get('epoch', 0)),
+            seq=int(state.get('seq', 0)),
+            phase=phase,
+            shares={str(key): float(val) for key, val in shares.items()},
+            reason=str(state.get('reason', '')),
+            result=int(state.get('result', 0)),
+            evidence=state.get('evidence', view.evidence),
+        )
+    except (AttributeError, TypeError, ValueError):
+        return view
+    return merged if merged.order >= view.order else view
+
+
+async def read_state(
+    store: base.ObjectStore, view: MoveView
+) -> MoveView | errors.Refusal:
+    """Return a view with the state that the platform holds of the move."""
+    found = await store.get(objects.rollout_key(view.move))
+    if isinstance(found, errors.Refusal):
+        if found.code is errors.PLATFORM_NOT_FOUND:
+            return view
+        return found
+    return merge_state(view, _document(found.value))
+
+
+def _document(value: bytes) -> Any:
+    try:
+        return json.loads(value)
+    except ValueError:
+        return None
+
+
+def states_of_page(page: dict[str, Any]) -> dict[str, Any]:
+    """Return the states of the moves on a status page by move."""
+    moves = page.get('moves')
+    if isinstance(moves, dict):
+        return moves
+    found: dict[str, Any] = {}
+    for state in moves or ():
+        if isinstance(state, dict) and 'move' in state:
+            found[str(state['move'])] = state
+    return found
+
+
+async def read_fleet(
+    store: base.ObjectStore, fetch: admin.Fetch, version: int
+) -> tuple[FleetView | None, dict[str, Any]]:
+    """Return what the fleet root reports, and its states by move.
+
+    :param version: active version, against which nodes are counted
+    """
+    answer = await admin.page_of_root(store, fetch, 'status')
+    if answer is None:
+        return None, {}
+    holder, page = answer
+    page = page if isinstance(page, dict) else {}
+    tree = page.get('tree')
+    tree = tree if isinstance(tree, dict) else {}
+    records = await fetch(holder.url('nodes'))
+    present = list(_present(records))
+    versions = [
+        applied
+        for applied in map(applied_version, present)
+        if applied is not None
+    ]
+    fleet = FleetView(
+        root=str(page.get('node', holder.node_id)),
+        nodes=int(tree.get('subtree') or len(present)),
+        applied=(
+            sum(applied >= version for applied in versions)
+            if versions
+            else None
+        ),
+        lowest_version=tree.get('lowest_version'),
+    )
+    return fleet, states_of_page(page)
+
+
+def _present(records: Any) -> Iterable[dict[str, Any]]:
+    if isinstance(records, dict):
+        records = records.get('nodes')
+    for record in records or ():
+        if isinstance(record, dict) and not record.get('gone'):
+            yield record
+
+
+def applied_version(record: dict[str, Any]) -> int | None:
+    """Return the configuration version of a node record, if it has one."""
+    value = record.get('config_version')
+    return value if isinstance(value, int) else None
