--- a/damaskpier/cmd/node.py
+++ b/damaskpier/cmd/node.py
@@ -13,10 +13,10 @@
 from damaskpier import config
 from damaskpier import errors
 from damaskpier import logs
-from damaskpier import metrics
 from damaskpier.mesh import active
 from damaskpier.mesh import membership
 from damaskpier.mesh import tree
+from damaskpier import metrics
 from damaskpier.platform import audit
 from damaskpier.platform import http
 from damaskpier.platform import lease
--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
-from damaskpier import registry
 from damaskpier.platform import moves
 from damaskpier.platform import signoff
+from damaskpier import registry
 from damaskpier.rollout import controller
 from damaskpier.rollout import model
 
