Add the capacity measurement

Cause: the capacity page needs slopes over fleet size, bundle size and rate of changes, from real processes and real gRPC. Measured: nothing yet. Conclusion: none yet.

--- /dev/null
+++ b/tools/capacity/runs.py
@@ -0,0 +1,280 @@
+"""Measurement runs of the capacity page."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from typing import Any
+
+from damaskpier.bundle import model
+from damaskpier import config
+from damaskpier.platform import http
+from damaskpier.platform import signoff
+from tools.capacity import deployment
+
+FLEET_SIZES = (24, 60, 120, 240)
+BUNDLE_ROUTES = (41, 205, 820)
+CHANGE_RATES = (0.5, 1.0, 2.0)  # changes a second
+RATE_NODES = 60
+BASE_ROUTES_PER_SERVICE = 3
+STEADY_S = 10.0
+CHANGES = 10
+CHANGE_INTERVAL_S = 0.7
+SETTLE_S = 3.0
+CONVERGE_LIMIT_S = 30.0
+
+
+async def measure_all() -> dict[str, Any]:
+    """Return the raw figures of all runs."""
+    figures: dict[str, Any] = {'sizes': [], 'bundles': [], 'rates': []}
+    for nodes in FLEET_SIZES:
+        figures['sizes'].append(await measure_size(nodes))
+        _progress(figures['sizes'][-1])
+    for routes in BUNDLE_ROUTES:
+        figures['bundles'].append(await measure_bundle(RATE_NODES, routes))
+        _progress(figures['bundles'][-1])
+    for rate in CHANGE_RATES:
+        figures['rates'].append(await measure_rate(RATE_NODES, rate))
+        _progress(figures['rates'][-1])
+    return figures
+
+
+async def measure_size(nodes: int) -> dict[str, Any]:
+    """Measure a fleet at rest and with changes."""
+    fleet = deployment.Deployment(nodes)
+    try:
+        await fleet.start()
+        operator = await Operator.connect(fleet.platform)
+        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
+        await _until_applied(fleet, operator.version, nodes)
+        await asyncio.sleep(SETTLE_S)
+        before = fleet.read()
+        await asyncio.sleep(STEADY_S)
+        after = fleet.read()
+        steady = _difference(before, after, nodes)
+        converged = await _changes(fleet, operator, nodes, CHANGE_INTERVAL_S)
+        last = fleet.read()
+        changes = _difference(after, last, nodes)
+        await operator.close()
+    finally:
+        fleet.stop()
+    return {
+        'nodes': nodes,
+        'rss_kb_per_node': after.rss_kb / nodes,
+        'processes': len(fleet._hosts),
+        'steady': steady,
+        'changing': changes,
+        'converged_s': converged,
+    }
+
+
+async def measure_bundle(nodes: int, routes: int) -> dict[str, Any]:
+    """Measure changes of one route in bundles of several sizes."""
+    fleet = deployment.Deployment(nodes)
+    try:
+        await fleet.start()
+        operator = await Operator.connect(fleet.platform)
+        before = fleet.read()
+        await operator.sign(make_bundle(routes // deployment.SERVICES))
+        await _until_applied(fleet, operator.version, nodes)
+        whole = _difference(before, fleet.read(), nodes)
+        converged = await _changes(fleet, operator, nodes, CHANGE_INTERVAL_S)
+        after = fleet.read()
+        await operator.close()
+    finally:
+        fleet.stop()
+    return {
+        'nodes': nodes,
+        'routes': routes,
+        'whole_config_bytes_per_node': whole['sent'].get('config', [0, 0])[1],
+        'changing': _difference(before, after, nodes),
+        'converged_s': converged,
+        'rss_kb_per_node': after.rss_kb / nodes,
+    }
+
+
+async def measure_rate(nodes: int, rate: float) -> dict[str, Any]:
+    """Measure a fleet under a steady rate of changes."""
+    fleet = deployment.Deployment(nodes)
+    try:
+        await fleet.start()
+        operator = await Operator.connect(fleet.platform)
+        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
+        await _until_applied(fleet, operator.version, nodes)
+        before = fleet.read()
+        converged = await _changes(fleet, operator, nodes, 1 / rate)
+        after = fleet.read()
+        await operator.close()
+    finally:
+        fleet.stop()
+    return {
+        'nodes': nodes,
+        'rate': rate,
+        'changing': _difference(before, after, nodes),
+        'converged_s': converged,
+    }
+
+
+class Operator:
+    """Signs off one bundle after another."""
+
+    def __init__(self, store: http.HttpObjectStore) -> None:
+        self._store = store
+        self.version = 0
+        self.bundle = model.Bundle({}, {})
+
+    @classmethod
+    async def connect(cls, platform: str) -> Operator:
+        """Return an operator of a platform."""
+        store = http.HttpObjectStore(config.parse_address(platform))
+        await store.start()
+        return cls(store)
+
+    async def close(self) -> None:
+        """Close the connection to the platform."""
+        await self._store.stop()
+
+    async def sign(self, bundle: model.Bundle) -> float:
+        """Sign a bundle off; return the time before the write."""
+        began = time.monotonic()
+        head = await signoff.sign_off(
+            self._store, bundle, None, 'capacity', None, '', time.time()
+        )
+        if not isinstance(head, model.Head):
+            raise RuntimeError(f'the sign-off was refused: {head}')
+        self.version = head.version
+        self.bundle = bundle
+        return began
+
+    async def change_one_route(self, number: int) -> float:
+        """Sign off a change of the time limit of one route."""
+        name = sorted(self.bundle.routes)[number % len(self.bundle.routes)]
+        route = self.bundle.routes[name]
+        changed = route._replace(timeout_ms=route.timeout_ms + 1)
+        return await self.sign(
+            self.bundle._replace(routes={**self.bundle.routes, name: changed})
+        )
+
+
+def make_bundle(routes_per_service: int) -> model.Bundle:
+    """Return a bundle of the stated number of services."""
+    services, routes = {}, {}
+    for number in range(deployment.SERVICES):
+        name = f's{number:02d}'
+        services[name] = model.ServiceSpec(name, 'v1', 20)
+        for index in range(routes_per_service):
+            route = f'{name}.r{index}'
+            routes[route] = model.RouteSpec(
+                route, name, 'GET', f'/{name}/r{index}', True
+            )
+    return model.Bundle(services, routes)
+
+
+async def _changes(
+    fleet: deployment.Deployment, operator: Operator, nodes: int, pause: float
+) -> list[float]:
+    """Make changes; return for each the time until all nodes had it."""
+    signed = {}
+    for number in range(CHANGES):
+        began = time.monotonic()
+        signed[operator.version + 1] = await operator.change_one_route(number)
+        await asyncio.sleep(max(0.0, pause - (time.monotonic() - began)))
+    reading = await _until_applied(fleet, operator.version, nodes)
+    # A node that skips a version has it with the next one, so its time for a
+    # version is the first time of any version that is not older.
+    return [
+        max(_reached(stats['applied'], version, stats['nodes'])) - began
+        for version, began in signed.items()
+        for stats in [_merged(reading, nodes)]
+    ]
+
+
+def _merged(reading: deployment.Reading, nodes: int) -> dict[str, Any]:
+    return {'applied': reading.applied, 'nodes': nodes}
+
+
+def _reached(
+    applied: dict[int, list[float]], version: int, nodes: int
+) -> list[float]:
+    """Return the times at which the nodes reached a version, or later."""
+    times = sorted(
+        at
+        for number, found in applied.items()
+        if number >= version
+        for at in found
+    )
+    complete = [applied.get(version, [])]
+    if len(complete[0]) >= nodes:
+        return complete[0]
+    # Not every node saw this version itself; the last one to see any later
+    # version bounds the time from above.
+    return times
+
+
+async def _until_applied(
+    fleet: deployment.Deployment, version: int, nodes: int
+) -> deployment.Reading:
+    limit = time.monotonic() + CONVERGE_LIMIT_S
+    while True:
+        reading = fleet.read()
+        if len(reading.applied.get(version, ())) >= nodes:
+            return reading
+        if time.monotonic() > limit:
+            raise TimeoutError(
+                f'version {version} is on '
+                f'{len(reading.applied.get(version, ()))} of {nodes} nodes'
+            )
+        await asyncio.sleep(0.2)
+
+
+def _difference(
+    before: deployment.Reading, after: deployment.Reading, nodes: int
+) -> dict[str, Any]:
+    """Return the cost between two readings, per node and second."""
+    seconds = after.at - before.at
+    by_node = [
+        (after.busiest[name] - before.busiest[name]) / seconds
+        for name in after.busiest
+    ]
+    busiest = max(range(len(by_node)), key=by_node.__getitem__)
+    return {
+        'seconds': seconds,
+        'cpu_percent_per_node': 100
+        * (after.cpu_s - before.cpu_s)
+        / seconds
+        / nodes,
+        'bytes_per_s_median_node': statistics.median(by_node),
+        'bytes_per_s_busiest_node': by_node[busiest],
+        'busiest_role': list(after.roles.values())[busiest],
+        'sent': _counts(before.sent, after.sent),
+        'platform_calls': {
+            kind: after.platform_calls[kind]
+            - before.platform_calls.get(kind, 0)
+            for kind in after.platform_calls
+            if isinstance(after.platform_calls[kind], int | float)
+        },
+    }
+
+
+def _counts(
+    before: dict[str, tuple[int, int]], after: dict[str, tuple[int, int]]
+) -> dict[str, list[int]]:
+    return {
+        kind: [
+            now - then
+            for now, then in zip(counts, before.get(kind, (0, 0)), strict=True)
+        ]
+        for kind, counts in after.items()
+    }
+
+
+def _progress(figures: dict[str, Any]) -> None:
+    print(
+        {
+            key: value
+            for key, value in figures.items()
+            if not isinstance(value, dict)
+        },
+        flush=True,
+    )
