Add failure tests of the request path

Cause: at most once, truthful not-run, crossed answers, silent connections, drains, cancellation and retries had no tests. Change: tests with nodes and upstreams in one process; the fallback to the new version of a move also asks the local trips.

--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -120,9 +120,7 @@
             # A state that arrived through the tree is at least as new as the
             # stored one, so an outage of the platform need not stop it.
             known = self._app.service('rollouts').state(name)
-            return (
-                found.code is errors.PLATFORM_NOT_FOUND or known is not None
-            )
+            return found.code is errors.PLATFORM_NOT_FOUND or known is not None
         state = signoff.decode_state(found.value)
         self._app.service('rollouts').merge(state)
         return True
--- a/damaskpier/rollout/service.py
+++ b/damaskpier/rollout/service.py
@@ -135,8 +135,7 @@
         notice = self._trip.record(sample, share, now)
         if notice is not None:
             LOG.warning(
-                'rollout: no more requests of %s to the new version of %s: '
-                '%s',
+                'rollout: no more requests of %s to the new version of %s: %s',
                 notice.route,
                 notice.move,
                 notice.reason,
--- a/damaskpier/traffic/router.py
+++ b/damaskpier/traffic/router.py
@@ -187,10 +187,13 @@
             return move.old
         if picked != move.old:
             return None
-        # A share of 0 stands for a version that was taken back or that this
-        # node has stopped using; such a version gets no traffic at all.
+        # A share of 0 also stands for a version that was taken back; one
+        # that this node has stopped using is told by the evidence.
         share = self._app.service('rollouts').share(route.service, route.name)
-        return move.new if share > 0 else None
+        tripped = self._app.has_service('evidence') and self._app.service(
+            'evidence'
+        ).tripped(move.move, route.name)
+        return move.new if share > 0 and not tripped else None
 
     def _chooser(
         self, snapshot: model.Snapshot, service: str, version: str
--- /dev/null
+++ b/tests/test_traffic/test_curl.py
@@ -0,0 +1,155 @@
+"""Tests of the client of the local upstream."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpier.traffic import curl
+from tests.test_traffic import conftest
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Server:
+    """Runs requests; closes after running all but the first of each."""
+
+    def __init__(self):
+        self.runs = 0
+        self.connections = 0
+        self.close_later = True
+        self.close_first = False
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        number = 0
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                number += 1
+                self.runs += 1
+                if self.close_first or (number > 1 and self.close_later):
+                    break
+                writer.write(OK)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+@pytest.fixture
+async def server():
+    """Return a running server of the kind above."""
+    server = Server()
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    server.url = f'http://127.0.0.1:{listener.sockets[0].getsockname()[1]}/'
+    yield server
+    listener.close()
+
+
+@pytest.fixture
+async def client():
+    """Return a client with two connections."""
+    client = curl.UpstreamClient(max_clients=2, force_instance=True)
+    yield client
+    client.close()
+
+
+def request(url, *, fresh):
+    """Return a request that would change something."""
+    return curl.make_request(url, 'POST', (), b'x', 10, fresh=fresh)
+
+
+async def test_reused_connection_runs_a_request_twice(server, client):
+    """Shows the resend by libcurl that fresh connections avoid."""
+    await client.run(request(server.url, fresh=False))
+    outcome = await client.run(request(server.url, fresh=False))
+    assert outcome.code == 200
+    assert server.runs == 3
+
+
+async def test_fresh_connection_runs_a_request_once(server, client):
+    """Guards against the resend that libcurl does by itself."""
+    await client.run(request(server.url, fresh=False))
+    server.close_first = True
+    outcome = await client.run(request(server.url, fresh=True))
+    assert outcome.sent
+    assert server.runs == 2
+
+
+async def test_refused_connection_is_not_sent(client):
+    """Guards against an unknown where nothing can have run."""
+    listener = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    listener.close()
+    await listener.wait_closed()
+    outcome = await client.run(
+        request(f'http://127.0.0.1:{port}/', fresh=True)
+    )
+    assert isinstance(outcome, curl.Failure)
+    assert not outcome.sent
+
+
+async def test_timeout_after_sending_is_sent(client):
+    """Guards against a not-run for a request that an upstream holds."""
+    listener = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    outcome = await client.run(
+        curl.make_request(
+            f'http://127.0.0.1:{port}/', 'POST', (), b'x', 0.05, fresh=True
+        )
+    )
+    assert outcome.sent
+    assert outcome.timed_out
+    listener.close()
+
+
+async def test_connections_stay_within_the_limit(server, client):
+    """Guards against more connections than the upstream accepts."""
+    server.close_later = False
+    outcomes = await asyncio.gather(
+        *(client.run(request(server.url, fresh=False)) for _ in range(20))
+    )
+    assert {outcome.code for outcome in outcomes} == {200}
+    assert server.connections <= 2
+
+
+async def test_cancelled_transfer_closes_its_connection(client):
+    """Guards against an answer that reaches the next request."""
+    closed = asyncio.Event()
+    arrived = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        arrived.set()
+        await reader.read()
+        closed.set()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    task = asyncio.create_task(
+        client.run(request(f'http://127.0.0.1:{port}/', fresh=False))
+    )
+    await arrived.wait()
+    task.cancel()
+    async with asyncio.timeout(30):
+        await closed.wait()
+    await conftest.until(task.cancelled)
+    listener.close()
+
+
+async def test_too_large_answer_is_refused(client):
+    """Guards against unbounded memory for one answer."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * (1 << 23))
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    outcome = await client.run(
+        request(f'http://127.0.0.1:{port}/', fresh=True)
+    )
+    assert outcome.too_large
+    listener.close()
--- /dev/null
+++ b/tests/test_traffic/test_failures.py
@@ -0,0 +1,274 @@
+"""Failure tests of whole calls through nodes in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import pytest
+
+from damaskpier.bundle import model as bundle_model
+from damaskpier.fakes import upstream as fake_upstream
+from damaskpier.traffic import frontend
+from damaskpier.traffic import headers
+from damaskpier.traffic import retry
+from tests.test_traffic import conftest
+
+NOT_RUN = 'not-run'
+
+
+async def retire(http, node, request_id, **kwargs):
+    """Send a request that may not be repeated."""
+    return await http(
+        node.url + '/ledger/retire',
+        method='POST',
+        body='{}',
+        headers={headers.REQUEST_ID: request_id},
+        **kwargs,
+    )
+
+
+async def test_request_with_a_lost_answer_runs_once(start_node, http):
+    """Guards against a repeat of a request whose answer was lost."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger')
+    third = await start_node('n3', service='ledger')
+    # Opens connections that a later request could reuse.
+    for number in range(4):
+        await http(first.url + '/ledger/get')
+    for node in (second, third):
+        node.fake.set_fault(fake_upstream.Fault(close_after_run=True))
+    ids = [f'r{number}' for number in range(10)]
+    for request_id in ids:
+        response = await retire(http, first, request_id)
+        assert response.code == 502
+        assert response.headers[headers.RUN] == 'unknown'
+        assert response.headers[headers.RESULT] == 'DP-3005'
+    runs = second.fake.runs + third.fake.runs
+    assert [runs[request_id] for request_id in ids] == [1] * 10
+
+
+async def test_not_run_is_true_under_shedding_draining_and_dead_peers(
+    start_node, http, fleet
+):
+    """Guards against a not-run for a request that did run."""
+    first = await start_node('n1')
+    workers = [
+        await start_node(f'w{number}', service='ledger', slots=2, service_ms=3)
+        for number in range(4)
+    ]
+    # Nothing listens behind this record, so connecting fails.
+    fleet.records['dead'] = fleet.records['w0']._replace(
+        node_id='dead', rpc_port=1
+    )
+    # Announced slots above the real ones make the upstream shed by itself.
+    workers[1].fake.options = workers[1].fake.options._replace(slots=1)
+    workers[2].fake.set_fault(
+        fake_upstream.Fault(close_after_run=True, above=2)
+    )
+
+    async def drain():
+        await conftest.until(lambda: workers[3].fake.sequence > 5)
+        workers[3].fake.draining = True
+        await workers[3].fake.announce()
+
+    ids = [f'r{number}' for number in range(300)]
+    responses = await asyncio.gather(
+        *(retire(http, first, request_id) for request_id in ids), drain()
+    )
+    runs = sum((w.fake.runs for w in workers), start=collections.Counter())
+    answered = refused = 0
+    for request_id, response in zip(ids, responses[:-1], strict=True):
+        run = response.headers[headers.RUN]
+        assert runs[request_id] <= 1
+        if run == NOT_RUN:
+            refused += 1
+            assert runs[request_id] == 0, response.body
+        elif response.code == 200:
+            answered += 1
+            assert runs[request_id] == 1
+    assert answered > 50
+    assert refused > 50
+
+
+async def test_draining_upstream_gets_no_work(start_node, http):
+    """Guards against new work for an upstream that has said it leaves."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger')
+    third = await start_node('n3', service='ledger')
+    await asyncio.gather(*(http(first.url + '/ledger/get') for _ in range(20)))
+    assert second.fake.sequence
+    second.fake.draining = True
+    await second.fake.announce()
+    before = second.fake.sequence, second.fake.shed
+    responses = await asyncio.gather(
+        *(http(first.url + '/ledger/get') for _ in range(50))
+    )
+    assert {response.code for response in responses} == {200}
+    assert (second.fake.sequence, second.fake.shed) == before
+    assert third.fake.sequence >= 50
+
+
+async def test_queued_requests_leave_a_draining_upstream(start_node, http):
+    """Guards against starting queued requests after the drain began."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger', slots=1)
+    second.fake.set_fault(fake_upstream.Fault(freeze=True))
+    calls = [
+        asyncio.create_task(retire(http, first, f'r{number}'))
+        for number in range(4)
+    ]
+    admission = second.app.service('upstream').admission
+    await conftest.until(lambda: admission.load.queued == 3)
+    await conftest.until(lambda: second.fake.running == 1)
+    second.fake.draining = True
+    await second.fake.announce()
+    second.fake.set_fault(fake_upstream.Fault())
+    responses = await asyncio.gather(*calls)
+    assert sorted(r.code for r in responses) == [200, 503, 503, 503]
+    assert second.fake.runs.total() == 1
+
+
+async def test_stop_of_a_node_cuts_no_request(start_node, http):
+    """Guards against a planned stop that interrupts running requests."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger', slots=4)
+    second.fake.set_fault(fake_upstream.Fault(freeze=True))
+    calls = [
+        asyncio.create_task(retire(http, first, f'r{number}'))
+        for number in range(4)
+    ]
+    await conftest.until(lambda: second.fake.running == 4)
+    stop = asyncio.create_task(second.app.stop())
+    upstream = second.app.service('upstream')
+    await conftest.until(lambda: upstream.admission.draining)
+    late = await retire(http, first, 'late')
+    assert late.headers[headers.RUN] == NOT_RUN
+    second.fake.set_fault(fake_upstream.Fault())
+    responses = await asyncio.gather(*calls)
+    assert [response.code for response in responses] == [200] * 4
+    await stop
+    assert second.fake.runs['late'] == 0
+
+
+async def test_stop_announces_before_it_refuses(start_node, http, fleet):
+    """Guards against refusing work that peers could not yet avoid."""
+    node = await start_node('n1', service='ledger')
+    front = node.app.service('frontend')
+    seen = []
+
+    async def notice(seconds):
+        assert seconds == frontend.DRAIN_NOTICE_S
+        seen.append(fleet.records['n1'].draining)
+        health = await http(
+            f'http://127.0.0.1:{node.app.service("admin").port}/healthz'
+        )
+        seen.append(health.code)
+        # Another node that has not learned of it yet.
+        fleet.records['n1'] = fleet.records['n1']._replace(draining=False)
+        seen.append((await http(node.url + '/ledger/get')).code)
+
+    front._sleep = notice
+    await node.app.stop()
+    assert seen == [True, 503, 200]
+
+
+async def test_cancellation_reaches_the_upstream(start_node, http):
+    """Guards against work that goes on after the caller has left."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger', slots=2)
+    second.fake.set_fault(fake_upstream.Fault(freeze=True))
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', first.app.service('frontend').port
+    )
+    writer.write(
+        b'GET /ledger/get HTTP/1.1\r\nHost: x\r\n'
+        b'Damaskpier-Request-Id: gone\r\n\r\n'
+    )
+    await conftest.until(lambda: second.fake.running == 1)
+    writer.close()
+    await conftest.until(lambda: second.fake.cancelled['gone'] == 1)
+    assert second.fake.running == 0
+    await conftest.until(
+        lambda: second.app.service('upstream').admission.in_use == 0
+    )
+    assert first.app.service('frontend').running == 0
+
+
+async def test_deadline_ends_a_request_of_a_frozen_upstream(start_node, http):
+    """Guards against a frozen upstream that holds callers."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger', slots=2)
+    second.fake.set_fault(fake_upstream.Fault(freeze=True))
+    response = await http(
+        first.url + '/ledger/get', headers={headers.DEADLINE: '150'}
+    )
+    assert response.code == 504
+    assert response.headers[headers.RUN] == 'unknown'
+    await conftest.until(lambda: second.fake.running == 0)
+
+
+async def test_lost_workers_cause_no_retry_storm(start_node, http, fleet):
+    """Guards against retries that multiply the load of a failing service."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger')
+    second.fake.set_fault(fake_upstream.Fault(close_after_run=True))
+    fleet.records['dead'] = fleet.records['n2']._replace(
+        node_id='dead', rpc_port=1
+    )
+    calls = 200
+    responses = await asyncio.gather(
+        *(http(first.url + '/ledger/get') for _ in range(calls))
+    )
+    assert {response.code for response in responses} <= {502, 503}
+    retries = first.app.service('metrics').counted('retries')
+    assert 0 < retries <= retry.RETRY_SHARE * calls
+    assert second.fake.sequence <= calls * (1 + retry.RETRY_SHARE)
+
+
+async def test_make_before_break_uses_the_other_version(
+    start_node, http, fleet
+):
+    """Guards against sending to a version without workers."""
+    first = await start_node('n1')
+    await start_node('n2', service='ledger')
+    move = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 0.0, 1.0)
+    fleet.snapshot = conftest.make_snapshot(2, (move,))
+    fleet.picked = 'v2'
+    response = await http(first.url + '/ledger/get')
+    assert response.headers[headers.VERSION] == 'v1'
+    # The sample would compare the versions by a request that went astray.
+    assert fleet.samples == []
+
+
+@pytest.mark.parametrize(('share', 'code'), [(0.1, 200), (0.0, 503)])
+async def test_taken_back_version_gets_no_traffic(
+    start_node, http, fleet, share, code
+):
+    """Guards against falling back to a version that was taken back."""
+    first = await start_node('n1')
+    await start_node('n2', service='ledger', version='v2')
+    move = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 0.0, 1.0)
+    fleet.snapshot = conftest.make_snapshot(2, (move,))
+    fleet.shares['get'] = share
+    response = await http(first.url + '/ledger/get')
+    assert response.code == code
+
+
+async def test_new_version_outcomes_are_recorded(start_node, http, fleet):
+    """Guards against evidence that misses failures of a version."""
+    first = await start_node('n1')
+    second = await start_node('n2', service='ledger', version='v2')
+    move = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 0.0, 1.0)
+    fleet.snapshot = conftest.make_snapshot(2, (move,))
+    fleet.picked = 'v2'
+    await http(first.url + '/ledger/get')
+    second.fake.set_fault(fake_upstream.Fault(failure_rate=1.0))
+    await http(first.url + '/ledger/get')
+    second.fake.set_fault(fake_upstream.Fault(close_after_run=True))
+    await retire(http, first, 'r1')
+    assert [(s.route, s.is_new, s.failed) for s in fleet.samples] == [
+        ('get', True, False),
+        ('get', True, True),
+        ('retire', True, True),
+    ]
--- a/tests/test_traffic/test_path.py
+++ b/tests/test_traffic/test_path.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
+import pytest
+
+from damaskpier.fakes import upstream as fake_upstream
 from damaskpier.traffic import headers
+from tests.test_traffic import conftest
 
 
 async def test_call_crosses_two_nodes(start_node, http):
@@ -26,3 +31,96 @@
     assert response.code == 404
     assert response.headers[headers.RESULT] == 'DP-3001'
     assert response.headers[headers.RUN] == 'not-run'
+
+
+async def test_limits_refuse_with_an_answer(start_node, http):
+    """Guards against closing a connection without saying why."""
+    node = await start_node('n1', limits='max_body = 2048\nmax_headers = 1024')
+    big = await http(
+        node.url + '/ledger/retire', method='POST', body='x' * 9000
+    )
+    assert big.code == 413
+    assert big.headers[headers.RESULT] == 'DP-3007'
+    long = await http(node.url + '/ledger/get', headers={'X-Long': 'x' * 1500})
+    assert long.code == 413
+    assert long.headers[headers.RUN] == 'not-run'
+
+
+@pytest.mark.parametrize(
+    ('name', 'value', 'status', 'code'),
+    [
+        (headers.DEPTH, '8', 508, 'DP-3008'),
+        (headers.DEPTH, 'deep', 400, 'DP-3011'),
+        (headers.DEADLINE, '-5', 400, 'DP-3011'),
+        (headers.DEADLINE, '0', 504, 'DP-3004'),
+        (headers.REQUEST_ID, 'x' * 200, 400, 'DP-3011'),
+    ],
+)
+async def test_bad_headers_are_refused(
+    start_node, http, name, value, status, code
+):
+    node = await start_node('n1', service='ledger')
+    response = await http(node.url + '/ledger/get', headers={name: value})
+    assert (response.code, response.headers[headers.RESULT]) == (status, code)
+    assert response.headers[headers.RUN] == 'not-run'
+    assert node.fake.sequence == 0
+
+
+async def test_requests_beyond_the_limit_are_shed(start_node, http):
+    """Guards against unbounded work in a node."""
+    node = await start_node('n1', limits='max_requests = 3', service='ledger')
+    node.fake.set_fault(fake_upstream.Fault(freeze=True))
+    running = [
+        asyncio.create_task(http(node.url + '/ledger/get')) for _ in range(3)
+    ]
+    await conftest.until(lambda: node.fake.running == 3)
+    response = await http(node.url + '/ledger/get')
+    assert response.headers[headers.RESULT] == 'DP-3003'
+    node.fake.set_fault(fake_upstream.Fault())
+    responses = await asyncio.gather(*running)
+    assert [answer.code for answer in responses] == [200] * 3
+
+
+async def test_calls_nest_up_to_the_depth_limit(start_node, http):
+    """Guards against endless loops between services."""
+    node = await start_node('n1', service='ledger', calls=('/ledger/get',))
+    response = await http(node.url + '/ledger/get')
+    assert response.code == 200
+    assert node.fake.sequence == headers.MAX_DEPTH + 1
+
+
+async def test_hop_by_hop_headers_stay_on_their_hop(start_node, http):
+    """Guards against headers of one connection on another one."""
+    node = await start_node('n1', service='ledger')
+    response = await http(
+        node.url + '/ledger/get',
+        headers={'Connection': 'X-Hop', 'X-Hop': '1', 'X-End': '2'},
+    )
+    assert response.code == 200
+    assert headers.end_to_end(
+        [('Connection', 'X-Hop'), ('x-hop', '1'), ('X-End', '2')]
+    ) == (('X-End', '2'),)
+
+
+async def test_large_bodies_pass_whole(start_node, http):
+    """Guards against bodies that are cut at a buffer's bound."""
+    first = await start_node('n1')
+    await start_node('n2', service='ledger')
+    response = await http(
+        first.url + '/ledger/retire', method='POST', body=b'x' * 4_000_000
+    )
+    assert json.loads(response.body)['body_bytes'] == 4_000_000
+
+
+async def test_admin_tells_state_and_metrics(start_node, http):
+    node = await start_node('n1', service='ledger')
+    await http(node.url + '/ledger/get')
+    admin = f'http://127.0.0.1:{node.app.service("admin").port}'
+    status = json.loads((await http(admin + '/status')).body)
+    assert status['upstream']['service'] == 'ledger'
+    assert status['workers']['ledger'][0]['routable']
+    text = (await http(admin + '/metrics')).body.decode()
+    assert 'damaskpier_requests_total{code="answered"} 1\n' in text
+    assert 'damaskpier_added_seconds{quantile="0.99"}' in text
+    bad = await http(admin + '/announce', method='POST', body='{"port": 1}')
+    assert bad.code == 400
--- a/tools/capacity/delay.py
+++ b/tools/capacity/delay.py
@@ -33,9 +33,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, delay: float) -> None:
         self._loop = loop
         self._delay = delay
-        self._queue: collections.deque[tuple[Any, tuple]] = (
-            collections.deque()
-        )
+        self._queue: collections.deque[tuple[Any, tuple]] = collections.deque()
 
     def call(self, func: Any, *args: Any) -> None:
         """Call a function after the delay."""
--- a/tools/capacity/host.py
+++ b/tools/capacity/host.py
@@ -133,16 +133,12 @@
 
 
 async def _run(args: argparse.Namespace) -> None:
-    delay.install(
-        asyncio.get_running_loop(), (args.region, args.domain)
-    )
+    delay.install(asyncio.get_running_loop(), (args.region, args.domain))
     fleet = Fleet(args)
     await fleet.start()
     sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
     server = tornado.httpserver.HTTPServer(
-        tornado.web.Application([
-            ('/stats', _StatsHandler, {'fleet': fleet})
-        ])
+        tornado.web.Application([('/stats', _StatsHandler, {'fleet': fleet})])
     )
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
