--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -8,11 +8,13 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.platform import audit
 from damaskpier.platform import moves
 from damaskpier.platform import signoff
 from damaskpier import registry
 from damaskpier.rollout import controller
 from damaskpier.rollout import model
+from damaskpier.rollout import options
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -75,7 +77,7 @@
 
     async def _round(self) -> None:
         leases = self._app.service('leases')
-        if not _may_decide(leases):
+        if not leases.may_act(FLEET_LEASE):
             self._controllers.clear()
             return
         snapshot = self._app.service('active').current()
@@ -106,7 +108,9 @@
             )
             if not await self._load_state(name):
                 continue
-            ctl = controller.MoveController(move, routes, epoch)
+            ctl = controller.MoveController(
+                move, routes, epoch, options.from_settings(self._app.cfg)
+            )
             known = self._app.service('rollouts').state(name)
             if known is not None:
                 ctl.resume(known)
@@ -211,30 +215,24 @@
         return None if head.code in final else head
 
     def _audit(self, state: model.MoveState, evidence: dict) -> None:
-        # The entry's identifier makes a repeated write of it harmless.
-        self._app.service('audit').record(
-            actor=self._app.cfg.text('node', 'id'),
-            action=state.phase.value,
-            move=state.move,
-            result=state.result,
-            detail={
-                'reason': state.reason,
-                'shares': state.shares,
-                'evidence': evidence,
-            },
-            entry_id=f'{state.move}-{state.epoch}-{state.seq}',
+        self._app.service('audit').append(
+            audit.make_entry(
+                self._app.cfg.text('node', 'id'),
+                state.phase.value,
+                move=state.move,
+                result=errors.by_number(state.result)
+                if state.result
+                else None,
+                detail={
+                    'reason': state.reason,
+                    'shares': state.shares,
+                    'evidence': evidence,
+                },
+                now=self._clock(),
+            )
         )
 
 
-def _may_decide(leases) -> bool:
-    """Tell whether this node is the decider.
-
-    A holder that ran all the time goes on while the platform is down: no
-    other node can take the lease then. After a pause it has to confirm.
-    """
-    return leases.held(FLEET_LEASE) or leases.held_through_outage(FLEET_LEASE)
-
-
 def setup(app: application.Application) -> None:
     """Register the service ``decider``."""
     app.add_service(
--- a/damaskpier/traffic/router.py
+++ b/damaskpier/traffic/router.py
@@ -83,7 +83,8 @@
         :param snapshot: configuration that the request began with
         :param request: request with its version left empty
         """
-        picked = self._app.service('rollouts').pick_version(snapshot, route)
+        choice = self._app.service('rollouts').pick(snapshot, route)
+        picked = choice.version
         version, chooser = self._choose_version(snapshot, route, picked)
         if chooser is None:
             return Outcome(
@@ -98,7 +99,7 @@
             chooser, request._replace(version=version)
         )
         if version == picked:
-            self._record(snapshot, route, outcome, lost, began)
+            self._record(snapshot, route, choice, outcome, lost, began)
         return outcome
 
     async def _attempts(
@@ -187,10 +188,13 @@
             return move.old
         if picked != move.old:
             return None
-        # A share of 0 stands for a version that was taken back or that this
-        # node has stopped using; such a version gets no traffic at all.
+        # A share of 0 also stands for a version that was taken back; one
+        # that this node has stopped using is told by the evidence.
         share = self._app.service('rollouts').share(route.service, route.name)
-        return move.new if share > 0 else None
+        tripped = self._app.has_service('evidence') and self._app.service(
+            'evidence'
+        ).tripped(move.move, route.name)
+        return move.new if share > 0 and not tripped else None
 
     def _chooser(
         self, snapshot: model.Snapshot, service: str, version: str
@@ -222,6 +226,7 @@
         self,
         snapshot: model.Snapshot,
         route: model.RouteSpec,
+        choice: rollout_model.Choice,
         outcome: Outcome,
         lost: bool,
         began: float,
@@ -241,6 +246,7 @@
                 # A retry that worked does not hide a lost answer.
                 failed=failed or lost,
                 ms=(self._clock() - began) * 1000,
+                share=choice.share,
             )
         )
 
