--- a/damaskpier/config.py
+++ b/damaskpier/config.py
@@ -181,6 +181,66 @@
         'Form of log records.',
         choices=('text', 'json'),
     ),
+    Setting(
+        'rollout',
+        'first_share',
+        'float',
+        0.01,
+        'Largest first share of a new version on a route.',
+        low=0.0001,
+        high=0.2,
+    ),
+    Setting(
+        'rollout',
+        'error_rate',
+        'float',
+        0.01,
+        'Bound on the chance that a good version is taken back because of '
+        'noise, over all looks at a move.',
+        low=1e-9,
+        high=0.2,
+    ),
+    Setting(
+        'rollout',
+        'hold_back',
+        'float',
+        0.01,
+        'Share of requests that stays on the old version after a move is '
+        'done, for comparison.',
+        low=0,
+        high=0.2,
+    ),
+    Setting(
+        'rollout',
+        'evidence_interval',
+        'float',
+        1.0,
+        'Time between two messages with evidence to the parent.',
+        unit='s',
+        low=0.1,
+        high=10,
+    ),
+    Setting(
+        'rollout',
+        'quiet_interval',
+        'float',
+        4.0,
+        'Time that evidence without a failure may wait at a node.',
+        unit='s',
+        low=0,
+        high=60,
+    ),
+    Setting(
+        'rollout',
+        'trip_hold',
+        'float',
+        10.0,
+        'First time for which a tripped node sends a route to the old '
+        'version only.',
+        unit='s',
+        low=0.5,
+        high=600,
+    ),
 )
 
 
@@ -229,9 +289,10 @@
     return Address(host, int(port))
 
 
-def load(path: pathlib.Path) -> Settings:
+def load(path: pathlib.Path, required: bool = True) -> Settings:
     """Load and check a settings file.
 
+    :param required: whether settings without a default have to be set
     :raises SettingsError: if the file can not be used
     """
     try:
@@ -240,13 +301,16 @@
         raise errors.SettingsError(
             errors.SETTINGS_UNREADABLE, f'{path}: {exc.strerror}'
         ) from exc
-    return loads(text, str(path))
+    return loads(text, str(path), required)
 
 
-def loads(text: str, source: str = '<settings>') -> Settings:
+def loads(
+    text: str, source: str = '<settings>', required: bool = True
+) -> Settings:
     """Check settings given as INI text.
 
     :param source: name of the text in error messages
+    :param required: whether settings without a default have to be set
     :raises SettingsError: if the text can not be used
     """
     parser = configparser.ConfigParser(
@@ -263,6 +327,9 @@
         {
             (row.section, row.name): _value_of(row, parser, text, source)
             for row in TABLE
+            if required
+            or row.default is not REQUIRED
+            or parser.has_option(row.section, row.name)
         }
     )
 
--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -322,6 +322,13 @@
     'Watch the route, or keep the old version running for longer.',
 )
 
+ROLLOUT_RUNNING = _code(
+    5008,
+    'rollout-running',
+    'The move has no verdict yet.',
+    'Wait until the stated time.',
+)
+
 REPLAY_BAD_TRACE = _code(
     6001,
     'replay-bad-trace',
--- /dev/null
+++ b/damaskpier/rollout/evidence.py
@@ -0,0 +1,132 @@
+"""Counts outcomes of requests by route, failure domain and window."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import math
+
+from damaskpier.rollout import latency
+from damaskpier.rollout import model
+
+# Answers of a window are waited for this long after its end, so that the
+# answers of both versions are in when a window is compared. The wait grows
+# with the old version's latency: an answer that takes over twice as long
+# and 10 ms more counts as slow whether or not it is waited for.
+MIN_WAIT_S = 0.2
+MAX_WAIT_S = 4.0
+WAIT_FACTOR = 2.2
+
+# Windows without a failure are sent together after this time. Whether a
+# window is sent early depends on outcomes only, not on the versions that
+# they fell on, so that the comparison stays valid.
+QUIET_S = 4.0
+
+
+class EvidenceStore:
+    """Counts that a node has recorded or received and not yet sent.
+
+    :param failure_domain: failure domain of the node
+    :param quiet_s: time that windows without a failure may wait, in s
+    """
+
+    def __init__(self, failure_domain: str, quiet_s: float = QUIET_S) -> None:
+        self._failure_domain = failure_domain
+        self._quiet_s = quiet_s
+        # Counts of requests of this node, as mutable lists
+        # [requests, failures, histogram] for old and new.
+        self._own: dict[model.CellKey, tuple[list, list]] = {}
+        self._failed_windows: set[int] = set()
+        self._received: dict[model.CellKey, model.EvidenceCell] = {}
+        self._slowest: dict[str, float] = {}
+
+    def record(self, sample: model.Sample, now: float) -> None:
+        """Count the outcome of a request of this node.
+
+        :param now: time at which the answer arrived, in s
+        """
+        window = math.floor(now - sample.ms / 1000.0)
+        key = model.CellKey(
+            sample.move,
+            sample.route,
+            self._failure_domain,
+            window,
+            sample.share,
+        )
+        cell = self._own.get(key)
+        if cell is None:
+            cell = self._own[key] = ([0, 0, {}], [0, 0, {}])
+        counts = cell[sample.is_new]
+        counts[0] += 1
+        if sample.failed:
+            counts[1] += 1
+            self._failed_windows.add(window)
+        bucket = latency.bucket_of(sample.ms)
+        counts[2][bucket] = counts[2].get(bucket, 0) + 1
+        if not sample.is_new:
+            slowest = self._slowest.get(sample.route, 0.0)
+            self._slowest[sample.route] = max(sample.ms, slowest * 0.98)
+
+    def drain(self, now: float) -> list[model.EvidenceCell]:
+        """Return and forget the counts of closed windows."""
+        cells = self._received
+        self._received = {}
+        closed = [
+            key for key in self._own if now >= key.window + 1 + self._wait(key)
+        ]
+        if closed and (
+            self._failed_windows
+            or min(key.window for key in closed) + 1 + self._quiet_s <= now
+        ):
+            self._take(closed, cells)
+        return [cells[key] for key in sorted(cells)]
+
+    def merge(self, cells: Iterable[model.EvidenceCell]) -> None:
+        """Add counts that other nodes have sent."""
+        for cell in cells:
+            _add(self._received, cell)
+
+    def forget(self, move: str) -> None:
+        """Drop the counts of a move that is no longer judged."""
+        for kept in (self._own, self._received):
+            for key in [key for key in kept if key.move == move]:
+                del kept[key]
+
+    def _wait(self, key: model.CellKey) -> float:
+        slowest = self._slowest.get(key.route, 0.0) / 1000.0
+        return min(max(MIN_WAIT_S, WAIT_FACTOR * slowest), MAX_WAIT_S)
+
+    def _take(
+        self,
+        closed: list[model.CellKey],
+        cells: dict[model.CellKey, model.EvidenceCell],
+    ) -> None:
+        # Windows with the same share are sent as one cell, under the last
+        # of them: their requests were assigned with the same probability.
+        last: dict[tuple[str, str, float], int] = {}
+        for key in closed:
+            group = key.move, key.route, key.share
+            last[group] = max(key.window, last.get(group, key.window))
+        for key in closed:
+            old, new = self._own.pop(key)
+            group = key.move, key.route, key.share
+            _add(
+                cells,
+                model.EvidenceCell(
+                    key.move,
+                    key.route,
+                    key.failure_domain,
+                    last[group],
+                    model.VersionCounts(*old),
+                    model.VersionCounts(*new),
+                    key.share,
+                ),
+            )
+        windows = {key.window for key in self._own}
+        self._failed_windows &= windows
+
+
+def _add(
+    cells: dict[model.CellKey, model.EvidenceCell], cell: model.EvidenceCell
+) -> None:
+    known = cells.get(cell.key)
+    cells[cell.key] = cell if known is None else known.plus(cell)
--- a/damaskpier/rollout/model.py
+++ b/damaskpier/rollout/model.py
@@ -39,7 +39,9 @@
     """Outcome of one request of a route with a running move.
 
     ``ms`` is the time to the answer; ``failed`` is true for a status of
-    500 or above and for a request without an answer.
+    500 or above and for a request without an answer. ``share`` is the
+    share of the new version that the random choice of the version used;
+    the comparison of the versions relies on it.
     """
 
     move: str
@@ -47,3 +49,81 @@
     is_new: bool
     failed: bool
     ms: float
+    share: float = 0.0
+
+
+class VersionCounts(NamedTuple):
+    """Outcomes of the requests that one version answered.
+
+    ``latency`` maps the index of a bucket of
+    :mod:`damaskpier.rollout.latency` to its number of requests.
+    """
+
+    requests: int = 0
+    failures: int = 0
+    latency: dict[int, int] = {}
+
+    def plus(self, other: VersionCounts) -> VersionCounts:
+        """Return the sum of two counts; neither of them changes."""
+        latency = dict(self.latency)
+        for bucket, count in other.latency.items():
+            latency[bucket] = latency.get(bucket, 0) + count
+        return VersionCounts(
+            self.requests + other.requests,
+            self.failures + other.failures,
+            latency,
+        )
+
+
+class CellKey(NamedTuple):
+    """Identifies the evidence that may be added up."""
+
+    move: str
+    route: str
+    failure_domain: str
+    window: int
+    share: float
+
+
+class EvidenceCell(NamedTuple):
+    """Counts of one route in one failure domain and window.
+
+    ``window`` is the whole second in which the requests were sent, and
+    ``share`` the share of the new version when each of them was sent.
+    Requests of one cell were therefore assigned to a version at random
+    with the same probability.
+    """
+
+    move: str
+    route: str
+    failure_domain: str
+    window: int
+    old: VersionCounts
+    new: VersionCounts
+    share: float = 0.0
+
+    @property
+    def key(self) -> CellKey:
+        """Return the key of the cell."""
+        return CellKey(
+            self.move,
+            self.route,
+            self.failure_domain,
+            self.window,
+            self.share,
+        )
+
+    def plus(self, other: EvidenceCell) -> EvidenceCell:
+        """Return the sum of two cells with the same key."""
+        return self._replace(
+            old=self.old.plus(other.old), new=self.new.plus(other.new)
+        )
+
+
+class TripNotice(NamedTuple):
+    """Tells that a node stopped sending a route to the new version."""
+
+    move: str
+    route: str
+    node_id: str
+    reason: str
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for development; not part of the package."""
