--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -335,7 +335,7 @@
 )
 
 ROLLOUT_RUNNING = _code(
-    5008,
+    5009,
     'rollout-running',
     'The move has no verdict yet.',
     'Wait until the stated time.',
--- a/damaskpier/rollout/model.py
+++ b/damaskpier/rollout/model.py
@@ -35,6 +35,13 @@
         return self.phase is Phase.TAKEN_BACK, self.epoch, self.seq
 
 
+class Choice(NamedTuple):
+    """Version that a request goes to, and the share used to choose it."""
+
+    version: str
+    share: float
+
+
 class Sample(NamedTuple):
     """Outcome of one request of a route with a running move.
 
