--- a/tools/capacity/host.py
+++ b/tools/capacity/host.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import functools
 import gc
 import json
 import logging
@@ -47,13 +48,12 @@
     def __init__(self, args: argparse.Namespace) -> None:
         self._args = args
         self.apps: list[application.Application] = []
-        self.applied: dict[int, list[float]] = {}
+        self.applied: dict[str, list[tuple[int, float]]] = {}
 
     async def start(self) -> None:
         """Start all nodes, a few at a time."""
         for index in range(self._args.first, self._args.last):
-            app = node.make_node(self._settings(index))
-            app.events.connect('config-applied', self._config_applied)
+            app = self._make(index)
             self.apps.append(app)
             await app.start()
             self._announce(app, index)
@@ -64,6 +64,16 @@
         self._task.cancel()
         await asyncio.gather(*(app.stop() for app in self.apps))
 
+    async def restart(self, number: int) -> None:
+        """Replace a node by a new one, as a planned restart does."""
+        place = number % len(self.apps)
+        index = self._args.first + place
+        await self.apps[place].stop()
+        app = self._make(index)
+        self.apps[place] = app
+        await app.start()
+        self._announce(app, index)
+
     def stats(self) -> dict:
         """Return the figures of the process so far."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -73,12 +83,22 @@
             'rss_kb': _resident_kb(),
             'monotonic': time.monotonic(),
             'applied': self.applied,
-            'trees': [app.service('tree').status() for app in self.apps],
+            'trees': [
+                app.service('tree').status()._asdict() for app in self.apps
+            ],
             'known': [
                 len(app.service('membership').nodes()) for app in self.apps
             ],
         }
 
+    def _make(self, index: int) -> application.Application:
+        app = node.make_node(self._settings(index))
+        app.events.connect(
+            'config-applied',
+            functools.partial(self._config_applied, f'n{index:04d}'),
+        )
+        return app
+
     def _settings(self, index: int) -> config.Settings:
         args = self._args
         return config.loads(
@@ -91,10 +111,10 @@
             )
         )
 
-    def _config_applied(self, snapshot) -> None:
-        times = self.applied.setdefault(snapshot.version, [])
+    def _config_applied(self, node_id: str, snapshot) -> None:
         # The monotonic clock is common to all processes of the machine.
-        times.append(time.monotonic())
+        entry = snapshot.version, time.monotonic()
+        self.applied.setdefault(node_id, []).append(entry)
 
     def _announce(self, app: application.Application, index: int) -> None:
         app.service('membership').announce(
@@ -123,6 +143,14 @@
         self.write(self._fleet.stats())
 
 
+class _RestartHandler(tornado.web.RequestHandler):
+    def initialize(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    async def post(self, number: str) -> None:
+        await self._fleet.restart(int(number))
+
+
 def _resident_kb() -> int:
     gc.collect()
     text = pathlib.Path('/proc/self/status').read_text(encoding='ascii')
@@ -138,7 +166,12 @@
     await fleet.start()
     sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
     server = tornado.httpserver.HTTPServer(
-        tornado.web.Application([('/stats', _StatsHandler, {'fleet': fleet})])
+        tornado.web.Application(
+            [
+                ('/stats', _StatsHandler, {'fleet': fleet}),
+                (r'/restart/(\d+)', _RestartHandler, {'fleet': fleet}),
+            ]
+        )
     )
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
--- a/tools/capacity/runs.py
+++ b/tools/capacity/runs.py
@@ -13,10 +13,13 @@
 from damaskpier.platform import signoff
 from tools.capacity import deployment
 
-FLEET_SIZES = (24, 60, 120, 240)
+# The smallest size has one node in each process.
+FLEET_SIZES = (6, 24, 60, 120, 240)
 BUNDLE_ROUTES = (41, 205, 820)
 CHANGE_RATES = (0.5, 1.0, 2.0)  # changes a second
 RATE_NODES = 60
+CHURN_SIZES = (24, 60, 120)
+RESTARTS = 12
 BASE_ROUTES_PER_SERVICE = 3
 STEADY_S = 10.0
 CHANGES = 10
@@ -27,7 +30,12 @@
 
 async def measure_all() -> dict[str, Any]:
     """Return the raw figures of all runs."""
-    figures: dict[str, Any] = {'sizes': [], 'bundles': [], 'rates': []}
+    figures: dict[str, Any] = {
+        'sizes': [],
+        'bundles': [],
+        'rates': [],
+        'churn': [],
+    }
     for nodes in FLEET_SIZES:
         figures['sizes'].append(await measure_size(nodes))
         _progress(figures['sizes'][-1])
@@ -37,6 +45,9 @@
     for rate in CHANGE_RATES:
         figures['rates'].append(await measure_rate(RATE_NODES, rate))
         _progress(figures['rates'][-1])
+    for nodes in CHURN_SIZES:
+        figures['churn'].append(await measure_churn(nodes))
+        _progress(figures['churn'][-1])
     return figures
 
 
@@ -62,7 +73,7 @@
     return {
         'nodes': nodes,
         'rss_kb_per_node': after.rss_kb / nodes,
-        'processes': len(fleet._hosts),
+        'processes': fleet.processes,
         'steady': steady,
         'changing': changes,
         'converged_s': converged,
@@ -116,6 +127,55 @@
     }
 
 
+async def measure_churn(nodes: int) -> dict[str, Any]:
+    """Measure planned restarts, then the loss and return of a domain."""
+    fleet = deployment.Deployment(nodes)
+    try:
+        await fleet.start()
+        operator = await Operator.connect(fleet.platform)
+        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
+        await _until_applied(fleet, operator.version, nodes)
+        before = fleet.read()
+        for number in range(RESTARTS):
+            await fleet.restart(number)
+        await fleet.until_alive(nodes)
+        restarts = _difference(before, fleet.read(), nodes)
+        loss = await _lose_domain(fleet, nodes)
+        await operator.close()
+    finally:
+        fleet.stop()
+    return {
+        'nodes': nodes,
+        'restarts': RESTARTS,
+        'restarting': restarts,
+        **loss,
+    }
+
+
+async def _lose_domain(
+    fleet: deployment.Deployment, nodes: int
+) -> dict[str, Any]:
+    calls = fleet.read().platform_calls
+    lost = fleet.kill_domain(1, 1)
+    began = time.monotonic()
+    await fleet.until_alive(nodes - lost)
+    gone_s = time.monotonic() - began
+    calls_gone = fleet.read().platform_calls
+    began = time.monotonic()
+    await fleet.return_domain(1, 1)
+    started_s = time.monotonic() - began
+    await fleet.until_alive(nodes)
+    returned_s = time.monotonic() - began - started_s
+    calls_back = fleet.read().platform_calls
+    return {
+        'lost_nodes': lost,
+        'loss_known_everywhere_s': gone_s,
+        'loss_platform_calls': _call_difference(calls, calls_gone),
+        'return_known_everywhere_s': returned_s,
+        'return_platform_calls': _call_difference(calls_gone, calls_back),
+    }
+
+
 class Operator:
     """Signs off one bundle after another."""
 
@@ -177,39 +237,20 @@
     """Make changes; return for each the time until all nodes had it."""
     signed = {}
     for number in range(CHANGES):
-        began = time.monotonic()
-        signed[operator.version + 1] = await operator.change_one_route(number)
+        began = await operator.change_one_route(number)
+        signed[operator.version] = began
         await asyncio.sleep(max(0.0, pause - (time.monotonic() - began)))
     reading = await _until_applied(fleet, operator.version, nodes)
-    # A node that skips a version has it with the next one, so its time for a
-    # version is the first time of any version that is not older.
     return [
-        max(_reached(stats['applied'], version, stats['nodes'])) - began
+        max(_reached(entries, version) for entries in reading.applied.values())
+        - began
         for version, began in signed.items()
-        for stats in [_merged(reading, nodes)]
     ]
 
 
-def _merged(reading: deployment.Reading, nodes: int) -> dict[str, Any]:
-    return {'applied': reading.applied, 'nodes': nodes}
-
-
-def _reached(
-    applied: dict[int, list[float]], version: int, nodes: int
-) -> list[float]:
-    """Return the times at which the nodes reached a version, or later."""
-    times = sorted(
-        at
-        for number, found in applied.items()
-        if number >= version
-        for at in found
-    )
-    complete = [applied.get(version, [])]
-    if len(complete[0]) >= nodes:
-        return complete[0]
-    # Not every node saw this version itself; the last one to see any later
-    # version bounds the time from above.
-    return times
+def _reached(entries: list[list[float]], version: int) -> float:
+    """Return when a node had a version or a later one."""
+    return min(at for applied, at in entries if applied >= version)
 
 
 async def _until_applied(
@@ -218,12 +259,14 @@
     limit = time.monotonic() + CONVERGE_LIMIT_S
     while True:
         reading = fleet.read()
-        if len(reading.applied.get(version, ())) >= nodes:
+        done = sum(
+            entries[-1][0] >= version for entries in reading.applied.values()
+        )
+        if done >= nodes:
             return reading
         if time.monotonic() > limit:
             raise TimeoutError(
-                f'version {version} is on '
-                f'{len(reading.applied.get(version, ()))} of {nodes} nodes'
+                f'version {version} is on {done} of {nodes} nodes'
             )
         await asyncio.sleep(0.2)
 
@@ -248,15 +291,18 @@
         'bytes_per_s_busiest_node': by_node[busiest],
         'busiest_role': list(after.roles.values())[busiest],
         'sent': _counts(before.sent, after.sent),
-        'platform_calls': {
-            kind: after.platform_calls[kind]
-            - before.platform_calls.get(kind, 0)
-            for kind in after.platform_calls
-            if isinstance(after.platform_calls[kind], int | float)
-        },
+        'platform_calls': _call_difference(
+            before.platform_calls, after.platform_calls
+        ),
     }
 
 
+def _call_difference(
+    before: dict[str, int], after: dict[str, int]
+) -> dict[str, int]:
+    return {kind: after[kind] - before.get(kind, 0) for kind in after}
+
+
 def _counts(
     before: dict[str, tuple[int, int]], after: dict[str, tuple[int, int]]
 ) -> dict[str, list[int]]:
