--- a/damaskpier/traffic/router.py
+++ b/damaskpier/traffic/router.py
@@ -83,7 +83,8 @@
         :param snapshot: configuration that the request began with
         :param request: request with its version left empty
         """
-        picked = self._app.service('rollouts').pick_version(snapshot, route)
+        choice = self._app.service('rollouts').pick(snapshot, route)
+        picked = choice.version
         version, chooser = self._choose_version(snapshot, route, picked)
         if chooser is None:
             return Outcome(
@@ -98,7 +99,7 @@
             chooser, request._replace(version=version)
         )
         if version == picked:
-            self._record(snapshot, route, outcome, lost, began)
+            self._record(snapshot, route, choice, outcome, lost, began)
         return outcome
 
     async def _attempts(
@@ -225,6 +226,7 @@
         self,
         snapshot: model.Snapshot,
         route: model.RouteSpec,
+        choice: rollout_model.Choice,
         outcome: Outcome,
         lost: bool,
         began: float,
@@ -244,6 +246,7 @@
                 # A retry that worked does not hide a lost answer.
                 failed=failed or lost,
                 ms=(self._clock() - began) * 1000,
+                share=choice.share,
             )
         )
 
--- /dev/null
+++ b/tests/test_system/processes.py
@@ -0,0 +1,226 @@
+"""Processes of a whole system, started and ended by a test."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import select
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+from typing import NamedTuple
+import urllib.error
+import urllib.request
+
+from damaskpier.fakes import upstream
+
+ROOT = pathlib.Path(__file__).parents[2]
+# Ends a hung test; no verdict depends on it.
+HUNG_S = 60.0
+FAULT_PATH = f'{upstream.ADMIN_PREFIX}/fault'
+
+SETTINGS = """\
+[node]
+id = {name}
+region = {region}
+failure_domain = {domain}
+ready_file = {ready}
+[platform]
+address = {platform}
+{seeds}
+[log]
+level = info
+"""
+
+
+class Answer(NamedTuple):
+    """Answer to a call over HTTP."""
+
+    status: int
+    headers: dict[str, str]
+    body: Any
+
+
+class Node:
+    """A node process with its upstream process."""
+
+    def __init__(self, name: str, process: subprocess.Popen) -> None:
+        self.name = name
+        self.process = process
+        self.upstream: subprocess.Popen | None = None
+        self.ports: dict[str, int] = {}
+        self.upstream_port = 0
+
+    @property
+    def http(self) -> str:
+        """Return the address for callers."""
+        return f'127.0.0.1:{self.ports["http_port"]}'
+
+    @property
+    def admin(self) -> str:
+        """Return the address of the admin page."""
+        return f'127.0.0.1:{self.ports["admin_port"]}'
+
+    def fault(self, **fields: Any) -> None:
+        """Set the fault of a path of the upstream."""
+        post(f'127.0.0.1:{self.upstream_port}', FAULT_PATH, fields)
+
+
+class System:
+    """Stand-in platform, nodes and upstreams in separate processes.
+
+    :param directory: receives settings, ports and logs
+    """
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self._dir = directory
+        self._processes: list[subprocess.Popen] = []
+        self.nodes: dict[str, Node] = {}
+        ready = directory / 'platform.json'
+        self._spawn(
+            'platform', 'damaskpier.cmd.fake_platform', '--ready-file', ready
+        )
+        self.platform = f'127.0.0.1:{self._read(ready)["port"]}'
+
+    def start_node(
+        self,
+        name: str,
+        region: str,
+        domain: str,
+        service: str,
+        version: str = 'v1',
+        seeds: str = '',
+    ) -> Node:
+        """Start a node and an upstream that announces itself to it."""
+        ready = self._dir / f'{name}.json'
+        ready.unlink(missing_ok=True)
+        path = self._dir / f'{name}.ini'
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                region=region,
+                domain=domain,
+                ready=ready,
+                platform=self.platform,
+                seeds=f'[mesh]\nseeds = {seeds}' if seeds else '',
+            )
+        )
+        process = self._spawn(name, 'damaskpier.cmd.node', '--config', path)
+        node = Node(name, process)
+        self.nodes[name] = node
+        node.ports = self._read(ready)
+        self.start_upstream(node, service, version)
+        return node
+
+    def start_upstream(self, node: Node, service: str, version: str) -> None:
+        """Start the upstream beside a node."""
+        ready = self._dir / f'{node.name}-upstream.json'
+        ready.unlink(missing_ok=True)
+        node.upstream = self._spawn(
+            f'{node.name}-upstream',
+            'damaskpier.cmd.fake_upstream',
+            *('--service', service, '--version', version),
+            *('--worker', node.name, '--node-admin', node.admin),
+            *('--ready-file', ready),
+        )
+        node.upstream_port = self._read(ready)['http']
+
+    def operator(self, *args: str) -> subprocess.CompletedProcess:
+        """Run the operators' command line."""
+        return subprocess.run(
+            [sys.executable, '-m', 'damaskpier.cmd.cli', *args],
+            cwd=ROOT,
+            env={**os.environ, 'DAMASKPIER_PLATFORM': self.platform},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def sign_off(self, bundle: str, *args: str) -> dict[str, Any]:
+        """Sign off a bundle given as YAML; return the JSON result."""
+        path = self._dir / 'bundle.yaml'
+        path.write_text(bundle)
+        done = self.operator(
+            *('sign-off', str(path), '--operator', 'test', '--note', 'test'),
+            *('--json', *args),
+        )
+        assert done.returncode == 0, done.stdout + done.stderr
+        return json.loads(done.stdout)
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._dir / f'{name}.log').read_text()
+
+    def stop(self) -> None:
+        """End the processes that were started here."""
+        for process in self._processes:
+            if process.poll() is None:
+                # A stopped process does not act on other signals.
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait()
+
+    def _spawn(
+        self, name: str, module: str, *args: object
+    ) -> subprocess.Popen:
+        with (self._dir / f'{name}.log').open('ab') as log:
+            process = subprocess.Popen(
+                [sys.executable, '-m', module, *map(str, args)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+        self._processes.append(process)
+        return process
+
+    def _read(self, ready: pathlib.Path) -> dict[str, int]:
+        wait_until(ready.exists, ready.name)
+        return json.loads(ready.read_text())
+
+
+def wait_until(condition: Callable[[], Any], what: str) -> Any:
+    """Wait until a condition is true and return its value."""
+    limit = time.monotonic() + HUNG_S
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < limit, f'gave up waiting for {what}'
+        # Waits without a fixed sleep in the test.
+        select.select([], [], [], 0.02)
+
+
+def call(
+    address: str,
+    path: str,
+    method: str = 'GET',
+    headers: dict[str, str] | None = None,
+    data: bytes | None = None,
+) -> Answer:
+    """Make an HTTP call; refusals are answers as well."""
+    request = urllib.request.Request(
+        f'http://{address}{path}',
+        method=method,
+        headers=headers or {},
+        data=data,
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=HUNG_S) as found:
+            status, fields, body = found.status, found.headers, found.read()
+    except urllib.error.HTTPError as exc:
+        status, fields, body = exc.code, exc.headers, exc.read()
+    try:
+        value = json.loads(body)
+    except ValueError:
+        value = body
+    return Answer(status, dict(fields.items()), value)
+
+
+def post(address: str, path: str, fields: dict[str, Any]) -> Answer:
+    """Send a JSON object."""
+    return call(address, path, 'POST', data=json.dumps(fields).encode())
--- a/tests/test_traffic/conftest.py
+++ b/tests/test_traffic/conftest.py
@@ -17,6 +17,7 @@
 from damaskpier.mesh import model as mesh_model
 from damaskpier import metrics
 from damaskpier import registry
+from damaskpier.rollout import model as rollout_model
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 from damaskpier.traffic import admin
@@ -120,9 +121,12 @@
         for app in self.fleet.apps:
             app.events.emit('membership-changed')
 
-    def pick_version(self, snapshot, route):
+    def pick(self, snapshot, route):
         service = snapshot.bundle.services[route.service]
-        return self.fleet.picked or service.version
+        return rollout_model.Choice(
+            self.fleet.picked or service.version,
+            self.fleet.shares.get(route.name, 0.0),
+        )
 
     def share(self, service, route):
         return self.fleet.shares.get(route, 0.0)
@@ -230,7 +234,7 @@
 
     def __init__(self, mesh):
         self.current = mesh.current
-        self.pick_version = mesh.pick_version
+        self.pick = mesh.pick
         self.share = mesh.share
         self.record = mesh.record
 
--- a/tools/capacity/host.py
+++ b/tools/capacity/host.py
@@ -21,8 +21,8 @@
 import tornado.web
 
 from damaskpier import application
-from damaskpier import config
 from damaskpier.cmd import node
+from damaskpier import config
 from damaskpier.mesh import model
 from tools.capacity import delay
 
