--- /dev/null
+++ b/tests/test_tools/test_demo.py
@@ -0,0 +1,65 @@
+"""Tests of the counts that the demonstration prints."""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpier.bundle import loader
+from tools.demo import fleet
+from tools.demo import load
+from tools.demo import tally
+
+BAD = ('parcels', 'v2')
+KILLED_AT = 100.0
+
+
+def _request(route, answer, start=50.0, request_id='r1'):
+    return load.Request(request_id, route, 'n', 1, answer, start, start + 1)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'start', 'kind'),
+    [
+        (load.Answer(200, 'run', service='ledger'), 50, 'ok'),
+        (
+            load.Answer(500, 'run', version='v2', service='parcels'),
+            50,
+            'failed_by_new',
+        ),
+        (load.Answer(500, 'run', version='v1', service='parcels'), 50, 'lost'),
+        (load.Answer(0, 'unknown'), 99.5, 'cut_off'),
+        (load.Answer(0, 'unknown'), 50, 'lost'),
+        (load.Answer(503, 'not-run', 'DP-3002'), 99.5, 'lost'),
+    ],
+)
+def test_only_requests_of_the_killed_node_are_excused(answer, start, kind):
+    """Guards against a demonstration that hides lost requests."""
+    counts = tally.count(
+        [_request(fleet.RETIRE, answer, start)], BAD, KILLED_AT
+    )
+    found = counts._asdict()
+    found['lost'] = len(counts.lost)
+    kinds = ('ok', 'failed_by_new', 'cut_off', 'lost')
+    assert {name: found[name] for name in kinds} == {
+        name: int(name == kind) for name in kinds
+    }
+
+
+def test_a_second_run_on_another_upstream_is_found():
+    """Guards against counting the runs of each upstream apart."""
+    states = [{'runs': {'r1': 1, 'r2': 1}}, {'runs': {'r1': 1, 'r2': 1}}]
+    answer = load.Answer(200, 'run')
+    requests = [
+        _request(fleet.RETIRE, answer),
+        _request(fleet.BALANCE, answer, request_id='r2'),
+    ]
+    assert tally.run_twice(requests, states) == ['r1']
+
+
+def test_bundles_of_the_demonstration_are_valid():
+    bundle = loader.loads(fleet.bundle('v2', 'v1'))
+    assert bundle.services['ledger'].version == 'v2'
+    assert {worker.service for worker in fleet.workers()} == {
+        'ledger',
+        'parcels',
+    }
