--- a/damaskpier/rollout/service.py
+++ b/damaskpier/rollout/service.py
@@ -10,6 +10,7 @@
 from damaskpier import registry
 from damaskpier.rollout import evidence
 from damaskpier.rollout import model
+from damaskpier.rollout import options
 from damaskpier.rollout import trip
 from damaskpier.rollout import wire
 from damaskpier.rpc import mesh_pb2
@@ -80,26 +81,26 @@
         state = self._states.get(move.move) if move else None
         return _share_of(state, route)
 
-    def pick_version(
+    def pick(
         self,
         snapshot: bundle_model.Snapshot,
         route: bundle_model.RouteSpec,
-    ) -> str:
-        """Return the version that the next request of a route goes to."""
+    ) -> model.Choice:
+        """Choose the version that the next request of a route goes to."""
         move = snapshot.move_of(route.service)
         if move is None:
-            return snapshot.bundle.services[route.service].version
+            version = snapshot.bundle.services[route.service].version
+            return model.Choice(version, 0.0)
         share = _share_of(self._states.get(move.move), route.name)
         if share <= 0 or self._tripped(move.move, route.name):
-            return move.old
+            return model.Choice(move.old, 0.0)
         if share >= 1 or self._rng.random() < share:
-            return move.new
-        return move.old
+            return model.Choice(move.new, share)
+        return model.Choice(move.old, share)
 
     def record(self, sample: model.Sample) -> None:
         """Count the outcome of a request of a route with a move."""
-        share = _share_of(self._states.get(sample.move), sample.route)
-        self._app.service('evidence').record(sample, share)
+        self._app.service('evidence').record(sample)
 
     def _tripped(self, move: str, route: str) -> bool:
         return self._app.service('evidence').tripped(move, route)
@@ -122,17 +123,18 @@
         cfg = app.cfg
         self._node_id = cfg.text('node', 'id')
         self._clock = clock
+        chosen = options.from_settings(cfg)
         self._store = evidence.EvidenceStore(
-            cfg.text('node', 'failure_domain')
+            cfg.text('node', 'failure_domain'), chosen.quiet_interval
         )
-        self._trip = trip.LocalTrip(self._node_id)
-        self._trips: dict[tuple[str, str, str], trip.TripNotice] = {}
+        self._trip = trip.LocalTrip(self._node_id, chosen.trip_hold)
+        self._trips: dict[tuple[str, str, str], model.TripNotice] = {}
 
-    def record(self, sample: model.Sample, share: float) -> None:
+    def record(self, sample: model.Sample) -> None:
         """Count an outcome and check it for a local trip."""
         now = self._clock()
         self._store.record(sample, now)
-        notice = self._trip.record(sample, share, now)
+        notice = self._trip.record(sample, sample.share, now)
         if notice is not None:
             LOG.warning(
                 'rollout: no more requests of %s to the new version of %s: %s',
@@ -144,7 +146,7 @@
 
     def tripped(self, move: str, route: str) -> bool:
         """Tell whether this node stopped sending to a new version."""
-        return self._trip.tripped(move, route)
+        return self._trip.tripped(move, route, self._clock())
 
     def merge(self, delta: mesh_pb2.EvidenceDelta) -> None:
         """Add the counts and trips that a child sent."""
@@ -164,13 +166,13 @@
 
     def take(
         self,
-    ) -> tuple[list[evidence.EvidenceCell], list[trip.TripNotice]]:
+    ) -> tuple[list[model.EvidenceCell], list[model.TripNotice]]:
         """Return and remove the closed windows and the trips."""
         trips = list(self._trips.values())
         self._trips.clear()
         return self._store.drain(self._clock()), trips
 
-    def _add_trip(self, notice: trip.TripNotice) -> None:
+    def _add_trip(self, notice: model.TripNotice) -> None:
         key = (notice.move, notice.route, notice.node_id)
         self._trips.setdefault(key, notice)
 
