Record operators' changes in the audit trail and show it

Cause: every change needs a trace of who made it, when and why. Change: sign-off and take-back append an entry with its result, also for a refused attempt that reached the platform; `damaskpier audit` lists the entries, filtered by move and time. Holders are read from the key `holder` of a lease, as the lease module writes them. Conclusion: the trail holds the operators' changes; a failure to write an entry is a warning, because the change itself is in force.

--- a/damaskpier/cmd/cli.py
+++ b/damaskpier/cmd/cli.py
@@ -13,6 +13,7 @@
 from cleo.io.outputs import output as cleo_output
 
 from damaskpier.operator import admin
+from damaskpier.operator import audit
 from damaskpier.operator import bundle
 from damaskpier.operator import command
 from damaskpier.operator import config as config_commands
@@ -51,6 +52,7 @@
     status.Status,
     status.Verdict,
     signoff.TakeBack,
+    audit.Audit,
     status.Nodes,
     config_commands.ConfigCheck,
 )
--- a/damaskpier/operator/admin.py
+++ b/damaskpier/operator/admin.py
@@ -70,7 +70,7 @@
 
 def _holder(lease: str, value: bytes) -> Holder | None:
     try:
-        document = json.loads(value)
+        document = json.loads(value)['holder']
         return Holder(
             lease,
             str(document['node_id']),
--- a/damaskpier/operator/output.py
+++ b/damaskpier/operator/output.py
@@ -66,6 +66,12 @@
         for line in (f'{code} {code.name}: {reason}', f'What to do: {action}'):
             self._io.write_error_line(line, type=cleo_output.Type.RAW)
 
+    def warning(self, text: str) -> None:
+        """Write a warning to standard error."""
+        self._io.write_error_line(
+            f'Warning: {text}', type=cleo_output.Type.RAW
+        )
+
     def _write(self, line: str) -> None:
         # Raw, because names of bundles may look like the library's tags.
         self._io.write_line(line, type=cleo_output.Type.RAW)
--- a/damaskpier/operator/signoff.py
+++ b/damaskpier/operator/signoff.py
@@ -7,8 +7,10 @@
 
 from cleo import helpers
 
+from damaskpier.bundle import codec
 from damaskpier.bundle import loader
 from damaskpier import errors
+from damaskpier.operator import audit
 from damaskpier.operator import command
 from damaskpier.operator import exits
 from damaskpier.operator import follow
@@ -16,9 +18,11 @@
 from damaskpier.operator import status
 from damaskpier.operator import times
 from damaskpier.operator import versions
+from damaskpier.platform import audit as trail
 from damaskpier.platform import signoff
 
 if TYPE_CHECKING:
+    from damaskpier.bundle import model
     from damaskpier.platform import base
 
 
@@ -63,11 +67,13 @@
         by = self._by(now)
         bundle = loader.load(pathlib.Path(self.argument('file')))
         base_version = versions.number(self.option('base'))
-        head = command.unless_refused(
-            await signoff.sign_off(
-                store, bundle, base_version, operator, by, note, now
-            )
+        outcome = await signoff.sign_off(
+            store, bundle, base_version, operator, by, note, now
         )
+        detail = {'note': note, 'bundle': codec.digest_of(bundle)}
+        entry = _entry('sign-off', operator, outcome, detail, now)
+        await audit.record(store, out, entry)
+        head = command.unless_refused(outcome)
         moves = [move for move in head.moves if move.start >= now]
         out.text(f'Signed off as version {head.version}.')
         for move in moves:
@@ -125,17 +131,19 @@
         reason = self.required('reason')
         operator = self.required('operator')
         move = self.argument('move')
-        head = command.unless_refused(
-            await signoff.take_back(
-                store,
-                move,
-                operator,
-                reason,
-                errors.ROLLOUT_OPERATOR,
-                None,
-                self.env.now(),
-            )
+        now = self.env.now()
+        outcome = await signoff.take_back(
+            store,
+            move,
+            operator,
+            reason,
+            errors.ROLLOUT_OPERATOR,
+            None,
+            now,
         )
+        entry = _entry('take-back', operator, outcome, {'reason': reason}, now)
+        await audit.record(store, out, entry._replace(move=move))
+        head = command.unless_refused(outcome)
         out.text(
             f'Move {move} is taken back; active version is {head.version}.'
         )
@@ -146,3 +154,23 @@
             return exits.Exit.OK
         follower = follow.Follower(self.env, store, out, limit_s)
         return await follower.follow(head.version, [])
+
+
+def _entry(
+    action: str,
+    operator: str,
+    outcome: model.Head | errors.Refusal,
+    detail: dict[str, str],
+    now: float,
+) -> trail.Entry:
+    if isinstance(outcome, errors.Refusal):
+        return trail.make_entry(
+            operator,
+            action,
+            result=outcome.code,
+            detail={**detail, 'refused': outcome.reason},
+            now=now,
+        )
+    return trail.make_entry(
+        operator, action, version=outcome.version, detail=detail, now=now
+    )
--- a/tests/test_operator/test_signoff.py
+++ b/tests/test_operator/test_signoff.py
@@ -16,7 +16,13 @@
 def _set_root(operator, lowest, moves=()):
     operator.put(
         'leases/fleet',
-        {'node_id': 'n1', 'host': '10.0.0.1', 'admin_port': 7003},
+        {
+            'holder': {
+                'node_id': 'n1',
+                'host': '10.0.0.1',
+                'admin_port': 7003,
+            }
+        },
     )
     tree = {'role': 'fleet', 'subtree': 3, 'lowest_version': lowest}
     operator.pages[f'{ROOT}/status'] = {
@@ -145,3 +151,24 @@
     assert result.code == 0
     events = [document['event'] for document in result.documents]
     assert events == ['signed-off', 'fleet', 'fleet', 'in-force']
+
+
+def test_audit_holds_every_attempt_with_its_result(moving, bundles):
+    """Guards against a change, or an attempt, that leaves no trace."""
+    moving.run(f'sign-off {bundles[0]} --operator b --note y --base 1')
+    moving.run(f'take-back {MOVE} --operator amina --reason slow')
+    entries = moving.run('--json audit').documents
+    assert [
+        (entry['actor'], entry['action'], entry['version'], entry['result'])
+        for entry in entries
+    ] == [
+        ('amina', 'sign-off', 1, 0),
+        ('amina', 'sign-off', 2, 0),
+        ('b', 'sign-off', 0, 4003),
+        ('amina', 'take-back', 3, 0),
+    ]
+    only = moving.run(f'--json audit --move {MOVE} --limit 5').documents
+    assert [entry['action'] for entry in only] == ['take-back']
+    moving.time += 3600
+    assert moving.run('--json audit --since 10m').documents == []
+    assert 'slow' in moving.run('audit --since 2h').out
--- a/tests/test_operator/test_status.py
+++ b/tests/test_operator/test_status.py
@@ -11,7 +11,8 @@
 from tools import reference
 
 ROOT = 'http://10.0.0.1:7003'
-LEASE = {'node_id': 'n1', 'host': '10.0.0.1', 'admin_port': 7003}
+HOLDER = {'node_id': 'n1', 'host': '10.0.0.1', 'admin_port': 7003}
+LEASE = {'holder': HOLDER, 'epoch': 1}
 
 
 def _record(node_id, **fields):
@@ -72,7 +73,7 @@
 def test_region_root_answers_when_the_fleet_root_does_not(moving):
     """Guards against a blind command line after the loss of the root."""
     moving.put('leases/fleet', LEASE)
-    moving.put('leases/region-rif', {**LEASE, 'host': '10.0.0.2'})
+    moving.put('leases/region-rif', {'holder': {**HOLDER, 'host': '10.0.0.2'}})
     moving.pages['http://10.0.0.2:7003/nodes'] = [
         _record('a', draining=True),
         _record('b', service='', config_version=None),
