--- a/damaskpier/platform/signoff.py
+++ b/damaskpier/platform/signoff.py
@@ -3,8 +3,8 @@
 The content of a bundle is written before the head that refers to it. A
 version is allocated by the conditional update of the head, so versions
 strictly increase and each has one winner. The head also lists the writes of
-the last versions in ``recent``: a writer whose answer was lost finds its
-write there even after the next version.
+the last versions in ``recent``, where a writer whose answer was lost finds its
+write even after the next version, and the last moves in ``taken_back``.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from damaskpier.bundle import model
 from damaskpier import errors
 from damaskpier.platform import base
+from damaskpier.platform import memory
 from damaskpier.platform import moves
 from damaskpier.platform import objects
 from damaskpier.platform import values
@@ -30,6 +31,8 @@
 # Heads whose bundles are kept.
 KEPT_BUNDLES = 20
 KEPT_MOVES = 200
+# Identifiers of moves in the head's list of those taken back.
+KEPT_TAKEN_BACK = 50
 # Pruning lists all bundles, so it runs only after each 20 versions.
 PRUNE_INTERVAL = 20
 # A take-back has to get through while operators sign off; each attempt
@@ -46,10 +49,14 @@
     head: model.Head
     store_version: int
     recent: tuple[dict[str, Any], ...]
+    taken_back: tuple[str, ...]
 
-    def has_write(self, write_id: str) -> bool:
-        """Tell whether a write led to this head or one shortly before."""
-        return any(item['write_id'] == write_id for item in self.recent)
+    def write_of(self, version: int) -> str | None:
+        """Return the write of a version, None where it is too old."""
+        for item in self.recent:
+            if item['version'] == version:
+                return item['write_id']
+        return None
 
     def has_digest(self, digest: str) -> bool:
         """Tell whether this head protects a bundle from being pruned."""
@@ -70,10 +77,15 @@
     """Return the head that an object holds."""
     try:
         head = codec.decode_head(stored.value)
-        recent = tuple(values.decode(stored.value).get('recent', ()))
     except errors.BundleError as exc:
         return errors.Refusal(exc.code, f'{stored.key}: {exc.reason}')
-    return StoredHead(head, stored.version, recent)
+    fields = values.decode(stored.value)
+    return StoredHead(
+        head,
+        stored.version,
+        tuple(fields.get('recent', ())),
+        tuple(fields.get('taken_back', ())),
+    )
 
 
 async def read_bundle(
@@ -158,8 +170,9 @@
     :param move: identifier of the move
     :param epoch: fencing token of the decider's lease, None for operators
     :param now: seconds since the epoch
-    :returns: the head that no longer has the move, which may be older than
-        the call
+    :returns: the head that is in force after the move was taken back, or a
+        refusal; ``PLATFORM_CONFLICT`` if a sign-off put a later move on top
+        of this one at the same time, so that it can not be undone
     """
     state = None
     for _ in range(TAKE_BACK_ATTEMPTS):
@@ -185,7 +198,7 @@
         )
         note = f'take back {move}: {reason}'
         head = _next_head(current, restored, others, by_whom, note, now)
-        outcome = await _commit(store, current, head, restored)
+        outcome = await _commit(store, current, head, restored, move)
         if not isinstance(outcome, errors.Refusal):
             return outcome
         if outcome.code is not errors.PLATFORM_CONFLICT:
@@ -347,6 +360,7 @@
     current: StoredHead | None,
     head: model.Head,
     bundle: model.Bundle,
+    taken_back: str = '',
 ) -> model.Head | errors.Refusal:
     """Write a bundle and then the head that refers to it."""
     if refusal := await _put_bundle(store, current, head.digest, bundle):
@@ -359,6 +373,10 @@
     recent = (*(current.recent if current else ()), entry)[-KEPT_BUNDLES:]
     value = codec.head_fields(head)
     value['recent'] = recent
+    gone = current.taken_back if current else ()
+    if taken_back:
+        gone = (*gone, taken_back)[-KEPT_TAKEN_BACK:]
+    value['taken_back'] = gone
     if_version = current.store_version if current else 0
     outcome = await store.put(
         objects.CONFIG_HEAD, values.encode(value), if_version
@@ -411,14 +429,15 @@
     if isinstance(now, errors.Refusal):
         if refusal.run is errors.RunState.NOT_RUN:
             return refusal
-        return errors.Refusal(
-            errors.PLATFORM_UNKNOWN, refusal.reason, errors.RunState.UNKNOWN
-        )
-    if now.has_write(head.write_id):
-        return None
+        return memory.unknown(refusal.reason)
     if now.head.version < head.version:
         # The write is not in force, but may still be on its way.
         return refusal
+    write_id = now.write_of(head.version)
+    if write_id == head.write_id:
+        return None
+    if write_id is None and refusal.run is errors.RunState.UNKNOWN:
+        return memory.unknown(f'version {head.version} is long past')
     return _conflict(now, f'version {head.version} was taken')
 
 
@@ -443,11 +462,13 @@
 async def _taken_back_before(
     store: base.ObjectStore, current: StoredHead, move: str
 ) -> model.Head | errors.Refusal:
+    if move in current.taken_back:
+        return current.head
     record = await moves.read_move(store, move)
     if isinstance(record, errors.Refusal):
         return record
     if record.state.phase is rollout_model.Phase.TAKEN_BACK:
-        return current.head
+        return _conflict(current, f'a later move is on top of {move}')
     return errors.Refusal(
         errors.PLATFORM_NOT_FOUND,
         f'move {move} is no longer in force at version {current.head.version}',
--- /dev/null
+++ b/tests/test_platform/stepped.py
@@ -0,0 +1,193 @@
+"""Object store whose calls take effect and are answered step by step."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from damaskpier.platform import memory
+
+
+class Call:
+    """Call that has not been answered, or a lost one still on its way."""
+
+    def __init__(
+        self,
+        store: SteppedStore,
+        kind: str,
+        key: str,
+        work: Callable[[], Any],
+    ) -> None:
+        self.store = store
+        self.kind = kind
+        self.key = key
+        self.work = work
+        self.future = asyncio.get_running_loop().create_future()
+        self.is_applied = False
+        self.result: Any = None
+
+    @property
+    def is_write(self) -> bool:
+        """Tell whether the call changes an object."""
+        return self.kind in ('put', 'delete')
+
+    def apply(self) -> None:
+        """Let the call take effect."""
+        if not self.is_applied:
+            self.is_applied = True
+            self.result = self.work()
+
+
+class SteppedStore(memory.MemoryObjectStore):
+    """Holds calls until the test lets them go on.
+
+    The shared ``network`` list has the calls of all clients, so that they
+    can overtake each other.
+    """
+
+    def __init__(self, state: memory.StoreState, network: list[Call]) -> None:
+        super().__init__(state)
+        self.network = network
+
+    async def get(self, key):
+        """Return an object."""
+        return await self._call(
+            'get', key, lambda: self.state.get(key) or memory.not_found(key)
+        )
+
+    async def list(self, prefix, limit=1000):
+        """Return objects by prefix."""
+        return await self._call(
+            'list', prefix, lambda: self.state.list(prefix, limit)
+        )
+
+    async def put(self, key, value, if_version):
+        """Write an object."""
+
+        def work():
+            outcome = self.state.put(key, value, if_version)
+            if isinstance(outcome, memory.Conflict):
+                return memory.conflict(key, outcome.current)
+            return outcome
+
+        return await self._call('put', key, work)
+
+    async def delete(self, key, if_version):
+        """Delete an object."""
+
+        def work():
+            outcome = self.state.delete(key, if_version)
+            if isinstance(outcome, memory.Conflict):
+                return memory.conflict(key, outcome.current)
+            return outcome
+
+        return await self._call('delete', key, work)
+
+    async def _call(self, kind, key, work):
+        if self.is_down:
+            return memory.unavailable('the platform is down')
+        call = Call(self, kind, key, work)
+        self.network.append(call)
+        return await call.future
+
+
+class Driver:
+    """Runs tasks on an event loop of its own, and moves their calls on."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.state = memory.StoreState()
+        self.network: list[Call] = []
+        self.stores: list[SteppedStore] = []
+
+    def make_store(self) -> SteppedStore:
+        """Return another client of the same state."""
+        store = SteppedStore(self.state, self.network)
+        self.stores.append(store)
+        return store
+
+    def start(self, is_stepped, func, *args) -> asyncio.Task:
+        """Start a function of a store, or run it as if nothing failed."""
+        if is_stepped:
+            return self.spawn(func(self.make_store(), *args))
+        return self.run(func(memory.MemoryObjectStore(self.state), *args))
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Start a task and run it to its first call."""
+        task = self.loop.create_task(coroutine)
+        self.settle()
+        return task
+
+    def run(self, coroutine) -> asyncio.Task:
+        """Run a task to its end; its calls are answered at once."""
+        task = self.loop.create_task(coroutine)
+        self.loop.run_until_complete(task)
+        return task
+
+    def settle(self) -> None:
+        """Run all tasks until each waits for a call."""
+
+        async def turns():
+            for _ in range(6):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(turns())
+
+    def apply(self, index: int) -> None:
+        """Let a call take effect without an answer."""
+        if self.network:
+            self.network[index % len(self.network)].apply()
+
+    def answer(self, index: int) -> None:
+        """Let a call take effect and answer it."""
+        if not self.network:
+            return
+        call = self.network.pop(index % len(self.network))
+        call.apply()
+        if not call.future.done():
+            call.future.set_result(call.result)
+        self.settle()
+
+    def advance(self, index: int, count: int) -> None:
+        """Answer up to a number of calls of one client in a row."""
+        if not self.network:
+            return
+        store = self.network[index % len(self.network)].store
+        for _ in range(count):
+            own = [call for call in self.network if call.store is store]
+            if not own:
+                return
+            self.answer(self.network.index(own[-1]))
+
+    def lose(self, index: int) -> None:
+        """Lose the answer; a write may still take effect later."""
+        if not self.network:
+            return
+        call = self.network[index % len(self.network)]
+        if call.future.done():
+            return
+        if call.is_write:
+            call.future.set_result(memory.unknown('the answer was lost'))
+        else:
+            self.network.remove(call)
+            call.future.set_result(memory.unavailable('no answer'))
+        self.settle()
+
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage for the calls to come."""
+        for store in self.stores:
+            store.is_down = is_down
+
+    def finish(self) -> None:
+        """Answer everything, in order."""
+        self.set_down(False)
+        while self.network:
+            self.answer(0)
+
+    def close(self) -> None:
+        """Cancel what still runs and close the loop."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.settle()
+        self.loop.close()
--- a/tests/test_platform/test_signoff.py
+++ b/tests/test_platform/test_signoff.py
@@ -6,7 +6,11 @@
 
 from damaskpier import errors
 from damaskpier.platform import memory
+from damaskpier.platform import moves
+from damaskpier.platform import objects
 from damaskpier.platform import signoff
+from damaskpier.rollout import model
+from tests.test_platform import stepped
 
 
 def moved(bundle, version, service='ledger'):
@@ -49,3 +53,87 @@
         )
         assert (after.version, after.moves) == (3, ())
     assert (await signoff.read_snapshot(store)).bundle == bundle
+
+
+async def test_a_move_that_a_sign_off_replaced_is_not_reported_taken_back(
+    store, bundle
+):
+    """Guards against a take-back that reports success without effect.
+
+    The sign-off saw the move done, and its head came before the one of the
+    take-back, so the version to be taken back is still in force.
+    """
+    await signoff.sign_off(store, bundle, 0, 'ana', None, '', 100.0)
+    head = await signoff.sign_off(
+        store, moved(bundle, 'v2'), 1, 'ana', None, '', 100.0
+    )
+    move = head.moves[0].move
+    state = model.MoveState(move, 1, 1, model.Phase.DONE, {})
+    await moves.write_move_state(store, state, {}, 'n1', 110.0)
+    head = await signoff.sign_off(
+        store, moved(bundle, 'v3'), 2, 'ana', None, '', 120.0
+    )
+    assert head.moves[0].old == 'v2'
+    await moves.write_taken_back(
+        store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 121.0
+    )
+    outcome = await signoff.take_back(
+        store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 122.0
+    )
+    assert outcome.code is errors.PLATFORM_CONFLICT
+
+
+@pytest.fixture
+def driver():
+    """Return a driver of calls that go on step by step."""
+    driver = stepped.Driver()
+    yield driver
+    driver.close()
+
+
+def sign_off_up_to_head(driver, bundle, operator):
+    """Start a sign-off and stop before the write of the head."""
+    args = (bundle, None, operator, None, '', 100.0)
+    task = driver.start(True, signoff.sign_off, *args)
+    while driver.network[0].key != objects.CONFIG_HEAD or (
+        not driver.network[0].is_write
+    ):
+        driver.answer(0)
+    return task
+
+
+def test_a_bundle_about_to_be_signed_off_is_not_pruned(driver, bundle):
+    """Guards against a head that refers to deleted content.
+
+    The pruning runs between the write of the content and of the head.
+    """
+    args = (bundle, None, 'ana', None, '', 100.0)
+    driver.start(False, signoff.sign_off, *args)
+    task = sign_off_up_to_head(driver, moved(bundle, 'v2'), 'ben')
+    assert driver.start(False, signoff.prune).result() == 0
+    driver.finish()
+    assert task.result().version == 2
+    read = driver.start(False, signoff.read_snapshot).result()
+    assert read.bundle == moved(bundle, 'v2')
+
+
+@pytest.mark.parametrize(
+    ('later', 'is_known'),
+    [(1, True), (signoff.KEPT_BUNDLES, False)],
+)
+def test_a_lost_sign_off_is_found_below_later_ones(
+    driver, bundle, later, is_known
+):
+    """Guards against "not applied" for a sign-off that was in force."""
+    task = sign_off_up_to_head(driver, bundle, 'ben')
+    driver.apply(0)
+    driver.lose(0)
+    for _ in range(later):
+        args = (bundle, None, 'ana', None, '', 100.0)
+        driver.start(False, signoff.sign_off, *args)
+    driver.finish()
+    outcome = task.result()
+    if is_known:
+        assert (outcome.version, outcome.signed_by) == (1, 'ben')
+    else:
+        assert outcome.code is errors.PLATFORM_UNKNOWN
