Turn connection errors of the platform client into refusals

Cause: tornado raises a connection error in spite of raise_error=False, so each timeout, closed connection and refused connection left the client as an exception. The limit of silence of a watch is a parameter. Ruled out: telling a timeout before the connection was open from one after it; the exception does not carry the times, so both count as unknown. Conclusion: a timeout of a write that never left is reported as unknown rather than as not applied.

--- a/damaskpier/platform/http.py
+++ b/damaskpier/platform/http.py
@@ -96,6 +96,8 @@
     :param timeout_s: limit of each call other than a watch
     :param rng: of the jitter
     :param sleep: waits for a number of seconds
+    :param silence_s: limit of the time without any byte on a watch, in whole
+        seconds
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         watch_wait_s: float = WATCH_WAIT_S,
+        silence_s: int = SILENCE_S,
     ) -> None:
         self.counters: collections.Counter[str] = collections.Counter()
         self._url = f'http://{address}/v1'
@@ -112,6 +115,7 @@
         self._rng = rng or random.Random()
         self._sleep = sleep
         self._watch_wait_s = watch_wait_s
+        self._silence_s = silence_s
         self._pool: _Pool | None = None
 
     async def stop(self) -> None:
@@ -295,12 +299,13 @@
         pool.calls += 1
         try:
             response = await pool.client.fetch(request, raise_error=False)
+        except httpclient.HTTPClientError as exc:
+            # Raised where there is no answer, in spite of raise_error.
+            return self._failed(pool, kind, exc)
         finally:
             pool.calls -= 1
             pool.close_if_unused()
         self.counters['bytes_in'] += len(response.body or b'')
-        if response.code == 599:
-            return self._failed(pool, kind, response)
         if response.code in _NO_EFFECT_STATUS:
             self.counters['refused'] += 1
             return errors.Refusal(
@@ -334,25 +339,24 @@
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=_watch_silence if kind == 'watch' else None,
+            prepare_curl_callback=self._limit_silence
+            if kind == 'watch'
+            else None,
         )
 
+    def _limit_silence(self, curl: Any) -> None:
+        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+        curl.setopt(pycurl.LOW_SPEED_TIME, self._silence_s)
+
     def _failed(
-        self, pool: _Pool, kind: str, response: httpclient.HTTPResponse
+        self, pool: _Pool, kind: str, exc: httpclient.HTTPClientError
     ) -> errors.Refusal:
         self.counters['failed'] += 1
-        error = response.error
-        number = getattr(error, 'errno', None)
-        reason = f'{kind}: {error}'
-        if number in _NOT_SENT_ERRORS:
+        reason = f'{kind}: {exc.message}'
+        if getattr(exc, 'errno', None) in _NOT_SENT_ERRORS:
             return memory.unavailable(reason)
+        # A timeout does not tell whether the connection was open by then.
         self._retire(pool)
-        # The time of pretransfer is set when the request is about to be
-        # sent.
-        if number == pycurl.E_OPERATION_TIMEDOUT and (
-            not response.time_info.get('pretransfer')
-        ):
-            return memory.unavailable(reason)
         return memory.unknown(reason)
 
     def _retire(self, pool: _Pool) -> None:
@@ -403,11 +407,6 @@
     changes: list[_ChangeItem]
 
 
-def _watch_silence(curl: Any) -> None:
-    curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-    curl.setopt(pycurl.LOW_SPEED_TIME, SILENCE_S)
-
-
 def _object_path(key: str) -> str:
     return '/objects/' + parse.quote(key, safe='/')
 
