--- a/damaskpier/bundle/loader.py
+++ b/damaskpier/bundle/loader.py
@@ -17,6 +17,9 @@
 
 # Faults that one error message lists.
 MAX_FAULTS = 20
+# A bundle has three levels. The time that the YAML parser takes grows with
+# the square of the depth.
+MAX_DEPTH = 8
 
 _Path = tuple[str | int, ...]
 
@@ -89,16 +92,12 @@
             f'{source}: {len(text.encode())} bytes of YAML, the limit is '
             f'{2 * codec.MAX_BUNDLE_BYTES}',
         )
-    loader = yaml.SafeLoader(text)
     try:
-        _refuse_aliases(text)
+        _check_events(text)
+        loader = yaml.SafeLoader(text)
         node = loader.get_single_node()
         lines: dict[_Path, int] = {}
         return _construct(loader, node, (), lines), lines
-    except RecursionError as exc:
-        raise errors.BundleError(
-            errors.BUNDLE_UNREADABLE, f'{source}: nested too deeply'
-        ) from exc
     except yaml.MarkedYAMLError as exc:
         line = exc.problem_mark.line + 1 if exc.problem_mark else 0
         raise errors.BundleError(
@@ -108,12 +107,20 @@
         raise errors.BundleError(
             errors.BUNDLE_UNREADABLE, f'{source}: {exc}'
         ) from exc
-    finally:
-        loader.dispose()
 
 
-def _refuse_aliases(text: str) -> None:
+def _check_events(text: str) -> None:
+    """Refuse aliases and deep nesting before anything is built."""
+    depth = 0
     for event in yaml.parse(text, yaml.SafeLoader):
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise yaml.MarkedYAMLError(
+                problem='nested too deeply', problem_mark=event.start_mark
+            )
         if isinstance(event, yaml.AliasEvent) or (
             getattr(event, 'anchor', None) is not None
         ):
--- /dev/null
+++ b/tests/test_bundle/test_check.py
@@ -0,0 +1,71 @@
+"""Tests of the check that a node makes before it applies a configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpier.bundle import check
+from damaskpier.bundle import codec
+from damaskpier.bundle import model
+from damaskpier import errors
+
+
+def test_a_good_snapshot_passes(snapshot):
+    assert check.check_snapshot(snapshot) is None
+
+
+def changed_head(snapshot, **fields):
+    """Return a snapshot with other fields in its head."""
+    return snapshot._replace(head=snapshot.head._replace(**fields))
+
+
+@pytest.mark.parametrize(
+    ('fields', 'code'),
+    [
+        ({'version': 0}, errors.BUNDLE_SCHEMA),
+        ({'digest': 'x'}, errors.CONFIG_DIGEST),
+    ],
+)
+def test_a_bad_head_is_refused(snapshot, fields, code):
+    refused = check.check_snapshot(changed_head(snapshot, **fields))
+    assert refused.code is code
+
+
+@pytest.mark.parametrize('field', ['service', 'new'])
+def test_a_move_has_to_match_the_bundle(snapshot, field):
+    """Guards against a move of a resource that the proxy does not have."""
+    move = snapshot.head.moves[0]._replace(**{field: 'other'})
+    refused = check.check_snapshot(changed_head(snapshot, moves=(move,)))
+    assert refused.code is errors.BUNDLE_REFERENCE
+    twice = snapshot.head.moves * 2
+    refused = check.check_snapshot(changed_head(snapshot, moves=twice))
+    assert refused.code is errors.BUNDLE_REFERENCE
+
+
+@pytest.mark.parametrize(
+    ('route', 'code'),
+    [
+        (('x', 'missing', 'GET', '/x'), errors.BUNDLE_REFERENCE),
+        (('x', 'ledger', 'GET', '/parcels/*'), errors.BUNDLE_CONFLICT),
+        (('x', 'ledger', 'GET', '/x', True, 0), errors.BUNDLE_SCHEMA),
+    ],
+)
+def test_a_bad_bundle_is_refused_as_a_whole(snapshot, route, code):
+    """Guards against routes that refer to a missing resource."""
+    spec = model.RouteSpec(*route)
+    bundle = snapshot.bundle._replace(
+        routes={**snapshot.bundle.routes, 'x': spec}
+    )
+    snapshot = changed_head(snapshot, digest=codec.digest_of(bundle))
+    refused = check.check_snapshot(snapshot._replace(bundle=bundle))
+    assert refused.code is code
+
+
+def test_a_bundle_over_the_size_limit_is_refused(bundle):
+    """Guards against content that the platform does not hold."""
+    routes = {
+        f'r{n}': model.RouteSpec(f'r{n}', 'ledger', 'GET', f'/{n:0300}')
+        for n in range(3000)
+    }
+    refused = check.check_bundle(bundle._replace(routes=routes))
+    assert refused.code is errors.BUNDLE_TOO_LARGE
