Keep workers announced and watches of the platform alive

(1) The upstream service passed on only changed announcements, and the membership expires a worker 3 s after the last one, so every worker left the routing 3 s after its start. (2) The stand-in platform sent the sign of life of a watch only after a second without any change in the store; renewals of leases came more often, so clients gave each watch up after 4 s. Conclusion: a test of whole processes is needed for each joint.

--- a/damaskpier/fakes/platform.py
+++ b/damaskpier/fakes/platform.py
@@ -324,10 +324,14 @@
         end = loop.time() + min(wait_s, MAX_WAIT_S)
         self.set_header('Content-Type', 'application/json')
         changes = state.changes(prefix, after)
+        # Changes of other keys wake the watch as well and must not put its
+        # next sign of life off.
+        due = loop.time() + KEEPALIVE_INTERVAL_S
         while not changes and loop.time() < end and not self._gone.is_set():
-            timeout = min(KEEPALIVE_INTERVAL_S, end - loop.time())
-            if not await _changed(state, timeout):
+            await _changed(state, min(due, end) - loop.time())
+            if loop.time() >= due:
                 await self._send(KEEPALIVE, is_last=False)
+                due = loop.time() + KEEPALIVE_INTERVAL_S
             changes = state.changes(prefix, after)
         body = {
             'revision': state.revision,
--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -98,12 +98,14 @@
         )
         changed = announcement != self.announcement
         self.announcement = announcement
-        if not changed:
-            return
-        self._configure()
-        self.admission.draining = self._node_draining or announcement.draining
-        if announcement.draining:
-            self.admission.refuse_queued(_draining())
+        if changed:
+            self._configure()
+            self.admission.draining = (
+                self._node_draining or announcement.draining
+            )
+            if announcement.draining:
+                self.admission.refuse_queued(_draining())
+        # The membership expires a worker that is not announced again.
         self._publish()
 
     async def call(self, request: messages.Request) -> messages.Reply:
--- a/tests/test_platform/test_http_faults.py
+++ b/tests/test_platform/test_http_faults.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from tornado import simple_httpclient
 
 from damaskpier import config
 from damaskpier import errors
@@ -175,3 +176,28 @@
     found = await store._watch_once('config/', 0)
     assert not isinstance(found, errors.Refusal)
     assert found.changes == []
+
+
+async def test_a_watch_shows_life_while_other_keys_change(
+    store, running, monkeypatch
+):
+    """Guards against a watch that looks dead because other keys change.
+
+    The client gives a watch up that shows no sign of life for a few
+    seconds, and every renewal of a lease had put the next sign off.
+    """
+    monkeypatch.setattr(fake, 'KEEPALIVE_INTERVAL_S', 0.05)
+    chunks = []
+    watching = asyncio.ensure_future(
+        simple_httpclient.SimpleAsyncHTTPClient(force_instance=True).fetch(
+            f'http://127.0.0.1:{running.port}/v1/watch?prefix=config/&after=0',
+            streaming_callback=chunks.append,
+        )
+    )
+    for number in range(2000):
+        await store.put('leases/fleet', b'{"number":%d}' % number, None)
+        if chunks:
+            break
+    await store.put('config/head', b'{}', None)
+    await watching
+    assert chunks[0] == fake.KEEPALIVE
--- a/tests/test_system/processes.py
+++ b/tests/test_system/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 import json
 import os
 import pathlib
@@ -10,6 +11,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from typing import Any
 from typing import NamedTuple
@@ -20,7 +22,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 # Ends a hung test; no verdict depends on it.
-HUNG_S = 60.0
+HUNG_S = 25.0
 FAULT_PATH = f'{upstream.ADMIN_PREFIX}/fault'
 
 SETTINGS = """\
@@ -80,6 +82,7 @@
         self._dir = directory
         self._processes: list[subprocess.Popen] = []
         self.nodes: dict[str, Node] = {}
+        self.frozen: set[str] = set()
         ready = directory / 'platform.json'
         self._spawn(
             'platform', 'damaskpier.cmd.fake_platform', '--ready-file', ready
@@ -151,6 +154,24 @@
         assert done.returncode == 0, done.stdout + done.stderr
         return json.loads(done.stdout)
 
+    def verdict(self, move: str) -> str:
+        """Return the stored verdict on a move."""
+        found = call(self.platform, f'/v1/objects/rollouts/{move}')
+        return found.body.get('phase', '') if found.status == 200 else ''
+
+    def head(self) -> dict[str, Any]:
+        """Return the stored head of the configuration."""
+        return call(self.platform, '/v1/objects/config/head').body
+
+    def fleet_root(self) -> Node:
+        """Return the node that holds the lease of the fleet."""
+        found = call(self.platform, '/v1/objects/leases/fleet').body
+        return self.nodes[found['holder']['node_id']]
+
+    def fault(self, **fields: Any) -> None:
+        """Set the faults of the platform."""
+        post(self.platform, '/admin/faults', fields)
+
     def log(self, name: str) -> str:
         """Return what a process has logged."""
         return (self._dir / f'{name}.log').read_text()
@@ -224,3 +245,89 @@
 def post(address: str, path: str, fields: dict[str, Any]) -> Answer:
     """Send a JSON object."""
     return call(address, path, 'POST', data=json.dumps(fields).encode())
+
+
+class Record(NamedTuple):
+    """Outcome of one call of the callers."""
+
+    at: float  # monotonic time of the answer
+    method: str
+    status: int
+    run: str
+    result: str
+    version: str
+    request_id: str
+    sent_id: str
+
+
+class Callers:
+    """Threads that call nodes until they are told to stop.
+
+    :param addresses: gives the addresses of the nodes to call
+    :param paths: method and path of each kind of call
+    """
+
+    def __init__(
+        self,
+        addresses: Callable[[], list[str]],
+        paths: list[tuple[str, str]],
+        threads: int = 4,
+    ) -> None:
+        self._addresses = addresses
+        self._paths = paths
+        self._stop = threading.Event()
+        self._count = itertools.count()
+        self.records: list[Record] = []
+        self.broken: list[str] = []
+        self._threads = [
+            threading.Thread(target=self._work) for _ in range(threads)
+        ]
+
+    def __enter__(self) -> Callers:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def answers(self, status: int = 200) -> int:
+        """Return the number of answers with a status so far."""
+        return sum(record.status == status for record in list(self.records))
+
+    def _work(self) -> None:
+        # The pause keeps the load of a test the same on every machine.
+        while not self._stop.wait(0.005):
+            number = next(self._count)
+            method, path = self._paths[number % len(self._paths)]
+            addresses = self._addresses()
+            address = addresses[number % len(addresses)]
+            sent = f'call-{number}'
+            data = b'{}' if method == 'POST' else None
+            try:
+                answer = call(
+                    address,
+                    path,
+                    method,
+                    {'Damaskpier-Request-Id': sent},
+                    data,
+                )
+            except OSError as exc:
+                self.broken.append(f'{method} {path}: {exc}')
+                continue
+            fields = answer.headers
+            body = answer.body if isinstance(answer.body, dict) else {}
+            self.records.append(
+                Record(
+                    time.monotonic(),
+                    method,
+                    answer.status,
+                    fields.get('Damaskpier-Run', ''),
+                    fields.get('Damaskpier-Result', ''),
+                    fields.get('Damaskpier-Version', ''),
+                    body.get('request_id', ''),
+                    sent,
+                )
+            )
--- /dev/null
+++ b/tests/test_system/test_rollout.py
@@ -0,0 +1,201 @@
+"""Moves between upstream versions under failures, in whole processes."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+
+import pytest
+
+from tests.test_system import processes
+
+BUNDLE = """\
+services:
+  ledger: {{version: {version}}}
+routes:
+  ledger.balance: {{service: ledger, method: GET, path: /ledger/balance,
+                   repeatable: true}}
+  ledger.retire: {{service: ledger, method: POST, path: /ledger/retire}}
+"""
+PATHS = [('GET', '/ledger/balance'), ('POST', '/ledger/retire')]
+PLACES = (
+    ('souss', 'souss-1'),
+    ('moyen-atlas', 'moyen-atlas-1'),
+    ('rif', 'rif-1'),
+)
+# The part of all requests that may meet a bad version.
+SMALL_SHARE = 0.05
+
+
+@pytest.fixture
+def fleet(system):
+    """Give three regions with a worker of each version of one service."""
+    for number, (region, domain) in enumerate(PLACES):
+        system.start_node(f'old{number}', region, domain, 'ledger')
+        system.start_node(f'new{number}', region, domain, 'ledger', 'v2')
+    system.sign_off(BUNDLE.format(version='v1'))
+    wait_for_version(system, 1)
+    return system
+
+
+def wait_for_version(system, version):
+    """Wait until each living node has applied a version."""
+
+    def applied():
+        return all(
+            processes.call(node.admin, '/status').body['version'] >= version
+            for node in living(system)
+        )
+
+    processes.wait_until(applied, f'version {version} on all nodes')
+
+
+def living(system):
+    """Return the nodes whose process runs."""
+    return [
+        node
+        for node in system.nodes.values()
+        if node.process.poll() is None and node.name not in system.frozen
+    ]
+
+
+@contextlib.contextmanager
+def calls(system, callers_of):
+    """Call the nodes of some names while the context is open."""
+
+    def addresses():
+        nodes = [n for n in living(system) if n.name.startswith(callers_of)]
+        return [node.http for node in nodes]
+
+    with processes.Callers(addresses, PATHS) as callers:
+        processes.wait_until(lambda: callers.answers() > 20, 'answers')
+        yield callers
+
+
+def start_move(system, by='40s'):
+    """Sign off the new version; return the name of the move."""
+    system.sign_off(BUNDLE.format(version='v2'), '--by', by)
+    return system.head()['moves'][0]['move']
+
+
+def break_new_version(system, path='/ledger/balance'):
+    """Make each worker of the new version fail on one path."""
+    for node in system.nodes.values():
+        if node.name.startswith('new'):
+            node.fault(path=path, failure_rate=1.0)
+
+
+def wait_for_verdict(system, move, verdict):
+    """Wait until the platform holds a verdict on a move."""
+    processes.wait_until(
+        lambda: system.verdict(move) == verdict, f'{move} {verdict}'
+    )
+
+
+def assert_taken_back(system, callers, move):
+    """Check what must hold after a bad version was taken back."""
+    head = processes.wait_until(
+        lambda: system.head() if not system.head()['moves'] else None,
+        'the head without the move',
+    )
+    assert head['version'] > 2
+    wait_for_version(system, head['version'])
+    before = len(callers.records)
+    processes.wait_until(
+        lambda: len(callers.records) > before + 100, 'more calls'
+    )
+    # The first calls may have begun before the last node took the version.
+    late = [r.version for r in callers.records[before + 10 :]]
+    assert set(late) <= {'v1'}
+    met = sum(record.version == 'v2' for record in callers.records)
+    assert met <= SMALL_SHARE * len(callers.records)
+
+
+def test_bad_version_is_taken_back_by_a_higher_version(fleet):
+    """Guards against a bad version that keeps or regains traffic."""
+    break_new_version(fleet)
+    with calls(fleet, 'old') as callers:
+        move = start_move(fleet)
+        wait_for_verdict(fleet, move, 'taken_back')
+        assert_taken_back(fleet, callers, move)
+    done = fleet.operator('verdict', move, '--json')
+    assert json.loads(done.stdout)['verdict'] == 'taken_back'
+
+
+def test_good_version_is_done_by_the_stated_time(fleet):
+    """Guards against moves that stall or are taken back without cause."""
+    with calls(fleet, 'old') as callers:
+        move = start_move(fleet, by='15s')
+        wait_for_verdict(fleet, move, 'done')
+        processes.wait_until(
+            lambda: callers.records[-1].version == 'v2', 'the new version'
+        )
+    assert not callers.broken
+    assert {record.status for record in callers.records} == {200}
+
+
+def test_bad_version_is_taken_back_after_the_decider_died(fleet):
+    """Guards against a move that nobody decides after its decider died."""
+    with calls(fleet, 'old') as callers:
+        move = start_move(fleet)
+        processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
+        root = fleet.fleet_root()
+        root.process.kill()
+        root.process.wait()
+        root.upstream.kill()
+        break_new_version_except(fleet, root)
+        wait_for_verdict(fleet, move, 'taken_back')
+        assert_taken_back(fleet, callers, move)
+
+
+def break_new_version_except(system, gone):
+    """Make the living workers of the new version fail."""
+    for node in system.nodes.values():
+        if node.name.startswith('new') and node is not gone:
+            node.fault(path='/ledger/balance', failure_rate=1.0)
+
+
+def test_frozen_decider_does_not_decide_after_its_lease_lapsed(fleet):
+    """Guards against two deciders: a paused holder that goes on writing."""
+    with calls(fleet, 'old') as callers:
+        move = start_move(fleet)
+        processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
+        root = fleet.fleet_root()
+        fleet.frozen.add(root.name)
+        root.process.send_signal(signal.SIGSTOP)
+        processes.wait_until(
+            lambda: fleet.fleet_root() is not root, 'another decider'
+        )
+        break_new_version_except(fleet, None)
+        wait_for_verdict(fleet, move, 'taken_back')
+        head = processes.wait_until(
+            lambda: fleet.head() if not fleet.head()['moves'] else None,
+            'the head without the move',
+        )
+        root.process.send_signal(signal.SIGCONT)
+        fleet.frozen.clear()
+        assert_taken_back(fleet, callers, move)
+    assert fleet.verdict(move) == 'taken_back'
+    assert fleet.head()['version'] == head['version']
+
+
+def test_bad_version_is_stopped_while_the_platform_is_down(fleet):
+    """Guards against a take-back that waits for the platform."""
+    with calls(fleet, 'old') as callers:
+        move = start_move(fleet)
+        processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
+        fleet.fault(down='hang')
+        break_new_version(fleet)
+
+        def stopped():
+            last = [record.version for record in callers.records[-200:]]
+            return len(callers.records) > 400 and set(last) == {'v1'}
+
+        processes.wait_until(
+            lambda: any(r.status == 500 for r in callers.records), 'failures'
+        )
+        processes.wait_until(stopped, 'only answers of the old version')
+        fleet.fault(down='')
+        wait_for_verdict(fleet, move, 'taken_back')
+        assert_taken_back(fleet, callers, move)
