--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -24,9 +24,12 @@
 ADAPTIVE_START = 4
 ADAPTIVE_MAX = 256
 # A recent latency of up to this multiple of the long-term one is normal.
-LATENCY_TOLERANCE = 1.5
+LATENCY_TOLERANCE = 2.0
 SHORT_WEIGHT = 0.2
-LONG_WEIGHT = 0.01
+# The long-term latency falls faster than it rises, so that a load that lasts
+# for some hundred requests does not become the normal latency.
+FALL_WEIGHT = 0.01
+RISE_WEIGHT = 0.001
 LIMIT_SMOOTHING = 0.2
 
 
@@ -71,9 +74,8 @@
         if not self._long:
             self._short = self._long = service_s
         self._short += SHORT_WEIGHT * (service_s - self._short)
-        self._long += LONG_WEIGHT * (service_s - self._long)
-        # A load that has lasted must not become the new normal latency.
-        self._long = min(self._long, 2 * self._short)
+        weight = FALL_WEIGHT if service_s < self._long else RISE_WEIGHT
+        self._long += weight * (service_s - self._long)
         if in_use * 2 < self.limit:
             return
         ratio = LATENCY_TOLERANCE * self._long / max(self._short, 1e-9)
--- a/damaskpier/traffic/balancer/base.py
+++ b/damaskpier/traffic/balancer/base.py
@@ -119,6 +119,13 @@
     def pick(self, workers: Sequence[Worker]) -> Worker:
         """Return one of the workers, of which there is at least one."""
 
+    def score(self, worker: Worker, now: float) -> float | None:
+        """Return the expected time of a request in seconds.
+
+        :return: None where the policy has no expectation
+        """
+        return None
+
     def started(self, worker: Worker) -> None:
         """Note that a call to a worker begins."""
         worker.outstanding += 1
--- a/damaskpier/traffic/balancer/scored.py
+++ b/damaskpier/traffic/balancer/scored.py
@@ -14,18 +14,26 @@
 from damaskpier.traffic.balancer import base
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
+    import random
 
 # Share of requests that go to a random worker, so that the score of a worker
 # that was slow once is measured again.
 EXPLORATION_SHARE = 0.02
-# Latency that is assumed for a worker without calls, plus its round trip.
+# Latency that is assumed before any call has finished.
 UNKNOWN_LATENCY_S = 0.002
+MEAN_WEIGHT = 0.02
 
 
 class TwoChoices(base.Balancer):
     """Compares two random workers by expected time and reliability."""
 
+    def __init__(self, rng: random.Random, clock: Callable[[], float]) -> None:
+        super().__init__(rng, clock)
+        self._mean_s = UNKNOWN_LATENCY_S
+        self._measured = False
+
     def pick(self, workers: Sequence[base.Worker]) -> base.Worker:
         """Return the better one of two random workers."""
         if len(workers) == 1:
@@ -46,7 +54,18 @@
         """
         latency_s = worker.latency_s
         if latency_s is None:
-            latency_s = worker.cost_s + UNKNOWN_LATENCY_S
+            # A worker without calls is taken to be as fast as the others,
+            # whose latency has the round trip within the region in it.
+            latency_s = self._mean_s + (worker.cost_s if worker.tier else 0)
         occupancy = (worker.busy(now) + 1.0) / worker.slots
         reliability = max(worker.reliability, 0.05)
         return latency_s * (1.0 + occupancy) / reliability**2
+
+    def finished(self, worker: base.Worker, outcome: base.Outcome) -> None:
+        """Note that a call has ended."""
+        super().finished(worker, outcome)
+        if outcome.failed or outcome.shed:
+            return
+        weight = MEAN_WEIGHT if self._measured else 1.0
+        self._measured = True
+        self._mean_s += weight * (outcome.latency_s - self._mean_s)
--- a/damaskpier/traffic/selector.py
+++ b/damaskpier/traffic/selector.py
@@ -27,6 +27,9 @@
 OWN_REGION_COST_S = 0.002
 OTHER_REGION_COST_S = 0.016
 
+# Traffic between regions is billed, so a worker there has to be this many
+# times faster while near ones have free slots.
+SPILL_PRICE = 2.0
 # A worker that said it is leaving is skipped this long. The limit is for a
 # refusal that arrives after the worker has announced itself again.
 LEFT_OUT_S = 2.0
@@ -96,7 +99,8 @@
         """Return the worker for the next attempt, if there is one.
 
         Workers of other regions are used when all near ones are full,
-        ejected, or already tried.
+        ejected, or already tried, or when the near one is so slow that the
+        price of the other region is lower.
 
         :param exclude: workers that were tried; one of them is used again
             only if there is no other
@@ -108,13 +112,12 @@
         usable = self._usable(near)
         now = self._clock()
         spare = [w for w in usable if not w.full(now)]
+        spill = [w for w in self._usable(far) if not w.full(now)]
         if spare:
-            return self._balancer.pick(spare)
-        spill = self._usable(far)
-        spare = [w for w in spill if not w.full(now)]
-        if spare:
-            return self._balancer.pick(spare)
-        everyone = usable or spill or near or far
+            return self._cheaper(self._balancer.pick(spare), spill, now)
+        if spill:
+            return self._balancer.pick(spill)
+        everyone = usable or near or far
         return self._balancer.pick(everyone) if everyone else None
 
     def started(self, worker: base.Worker) -> None:
@@ -138,6 +141,8 @@
             shed = True
         elif result.code in (errors.CALL_DRAINING, errors.CALL_NO_WORKER):
             self._leave_out(worker)
+            self._balancer.abandoned(worker)
+            return
         elif (
             result.code is errors.CALL_DEADLINE
             and result.run is errors.RunState.NOT_RUN
@@ -151,6 +156,19 @@
             base.Outcome(latency_s, failed=failed, shed=shed, load=reply.load),
         )
 
+    def _cheaper(
+        self, worker: base.Worker, spill: list[base.Worker], now: float
+    ) -> base.Worker:
+        """Return a worker of another region if it is much faster."""
+        near_s = self._balancer.score(worker, now)
+        if near_s is None or not spill:
+            return worker
+        other = self._balancer.pick(spill)
+        far_s = self._balancer.score(other, now)
+        if far_s is not None and SPILL_PRICE * far_s < near_s:
+            return other
+        return worker
+
     def _leave_out(self, worker: base.Worker) -> None:
         """Skip a leaving worker until its new record has arrived."""
         self._left[worker.key] = self._clock() + LEFT_OUT_S
--- /dev/null
+++ b/tests/test_fakes/test_upstream.py
@@ -0,0 +1,102 @@
+"""Tests of the stand-in upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from tornado import httpclient
+
+from damaskpier.fakes import upstream
+from damaskpier.traffic import headers
+
+
+@pytest.fixture
+async def fake():
+    """Return a running stand-in with two slots and three connections."""
+    fake = upstream.FakeUpstream(
+        upstream.Options('ledger', slots=2, connections=3, drain_s=20)
+    )
+    await fake.start()
+    yield fake
+    fake.set_fault(upstream.Fault())
+    await fake.stop()
+
+
+@pytest.fixture
+async def fetch(fake):
+    """Return a function that calls the stand-in."""
+    client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=50)
+
+    async def fetch(path, **kwargs):
+        return await client.fetch(
+            f'http://127.0.0.1:{fake.port}{path}', raise_error=False, **kwargs
+        )
+
+    yield fetch
+    client.close()
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(30):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+async def test_answer_names_the_worker_and_counts_runs(fake, fetch):
+    response = await fetch('/any/path', headers={headers.REQUEST_ID: 'r1'})
+    content = json.loads(response.body)
+    assert content['service'] == 'ledger'
+    assert content['request_id'] == 'r1'
+    state = json.loads((await fetch('/_fake/state')).body)
+    assert state['runs'] == {'r1': 1}
+
+
+async def test_slots_and_drain_shed_before_the_run(fake, fetch):
+    """Guards against a stand-in that accepts more than a real one."""
+    await fetch(
+        '/_fake/fault', method='POST', body='{"path": "*", "freeze": true}'
+    )
+    running = [asyncio.create_task(fetch('/a')) for _ in range(2)]
+    await until(lambda: fake.running == 2)
+    fake.options = fake.options._replace(connections=10)
+    refused = await fetch('/b', headers={headers.REQUEST_ID: 'b'})
+    assert refused.headers[headers.RUN] == 'not-run'
+    assert fake.runs['b'] == 0
+    stop = asyncio.create_task(fake.stop())
+    await asyncio.sleep(0)
+    assert not stop.done()
+    fake.set_fault(upstream.Fault())
+    assert [(await task).code for task in running] == [200, 200]
+    await stop
+
+
+async def test_faults_by_route(fake, fetch):
+    fake.set_fault(upstream.Fault('/bad', failure_rate=1.0))
+    fake.set_fault(upstream.Fault('/late', failure_rate=1.0, after_s=9e9))
+    fake.set_fault(upstream.Fault('/busy', failure_rate=1.0, above=1))
+    codes = [(await fetch(p)).code for p in ('/bad', '/late', '/busy', '/x')]
+    assert codes == [500, 200, 200, 200]
+
+
+async def test_health_and_load_can_mislead(fake, fetch):
+    body = '{"lie_healthy": false, "lie_load": 7}'
+    await fetch('/_fake/behaviour', method='POST', body=body)
+    assert (await fetch('/healthz')).code == 503
+    assert json.loads((await fetch('/load')).body)['in_use'] == 7
+    bad = await fetch('/_fake/fault', method='POST', body='{"slow": 1}')
+    assert bad.code == 400
+
+
+async def test_connections_above_the_limit_are_closed(fake):
+    """Guards against a stand-in without the limit of a real upstream."""
+    streams = [
+        await asyncio.open_connection('127.0.0.1', fake.port) for _ in range(5)
+    ]
+    await until(lambda: fake.connections_refused == 2)
+    assert fake.connections == 3
+    for _, writer in streams:
+        writer.close()
+    await until(lambda: fake.connections == 0)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,20 @@
+"""Tests of the metrics."""
+
+from __future__ import annotations
+
+from damaskpier import metrics
+
+
+def test_text_form_holds_counters_gauges_and_quantiles():
+    book = metrics.Metrics()
+    book.count('requests', code='answered')
+    book.count('requests', 2, code='a"b')
+    book.gauge('running', lambda: 3)
+    for micros in range(1, 1001):
+        book.observe('added', micros / 1e6)
+    text = book.text()
+    assert 'damaskpier_requests_total{code="answered"} 1\n' in text
+    assert 'damaskpier_requests_total{code="a\\"b"} 2\n' in text
+    assert 'damaskpier_running 3\n' in text
+    assert 'damaskpier_added_seconds_count 1000\n' in text
+    assert 0.00098 < book.quantile_s('added', 0.99) < 0.001
--- /dev/null
+++ b/tests/test_traffic/test_choice.py
@@ -0,0 +1,221 @@
+"""Tests of balancers, ejection, selector and retry budget."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from damaskpier import errors
+from damaskpier.mesh import model
+from damaskpier.traffic import balancer
+from damaskpier.traffic.balancer import base
+from damaskpier.traffic import ejection
+from damaskpier.traffic import messages
+from damaskpier.traffic import retry
+from damaskpier.traffic import selector
+from tests.test_traffic import test_admission
+
+GOOD = messages.Reply(messages.Answer(200, (), b''))
+LOST = messages.Reply(
+    errors.Refusal(errors.CALL_UNKNOWN, '', errors.RunState.UNKNOWN)
+)
+DRAINING = messages.Reply(errors.Refusal(errors.CALL_DRAINING, ''))
+
+
+def record(name, region='r1', domain='d1', **fields):
+    """Return the record of a ready worker."""
+    fields = {'service': 's', 'version': 'v1', 'slots': 4, **fields}
+    return model.NodeRecord(
+        name, 1, 1, region, domain, 'h', 1, 1, ready=True, **fields
+    )
+
+
+@pytest.fixture
+def clock():
+    """Return a clock that stands still."""
+    return test_admission.Clock()
+
+
+def make_selector(clock, records, policy='two_choices', name='c'):
+    """Return a selector of a node in region r1, domain d1."""
+    local = model.NodeRecord(name, 1, 1, 'r1', 'd1', 'h', 1, 1)
+    chooser = selector.Selector(local, policy, random.Random(3), clock)
+    chooser.update(records)
+    return chooser
+
+
+def call(chooser, reply_of, latency_s=0.01, exclude=()):
+    """Make one attempt and return the worker that it went to."""
+    worker = chooser.pick(exclude)
+    chooser.started(worker)
+    chooser.finished(worker, reply_of(worker.key), latency_s)
+    return worker.key
+
+
+@pytest.mark.parametrize('policy', sorted(balancer.POLICIES))
+def test_every_policy_uses_all_workers(clock, policy):
+    chooser = make_selector(clock, [record(f'w{i}') for i in range(4)], policy)
+    used = collections.Counter(
+        call(chooser, lambda key: GOOD) for _ in range(400)
+    )
+    assert min(used.values()) > 50
+
+
+def test_two_choices_prefers_fast_and_reliable_workers(clock):
+    """Guards against sending much to a slow worker."""
+    rng = random.Random(1)
+    policy = balancer.make_balancer('two_choices', rng, clock)
+    workers = [base.Worker(record(f'w{i}'), 0.0) for i in range(3)]
+    used = collections.Counter()
+    for _ in range(600):
+        worker = policy.pick(workers)
+        used[worker.key] += 1
+        policy.started(worker)
+        slow = 0.2 if worker.key == 'w0' else 0.01
+        failed = worker.key == 'w1' and rng.random() < 0.5
+        policy.finished(worker, base.Outcome(slow, failed=failed))
+    assert used['w2'] > used['w1'] > used['w0'] > 0
+
+
+def test_told_load_fades(clock):
+    """Guards against avoiding a worker for an old report."""
+    worker = base.Worker(record('w'), 0.0)
+    worker.load, worker.load_at = messages.Load(4, 4, 3), clock.now
+    assert worker.full(clock.now)
+    assert not worker.full(clock.now + base.LOAD_TTL_S)
+
+
+def test_near_workers_are_used_until_they_are_full(clock):
+    """Guards against traffic between regions while near ones have room."""
+    chooser = make_selector(
+        clock, [record('near', slots=2), record('far', 'r2', 'd3')]
+    )
+    keys = []
+    for _ in range(4):
+        worker = chooser.pick()
+        chooser.started(worker)
+        keys.append(worker.key)
+    assert keys == ['near', 'near', 'far', 'far']
+
+
+def test_much_slower_near_worker_spills(clock):
+    """Guards against staying with a slow worker because it has room."""
+    chooser = make_selector(clock, [record('near'), record('far', 'r2')])
+    for _ in range(30):
+        call(chooser, lambda key: GOOD, 0.02, exclude=('near',))
+        call(chooser, lambda key: GOOD, 0.5, exclude=('far',))
+    assert chooser.pick().key == 'far'
+
+
+def test_subset_is_bounded_and_even_over_callers(clock):
+    """Guards against callers that all choose the same workers."""
+    records = [record(f'w{i}') for i in range(24)]
+    used = collections.Counter()
+    for number in range(120):
+        chooser = make_selector(clock, records, name=f'c{number}')
+        used.update({call(chooser, lambda key: GOOD) for _ in range(60)})
+    assert sum(used.values()) <= 120 * selector.MAX_NEAR
+    assert max(used.values()) < 2 * min(used.values())
+
+
+def test_worker_is_not_tried_twice_while_another_exists(clock):
+    chooser = make_selector(clock, [record('a'), record('b')])
+    assert {call(chooser, lambda k: GOOD, exclude=('a',)) for _ in '12'} == {
+        'b'
+    }
+    assert chooser.pick(('a', 'b')) is not None
+
+
+def test_leaving_worker_is_skipped_and_comes_back(clock):
+    """Guards against both a storm of refusals and a worker lost for ever."""
+    records = [record('a'), record('b')]
+    chooser = make_selector(clock, records)
+    while call(chooser, lambda k: DRAINING if k == 'a' else GOOD) != 'a':
+        pass
+    chooser.update(records)
+    assert {call(chooser, lambda k: GOOD) for _ in range(20)} == {'b'}
+    clock.now += selector.LEFT_OUT_S
+    chooser.update(records)
+    assert {call(chooser, lambda k: GOOD) for _ in range(20)} == {'a', 'b'}
+
+
+def test_silent_worker_is_ejected_and_returns_slowly(clock):
+    """Guards against a dead worker that keeps its share of traffic."""
+    records = [record(f'w{i}') for i in range(4)]
+    chooser = make_selector(clock, records, 'random')
+    for _ in range(100):
+        call(chooser, lambda k: LOST if k == 'w0' else GOOD)
+    used = [call(chooser, lambda k: GOOD) for _ in range(100)]
+    assert 'w0' not in used
+    clock.now += ejection.FIRST_EJECTION_S + 0.01
+    ejector = chooser._ejector
+    assert ejector.weight('w0') == pytest.approx(0.1, abs=0.01)
+    clock.now += ejection.RETURN_S
+    assert ejector.weight('w0') == 1.0
+
+
+def test_no_more_than_half_is_ejected(clock):
+    """Guards against ejecting a service that fails as a whole."""
+    ejector = ejection.Ejector(clock)
+    keys = {f'w{i}' for i in range(5)}
+    ejector.keep(keys)
+    for _ in range(20):
+        for key in sorted(keys):
+            ejector.silent(key)
+    assert sum(ejector.weight(key) == 0 for key in keys) == 2
+
+
+def test_common_failures_eject_nobody(clock):
+    """Guards against ejecting workers for a fault of their version."""
+    ejector = ejection.Ejector(clock)
+    ejector.keep({'a', 'b', 'c'})
+    for _ in range(50):
+        for key in 'abc':
+            ejector.answered(key, failed=True)
+    assert all(ejector.weight(key) == 1 for key in 'abc')
+    ejector.keep({'d', 'e', 'f'})
+    for _ in range(50):
+        for key in 'def':
+            ejector.answered(key, failed=key == 'd')
+    assert ejector.weight('d') == 0
+
+
+def test_budget_bounds_retries(clock):
+    """Guards against retries that multiply the load."""
+    budget = retry.RetryBudget(clock)
+    assert [budget.take() for _ in range(5)] == [True] * 3 + [False] * 2
+    for _ in range(100):
+        budget.called()
+    assert sum(budget.take() for _ in range(50)) == 17
+    clock.now += retry.WINDOW_S + 1
+    assert budget.take()
+
+
+@pytest.mark.parametrize(
+    ('code', 'run', 'repeatable', 'expected'),
+    [
+        (errors.CALL_OVERLOADED, errors.RunState.NOT_RUN, False, True),
+        (errors.CALL_UNKNOWN, errors.RunState.UNKNOWN, False, False),
+        (errors.CALL_UNKNOWN, errors.RunState.UNKNOWN, True, True),
+        (errors.CALL_TOO_LARGE, errors.RunState.RUN, True, False),
+        (errors.CALL_DEADLINE, errors.RunState.UNKNOWN, False, False),
+    ],
+)
+def test_only_safe_retries_are_made(code, run, repeatable, expected):
+    """Guards against a second run of a request that may not repeat."""
+    assert expected == retry.may_retry(
+        errors.Refusal(code, '', run),
+        repeatable=repeatable,
+        attempts=1,
+        remaining_s=1.0,
+    )
+
+
+def test_one_unknown_attempt_makes_the_request_unknown():
+    """Guards against a not-run that only the last attempt supports."""
+    run = errors.RunState.NOT_RUN
+    for attempt in (errors.RunState.UNKNOWN, errors.RunState.NOT_RUN):
+        run = retry.merged_run(run, attempt)
+    assert run is errors.RunState.UNKNOWN
