--- a/tools/balancers.py
+++ b/tools/balancers.py
@@ -150,7 +150,7 @@
 
 
 def report(args: argparse.Namespace) -> str:
-    """traffic_model.Run everything and return the page."""
+    """Run everything and return the page."""
     runs = policy_rows(args.seconds, args.seed)
     losses = loss_rows(args.seed)
     with multiprocessing.Pool(args.processes) as pool:
@@ -160,15 +160,17 @@
         f'python -m tools.balancers --seconds {args.seconds:g} '
         f'--seed {args.seed}'
     )
+    steady, overload = traffic_model.TRAFFIC.values()
+    callers = traffic_model.CALLERS_PER_DOMAIN
     return f"""# Balancers
 
 Made by `{command}`
 in virtual time with the selector, balancer, ejection, admission and retry
 classes of the node. Six failure domains in three regions
-hold one worker and {traffic_model.CALLERS_PER_DOMAIN} callers' nodes each. Slots and delays
+hold one worker and {callers} callers' nodes each. Slots and delays
 are those of the design page; the mean service times (80 ms and 30 ms,
-lognormal) are assumptions. Steady traffic is {traffic_model.TRAFFIC['steady']:.0%} of the
-capacity and overload {traffic_model.TRAFFIC['overload']:.0%}. All requests are repeatable
+lognormal) are assumptions. Steady traffic is {steady:.0%} of the
+capacity and overload {overload:.0%}. All requests are repeatable
 and have 2 s. Goodput is the share of requests with a good answer in time.
 Only the first worker has the named condition; the first second is left out.
 
@@ -183,7 +185,9 @@
 ## Loss of one failure domain
 
 The domain is unreachable from second 5 to second 12; its worker leaves the
-records 3 s after the loss. The policy is two_choices.
+records 3 s after the loss. The policy is two_choices. Requests count at the
+time of their arrival; those that fail before the loss at 60 % were running in
+the domain when it was lost.
 
 {_loss_table(losses, lost)}
 """
