--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from damaskpier import application
     from damaskpier.mesh import model
@@ -113,15 +115,21 @@
 
         Cancelling the call closes the connection to the upstream.
         """
+        with self.busy():
+            result = await self._admit(request)
+        return messages.Reply(result, self.admission.load)
+
+    @contextlib.contextmanager
+    def busy(self) -> Iterator[None]:
+        """Keep :meth:`drain` from returning."""
         self._running += 1
         self._idle.clear()
         try:
-            result = await self._admit(request)
+            yield
         finally:
             self._running -= 1
             if not self._running:
                 self._idle.set()
-        return messages.Reply(result, self.admission.load)
 
     async def drain(self, timeout_s: float) -> bool:
         """Refuse new requests and wait until the running ones have ended.
