--- a/damaskpier/rpc/server.py
+++ b/damaskpier/rpc/server.py
@@ -11,6 +11,7 @@
 import grpclib.server
 
 from damaskpier import registry
+from damaskpier.rpc import coalesce
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 
@@ -65,7 +66,7 @@
             self._app.cfg.integer('node', 'rpc_port'),
         )
         self.port = sock.getsockname()[1]
-        self._server = grpclib.server.Server(handlers)
+        self._server = coalesce.Server(handlers)
         await self._server.start(sock=sock, backlog=BACKLOG)
         self._app.service('membership').set_ports(rpc_port=self.port)
         LOG.info('mesh: other nodes reach this one on port %d', self.port)
--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from damaskpier import application
     from damaskpier.mesh import model
@@ -29,6 +31,7 @@
 PROBE_PATH = '/healthz'
 DEFAULT_CONNECTIONS = 32
 DEFAULT_QUEUE = 32
+DEFAULT_IDLE = 8  # connections kept open where the slots are not known
 # A probe takes a slot's worth of work from the upstream, so calls that
 # finished this recently replace it.
 IDLE_BEFORE_PROBE_S = PROBE_INTERVAL_S
@@ -56,6 +59,7 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._prober: asyncio.Task[None] | None = None
         self._node_draining = False
+        self._refusing = False
         self._failed_probes = 0
         self._last_answer = 0.0
         self._idle = asyncio.Event()
@@ -100,12 +104,10 @@
         self.announcement = announcement
         if changed:
             self._configure()
-            self.admission.draining = (
-                self._node_draining or announcement.draining
-            )
-            if announcement.draining:
-                self.admission.refuse_queued(_draining())
-        # The membership expires a worker that is not announced again.
+            self.admission.draining = self._refusing or announcement.draining
+        if announcement.draining:
+            self.admission.refuse_queued(_draining())
+        # The membership wants each announcement, to notice when they end.
         self._publish()
 
     async def call(self, request: messages.Request) -> messages.Reply:
@@ -113,22 +115,28 @@
 
         Cancelling the call closes the connection to the upstream.
         """
+        with self.busy():
+            result = await self._admit(request)
+        return messages.Reply(result, self.admission.load)
+
+    @contextlib.contextmanager
+    def busy(self) -> Iterator[None]:
+        """Keep :meth:`drain` from returning."""
         self._running += 1
         self._idle.clear()
         try:
-            result = await self._admit(request)
+            yield
         finally:
             self._running -= 1
             if not self._running:
                 self._idle.set()
-        return messages.Reply(result, self.admission.load)
 
     async def drain(self, timeout_s: float) -> bool:
         """Refuse new requests and wait until the running ones have ended.
 
         :return: whether all of them ended in time
         """
-        self._node_draining = True
+        self._refusing = True
         self.admission.draining = True
         try:
             await asyncio.wait_for(self._idle.wait(), timeout_s)
@@ -146,6 +154,7 @@
         # learned that it is leaving; only the record changes here.
         self._node_draining = True
         self._publish()
+        self._app.service('membership').set_draining()
 
     def _publish(self) -> None:
         announcement = self.announcement
@@ -174,7 +183,8 @@
         self.admission.configure(slots, queue)
         if self._client is not None:
             self._client.set_connections(
-                announcement.connections or DEFAULT_CONNECTIONS
+                announcement.connections or DEFAULT_CONNECTIONS,
+                slots or DEFAULT_IDLE,
             )
 
     def _unavailable(self, request: messages.Request) -> errors.Refusal | None:
