Make the failure tests of the tree catch the faults they name

Change: the cut-off region is brought up to date by the tree alone and the received bytes are compared with the whole bundle; older configurations come from the platform too; the herd includes both roots and has bounds per node; a killed node's parent alone has to mark it as gone; the outage test has no seeds to fall back on; a dissolved loop leaves the child counted.

Ruled out: a test for the list of siblings alone; without it the trees still merge by other ways within the same number of reads.

--- a/tests/test_mesh/conftest.py
+++ b/tests/test_mesh/conftest.py
@@ -27,6 +27,8 @@
 # Only ends a test that hangs; nothing is measured against it.
 HANG_S = 60.0
 FACTOR = 0.15
+# The TTL stays above the interval at which a process looks for pauses.
+LEASE_FACTOR = 0.25
 
 SETTINGS = """\
 [node]
@@ -116,8 +118,8 @@
             self.store,
             app.events,
             rng=random.Random(self.node_id),
-            ttl_s=lease.LEASE_TTL_S * fleet.factor,
-            renew_s=lease.RENEW_INTERVAL_S * fleet.factor,
+            ttl_s=lease.LEASE_TTL_S * fleet.lease_factor,
+            renew_s=lease.RENEW_INTERVAL_S * fleet.lease_factor,
         )
         app.add_service('leases', leases, after=('platform',))
         app.add_service('rollouts', Rollouts(app))
@@ -179,8 +181,8 @@
     ``calls`` counts the calls of the platform by kind.
     """
 
-    def __init__(self, factor=FACTOR):
-        self.factor = factor
+    def __init__(self, factor=FACTOR, lease_factor=LEASE_FACTOR):
+        self.lease_factor = lease_factor
         self.timing = (
             timing_module.Timing()
             .scaled(factor)
@@ -257,6 +259,14 @@
     def region_roots(self):
         return self.roots('region-root') + self.roots('fleet-root')
 
+    def tops(self):
+        """Return the number of nodes in each tree."""
+        return [
+            node.tree.status().subtree
+            for node in self.nodes
+            if node.tree.parent is None
+        ]
+
     def is_whole(self):
         """Tell whether all nodes are in one tree, one root per region."""
         regions = {node.region for node in self.nodes}
--- a/tests/test_mesh/test_active.py
+++ b/tests/test_mesh/test_active.py
@@ -104,6 +104,10 @@
         assert isinstance(outcome, errors.Refusal)
         assert self.node.current() is before
 
+    @stateful.rule(version=strategies.integers(1, VERSIONS))
+    def platform_is_read(self, version):
+        self.node.offer(HISTORY[version - 1])
+
     @stateful.rule(version=strategies.integers(1, VERSIONS))
     def faulty_configuration_arrives(self, version):
         before = self.node.current()
--- a/tests/test_mesh/test_tree.py
+++ b/tests/test_mesh/test_tree.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from damaskpier.bundle import codec
 from damaskpier.mesh import parent as parent_module
 from damaskpier.mesh import timing as timing_module
 from damaskpier.rollout import model as rollout_model
+from damaskpier.rpc import mesh_pb2
 from tests.test_mesh import conftest
 
 
@@ -28,6 +28,8 @@
 
 async def test_children_of_a_killed_parent_attach_elsewhere(fleet):
     """Guards against a subtree that is lost with its parent."""
+    # Only the parent of a killed node can mark it as gone.
+    fleet.timing = fleet.timing._replace(orphan_s=3600.0)
     await fleet.start('souss', 12, max_children=2)
     await fleet.whole()
     await fleet.kill(fleet.inner())
@@ -99,8 +101,8 @@
     await fleet.whole()
     version = await fleet.sign_off(conftest.make_bundle())
     await fleet.in_force(version)
-    half = fleet.nodes[1::2]
-    kept = fleet.nodes[::2]
+    half = fleet.nodes[::2]  # with both roots
+    kept = fleet.nodes[1::2]
     before = fleet.calls
     attempts = sum(node.tree.joiner.attempts for node in kept)
     await fleet.kill(*half)
@@ -113,11 +115,11 @@
     await fleet.whole()
     await fleet.in_force(version)
     calls = fleet.calls - before
-    assert calls['get'] <= 50
     attempts = sum(n.tree.joiner.attempts for n in kept) - attempts
-    assert attempts <= 20 * len(kept)
+    assert calls['get'] <= len(fleet.nodes)
+    assert attempts <= 15 * len(kept)
     joined = sum(nodes[0].tree.joiner.attempts for nodes in returned)
-    assert joined <= 20 * len(returned)
+    assert joined <= 10 * len(returned)
 
 
 async def test_node_refuses_a_parent_below_itself(fleet):
@@ -150,15 +152,13 @@
 async def test_region_works_without_platform_and_root(fleet):
     """Guards against a tree that needs the platform to mend itself."""
     await fleet.start('souss', 4)
-    await fleet.start('rif', 9, max_children=3)
+    await fleet.start('rif', 9, seeds=[], max_children=3)
     await fleet.whole()
     fleet.set_down(True)
     lost = [n for n in fleet.region_roots() if n.region == 'rif'][0]
     await fleet.kill(lost)
-    root = fleet.roots()[0]
-    await conftest.eventually(
-        lambda: root.tree.status().subtree == len(fleet.nodes)
-    )
+    await conftest.eventually(lambda: fleet.tops() == [len(fleet.nodes)])
+    root = [node for node in fleet.nodes if node.tree.parent is None][0]
     state = rollout_model.MoveState(
         'm1', 1, 1, rollout_model.Phase.RUNNING, {'s0.get': 0.01}
     )
@@ -166,15 +166,15 @@
     await conftest.eventually(
         lambda: all(n.rollouts.states() == [state] for n in fleet.nodes)
     )
-    heads = [n for n in fleet.nodes if n.tree.role() == 'interim-root']
-    assert len(heads) == 1
+    away = [node for node in fleet.nodes if node.region == 'rif']
+    assert sum(node.tree.is_head() for node in away) == 1
     fleet.set_down(False)
     await fleet.whole()
 
 
 async def test_planned_stop_of_a_root_hands_over(fleet):
     """Guards against waiting for a lease that its holder could release."""
-    fleet.factor = 200.0  # nobody sees a lease lapse within the test
+    fleet.lease_factor = 200.0  # nobody sees a lease lapse within the test
     await fleet.start('souss', 6)
     await fleet.start('rif', 6)
     await fleet.whole()
@@ -215,22 +215,42 @@
         await conftest.eventually(
             lambda: all('n000' not in node.tree.path() for node in away)
         )
-        version = await fleet.sign_off(conftest.make_bundle(200, slots=5))
+        changed = conftest.make_bundle(200)
+        changed.services['s7'] = changed.services['s7']._replace(slots=9)
+        version = await fleet.sign_off(changed)
         near = [node for node in fleet.nodes if node not in away]
         await conftest.eventually(
             lambda: all(node.version == version for node in near)
         )
-        changed = conftest.make_bundle(200, slots=5)
-        changed.services['s7'] = changed.services['s7']._replace(slots=9)
-        version = await fleet.sign_off(changed)
         assert all(node.version < version for node in away)
-        before = [node.tree.counters.received['config'] for node in away]
+        before = [config_bytes(node) for node in away]
+    # The platform stays out of the region's reach, so the tree brings it.
+    await fleet.in_force(version)
+    whole = near[0].active.update_since(0).ByteSize()
+    for node, size in zip(away, before, strict=True):
+        assert config_bytes(node) - size < whole / 3
     for node in away:
         node.store.set_down(False)
-    await fleet.in_force(version)
     await fleet.whole()
-    assert len(before) == len(away)
-    assert away[0].active.current().head.digest == codec.digest_of(changed)
+
+
+def config_bytes(node):
+    """Return the bytes of configuration that a node has received."""
+    return node.tree.counters.received['config'].size
+
+
+async def test_loop_that_dissolves_leaves_the_child_counted(fleet):
+    """Guards against a live child that its root marks as gone for ever."""
+    await fleet.start('souss', 3)
+    await fleet.whole()
+    root = fleet.roots()[0]
+    child = [node for node in fleet.nodes if node is not root][0]
+    link = root.tree.children.get(child.node_id)
+    change = mesh_pb2.Descendants(removed=[child.node_id])
+    child.tree.parent.send(mesh_pb2.Up(descendants=change))
+    received = link.received_at
+    await conftest.eventually(lambda: link.received_at > received)
+    assert root.tree.status().subtree == 3
 
 
 def test_scaled_timing_keeps_all_fields():
