Keep the streams of a node that stood still, and split the tree module

Cause: with several hundred nodes in one process the event loop stood still for seconds, after which every stream counted as silent. Change: silence is counted anew after a pause of the own process; places in the tree are checked every few seconds instead of each second; batching of changes moves to its own module and the choice of a better parent to placement.

--- a/damaskpier/mesh/children.py
+++ b/damaskpier/mesh/children.py
@@ -68,7 +68,7 @@
     ) -> None:
         self._app = app
         self._tree = tree
-        self._limit = app.cfg.integer('mesh', 'max_children')
+        self.limit = app.cfg.integer('mesh', 'max_children')
         self._links: dict[str, Child] = {}
         # Order of the record of a lost child and the time at which it
         # counts as gone, unless it was seen again.
@@ -102,7 +102,7 @@
 
     def free_places(self) -> int:
         """Return how many more children of this region are accepted."""
-        return max(0, self._limit - len(self.local()))
+        return max(0, self.limit - len(self.local()))
 
     def broadcast(self, msg: mesh_pb2.Down) -> None:
         """Send a message to all children."""
--- a/damaskpier/mesh/placement.py
+++ b/damaskpier/mesh/placement.py
@@ -76,6 +76,47 @@
             other.send_redirect([child.peer], 'region root')
 
 
+def better_parent(tree: tree_module.Tree) -> model.NodeRecord | None:
+    """Return where this node belongs, if that is not below its parent.
+
+    A region root belongs directly below the fleet root and any other node
+    below the head of its region, so that a change crosses the border of a
+    region once. A leaf far below the head asks the head for another place.
+    """
+    parent = tree.parent
+    if parent is None:
+        return None
+    better = None
+    if parent.peer.region == tree.local.region:
+        if _is_too_deep(tree, parent.ancestors):
+            better = tree.region_head()
+    elif tree.holds_region():
+        if parent.tier == TIER_FLEET:
+            better = parent.ancestors[0]
+    elif not tree.is_head():
+        better = tree.region_head()
+    if better is None or better.node_id == parent.peer.node_id:
+        return None
+    return better
+
+
+def _is_too_deep(
+    tree: tree_module.Tree, ancestors: tuple[model.NodeRecord, ...]
+) -> bool:
+    # Repeated losses make the tree deeper; its leaves move up again.
+    if len(tree.children):
+        return False
+    region = tree.local.region
+    width = tree.children.limit
+    depth = sum(node.region == region for node in ancestors)
+    count = sum(node.region == region for node in tree.nodes())
+    needed, capacity = 0, 1
+    while capacity < count:
+        needed += 1
+        capacity += width**needed
+    return depth > needed + 1
+
+
 def _refusal(
     tree: tree_module.Tree, node: model.NodeRecord, hello: mesh_pb2.Hello
 ) -> str:
--- a/damaskpier/mesh/tree.py
+++ b/damaskpier/mesh/tree.py
@@ -14,6 +14,7 @@
 from damaskpier.mesh import joiner as joiner_module
 from damaskpier.mesh import links
 from damaskpier.mesh import orphans
+from damaskpier.mesh import outbox
 from damaskpier.mesh import parent as parent_module
 from damaskpier.mesh import placement
 from damaskpier.mesh import roots as roots_module
@@ -34,6 +35,8 @@
 LOG = logging.getLogger(__name__)
 
 MAX_REFUSALS = 1000
+# A heartbeat this late means that this process itself did not run.
+OWN_PAUSE_HEARTBEATS = 2
 
 
 class Status(NamedTuple):
@@ -83,21 +86,19 @@
         self.roots = roots_module.Roots(app, self)
         self.leaving = False
         self._orphans = orphans.Orphans(app, self)
+        self._outbox = outbox.Outbox(self)
         self._tasks: list[asyncio.Task[None]] = []
         self._refusals: dict[str, str] = {}
-        self._records: dict[str, tuple[model.NodeRecord, object]] = {}
         self._below: set[str] | None = None
-        self._path_due = False
-        self._siblings_due = False
-        self._dirty = asyncio.Event()
         self._attached_before = False
         self._last_tier = placement.TIER_NONE
         self._next_move_at = clock()
+        self._ticked_at = clock()
 
     async def start(self) -> None:
         """Connect to the events and begin to look for a parent."""
         events = self._app.events
-        events.connect('membership-delta', self._on_membership)
+        events.connect('membership-delta', self._outbox.add_records)
         events.connect('config-applied', self._on_config)
         events.connect('config-refused', self._on_refused)
         events.connect('rollout-changed', self._on_move)
@@ -106,7 +107,7 @@
             asyncio.create_task(coro, name=name)
             for name, coro in (
                 ('mesh-tick', self._tick_loop()),
-                ('mesh-flush', self._flush_loop()),
+                ('mesh-flush', self._outbox.run()),
                 ('mesh-roots', self.roots.run()),
                 ('mesh-join', self.joiner.run()),
             )
@@ -116,7 +117,7 @@
         """Hand over to a successor and leave the tree."""
         self.leaving = True
         self._app.service('membership').leave()
-        self._flush()
+        self._outbox.flush()
         await self.roots.release()
         self._redirect_children()
         if self.parent is not None:
@@ -315,20 +316,18 @@
 
     def path_changed(self) -> None:
         """Send the children their path again."""
-        self._path_due = True
-        self._dirty.set()
+        self._outbox.add_path()
         self.roots.wake()
 
     def siblings_changed(self) -> None:
         """Send the children of this region the list of their siblings."""
         if self.is_head():
-            self._siblings_due = True
-            self._dirty.set()
+            self._outbox.add_siblings()
 
     def subtree_changed(self) -> None:
         """Send the parent which nodes have come or gone below this one."""
         self._below = None
-        self._dirty.set()
+        self._outbox.add_descendants()
 
     def tier_changed(self) -> None:
         """Act on a lease that was taken or lost."""
@@ -337,49 +336,6 @@
         self.joiner.wake()
         self.path_changed()
 
-    def check_place(self) -> None:
-        """Move where a change crosses the border of a region needlessly.
-
-        A region root belongs directly below the fleet root, any other node
-        below the head of its region. A leaf far below the head asks the
-        head for another place.
-        """
-        parent = self.parent
-        if parent is None:
-            return
-        better = None
-        if parent.peer.region == self.local.region:
-            if self._is_too_deep():
-                better = self.region_head()
-        elif not self.holds_region():
-            if not self.is_head():
-                better = self.region_head()
-        elif parent.tier == placement.TIER_FLEET:
-            better = parent.ancestors[0]
-        if better is None or better.node_id == parent.peer.node_id:
-            return
-        now = self.clock()
-        if now < self._next_move_at:
-            return
-        self._next_move_at = now + self.timing.backoff_high_s * (
-            1 + self.rng.random()
-        )
-        self.seek(better)
-
-    def _is_too_deep(self) -> bool:
-        # Repeated losses make the tree deeper; its leaves move up again.
-        region = self.local.region
-        if len(self.children):
-            return False
-        width = self._app.cfg.integer('mesh', 'max_children')
-        depth = sum(node.region == region for node in self.parent.ancestors)
-        count = sum(node.region == region for node in self.nodes())
-        needed, capacity = 0, 1
-        while capacity < count:
-            needed += 1
-            capacity += width**needed
-        return depth > needed + 1
-
     def seek(self, node: model.NodeRecord) -> None:
         """Attach to a node instead of to the present parent."""
         if self.parent is None or self.parent.peer.node_id != node.node_id:
@@ -394,13 +350,6 @@
         if self.parent is not None:
             self.parent.send(mesh_pb2.Up(status=status))
 
-    def _on_membership(
-        self, records: list[model.NodeRecord], source: object
-    ) -> None:
-        for record in records:
-            self._records[record.node_id] = (record, source)
-        self._dirty.set()
-
     def _on_config(self, snapshot: bundle_model.Snapshot) -> None:
         for child in self.children:
             self.children.send_config(child)
@@ -437,12 +386,36 @@
             except Exception:
                 LOG.exception('mesh: heartbeat failed')
 
+    def _forgive_own_pause(self) -> None:
+        """Start the silence of peers anew after this process stood still.
+
+        Their messages are waiting to be read then.
+        """
+        now = self.clock()
+        if now - self._ticked_at > OWN_PAUSE_HEARTBEATS * (
+            self.timing.heartbeat_s
+        ):
+            LOG.warning(
+                'mesh: no heartbeat sent for %.1f s', now - self._ticked_at
+            )
+            for link in (self.parent, *self.children):
+                if link is not None:
+                    link.received_at = now
+        self._ticked_at = now
+
     def _tick(self) -> None:
+        self._forgive_own_pause()
         parent = self.parent
         if parent is not None and parent.silent_for() >= self.timing.silence_s:
             LOG.warning('mesh: parent %s is silent', parent.peer.node_id)
             parent.close('silent')
-        self.check_place()
+        if self.clock() >= self._next_move_at:
+            self._next_move_at = self.clock() + self.timing.backoff_high_s * (
+                1 + self.rng.random()
+            )
+            better = placement.better_parent(self)
+            if better is not None:
+                self.seek(better)
         self.children.check_silence()
         self._orphans.check()
         if self.tier() != self._last_tier:
@@ -470,54 +443,6 @@
         if delta is not None and (delta.cells or delta.trips):
             parent.send(mesh_pb2.Up(evidence=delta))
 
-    async def _flush_loop(self) -> None:
-        while True:
-            await self._dirty.wait()
-            await asyncio.sleep(self.timing.batch_s)
-            self._dirty.clear()
-            try:
-                self._flush()
-            except Exception:
-                LOG.exception('mesh: sending changes failed')
-
-    def _flush(self) -> None:
-        if self._path_due or self._siblings_due:
-            self._send_paths()
-        if self.parent is not None:
-            self.parent.send_descendants(self.below())
-        if self._records:
-            self._send_records()
-
-    def _send_paths(self) -> None:
-        update = mesh_pb2.Down(path=self.path_message())
-        targets = self.children if self._path_due else self.children.local()
-        self._path_due = self._siblings_due = False
-        for child in targets:
-            child.send(update)
-
-    def _send_records(self) -> None:
-        pending, self._records = self._records, {}
-        sources = {id(source) for _, source in pending.values()}
-        whole = wire.delta_to_pb([record for record, _ in pending.values()])
-        peers: list[links.Link] = list(self.children)
-        if self.parent is not None:
-            peers.append(self.parent)
-        for link in peers:
-            delta = whole
-            if id(link) in sources:
-                records = [
-                    record
-                    for record, source in pending.values()
-                    if source is not link
-                ]
-                if not records:
-                    continue
-                delta = wire.delta_to_pb(records)
-            if link is self.parent:
-                link.send(mesh_pb2.Up(membership=delta))
-            else:
-                link.send(mesh_pb2.Down(membership=delta))
-
     def _redirect_children(self) -> None:
         heirs = [child.peer for child in self.children.local()]
         if not self.is_head():
