--- a/damaskpier/replay/run.py
+++ b/damaskpier/replay/run.py
@@ -75,13 +75,21 @@
     :param trace: checked trace
     :param options: options of the decisions
     :param seed: seed of the random choices of versions
+    :param make_decider: returns the controller of a move
     """
 
     def __init__(
-        self, trace: trace_.Trace, options: options_.Options, seed: int
+        self,
+        trace: trace_.Trace,
+        options: options_.Options,
+        seed: int,
+        make_decider: Callable[
+            ..., controller.MoveController
+        ] = controller.MoveController,
     ) -> None:
         self._trace = trace
         self._options = options
+        self._make_decider = make_decider
         self._rng = random.Random(seed)
         header = trace.header
         self._domains = header.failure_domains
@@ -152,7 +160,7 @@
             for name, service in self._service_of.items()
             if service == line.service
         ]
-        decider = controller.MoveController(
+        decider = self._make_decider(
             bundle_model.Move(
                 line.move, line.service, line.old, line.new, line.t, line.by
             ),
--- a/damaskpier/rollout/route.py
+++ b/damaskpier/rollout/route.py
@@ -82,6 +82,8 @@
         self._warm = judge.RouteJudge(schedule)
         self._judge = judge.RouteJudge(schedule)
         self._old = judge.Record()
+        self._staged: list[model.VersionCounts] = []
+        self._window = -1
         self._watch = watch.Watch()
         self._share = 0.0
         self._share_since = move.start
@@ -123,6 +125,13 @@
 
         :param first_new: first window with requests on the new version
         """
+        # The record holds earlier windows only: the bets on a window must
+        # not depend on its outcomes.
+        if cell.window != self._window:
+            self._window = cell.window
+            for counts in self._staged:
+                self._old.add(counts)
+            self._staged.clear()
         warm_s = WARM_PART * (self._move.by - self._move.start)
         warm_s = min(max(warm_s, WARM_MIN_S), WARM_MAX_S)
         is_warm = first_new is None or cell.window < first_new + warm_s
@@ -140,7 +149,7 @@
         if check is not None and cell.share == CHECK_SHARE:
             check.new = check.new.plus(cell.new)
             check.old = check.old.plus(cell.old)
-        self._old.add(cell.old)
+        self._staged.append(cell.old)
         self.old_requests += cell.old.requests
         self.old_failures += cell.old.failures
         self.new_requests += cell.new.requests
--- a/damaskpier/rollout/shares.py
+++ b/damaskpier/rollout/shares.py
@@ -24,9 +24,9 @@
 # where traffic is low, up to a share of LOW_TRAFFIC_SHARE, and at most
 # HIGH_RATE for the whole service where traffic is high: more requests
 # would meet a bad version without an earlier verdict.
-LOW_RATE = 0.1  # requests/s
+LOW_RATE = 0.25  # requests/s
 LOW_TRAFFIC_SHARE = 0.05
-LOW_TRAFFIC_REQUESTS = 8
+LOW_TRAFFIC_REQUESTS = 20
 LOW_TRAFFIC_PART = 0.25
 HIGH_RATE = 0.7  # requests/s
 LEAST_SHARE = 0.0005
