Bet on the whole service, check at equal shares, follow ranks of latency

Cause: faults of a few percent were missed, since evidence was split by route and by share; bursts common to both versions counted as a fault that depends on the share. Change: capital also for all routes together and for latency as a whole; two share bands; an alarm at a high share leads to a comparison at equal shares with its own part of the error rate; a fault counts as dependent on the share when it returns at once with the share, twice; moves finish just before the stated time; a trip ends when the fleet reduces the share. Ruled out: ending a check by time alone, since 30 s at half of the traffic is a large part of a short move.

--- a/damaskpier/replay/run.py
+++ b/damaskpier/replay/run.py
@@ -222,6 +222,11 @@
         elif state.order <= before.order:
             return
         known.states[move.line.service] = state
+        known.trip.follow(state, now)
+        if self._tripped:
+            for route in move.routes:
+                if not known.trip.tripped(state.move, route, now):
+                    self._tripped.get((state.move, route), {}).pop(node, 0)
         children = self._tree.children[node]
         if not children:
             return
--- a/damaskpier/rollout/controller.py
+++ b/damaskpier/rollout/controller.py
@@ -13,9 +13,11 @@
 from typing import TypedDict
 
 from damaskpier import errors
+from damaskpier.rollout import check
 from damaskpier.rollout import judge
 from damaskpier.rollout import model
 from damaskpier.rollout import options as options_
+from damaskpier.rollout import record
 from damaskpier.rollout import route as route_
 from damaskpier.rollout import shares
 
@@ -26,16 +28,17 @@
 
 # The share changes by at least this factor, to save messages.
 SHARE_STEP = 1.2
-# Largest factor of growth in CATCH_UP_S after a halt.
-CATCH_UP = 1.5
-CATCH_UP_S = 2.0
 # Time with all requests on the new version before a move is done.
 TRIAL_PART = 0.04
 TRIAL_MAX_S = 15.0
+# A move finishes this much before the stated time, at most this part of
+# its time, so that the last state reaches all nodes in time.
+MARGIN_S = 0.5
+MARGIN_PART = 0.02
 # At the stated time, this capital against a version takes it back.
 LATE_CAPITAL = 20.0
-# A check that found nothing is repeated after this many vanished faults.
-MAX_VANISHED = 2
+# Part of the capital for the comparison over all routes of the service.
+SERVICE_PART = 0.5
 
 
 class RouteEvidence(TypedDict):
@@ -60,6 +63,7 @@
     phase: str
     reason: str
     result: str
+    capital: float
     limit: float
     routes: list[RouteEvidence]
 
@@ -94,11 +98,12 @@
         self._result = 0
         self._full_since: float | None = None
         self._first_new: int | None = None
+        self._service = judge.Bands(judge.Schedule(move.start, move.by))
 
     @property
     def limit(self) -> float:
-        """Return the capital on a route that takes the version back."""
-        return max(len(self._routes), 1) / self._options.error_rate
+        """Return the capital that takes the version back."""
+        return 1.0 / self._options.error_rate
 
     @property
     def state(self) -> model.MoveState | None:
@@ -132,7 +137,9 @@
                 self._first_new is None or cell.window < self._first_new
             ):
                 self._first_new = cell.window
-            control.observe(cell, self._first_new, now)
+            gains = control.observe(cell, self._first_new, now)
+            if gains is not None:
+                self._service.update(cell.window, cell.share, gains)
 
     def observe_trip(self, notice: model.TripNotice, now: float) -> None:
         """Take in the notice that a node tripped."""
@@ -165,6 +172,7 @@
             phase=self._phase.value,
             reason=self._reason,
             result=f'DP-{self._result}' if self._result else '',
+            capital=self._capital()[0],
             limit=self.limit,
             routes=[
                 RouteEvidence(route=name, **control.summary())
@@ -173,55 +181,104 @@
         )
 
     def _judge(self, now: float) -> None:
-        late = self._phase is model.Phase.RUNNING and now >= self._move.by
-        limit = LATE_CAPITAL if late else self.limit
         for name, control in self._routes.items():
-            finding = control.verdict(limit, now)
-            if finding is None:
-                continue
-            code = (
-                errors.ROLLOUT_FAILURES
-                if finding.statistic == judge.FAILURE
-                else errors.ROLLOUT_SLOW
+            finding = control.certain(self._options.error_rate)
+            if finding is not None:
+                self._convict(name, finding)
+                return
+        late = self._phase is model.Phase.RUNNING and self._is_due(now)
+        capital, name, finding = self._capital()
+        if capital >= (LATE_CAPITAL if late else self.limit):
+            self._convict(name, finding)
+
+    def _capital(self) -> tuple[float, str, judge.Finding]:
+        """Return the capital of all bets, and what won most."""
+        best = self._service.finding()
+        best = best._replace(capital=SERVICE_PART * best.capital)
+        total = best.capital
+        where = ''
+        part = (1.0 - SERVICE_PART) / max(len(self._routes), 1)
+        for name, control in self._routes.items():
+            found = control.finding()
+            total += part * found.capital
+            if part * found.capital > best.capital:
+                best = found._replace(capital=part * found.capital)
+                where = name
+        return total, where, best
+
+    def _convict(self, route: str, finding: judge.Finding) -> None:
+        code = (
+            errors.ROLLOUT_FAILURES
+            if finding.statistic == record.FAILURE
+            else errors.ROLLOUT_SLOW
+        )
+        what = (
+            'more failures'
+            if finding.statistic == record.FAILURE
+            else f'slower answers ({finding.statistic})'
+        )
+        controls = [
+            control
+            for name, control in self._routes.items()
+            if route in ('', name)
+        ]
+        self.take_back(
+            f'{what} of the new version on {route or "all routes"}'
+            + (
+                f' in {finding.failure_domain}'
+                if finding.failure_domain
+                else ''
             )
-            self.take_back(_reason(name, finding, control), code)
-            return
+            + f': {sum(c.new_failures for c in controls)} of '
+            f'{sum(c.new_requests for c in controls)} failed, with the old '
+            f'one {sum(c.old_failures for c in controls)} of '
+            f'{sum(c.old_requests for c in controls)}',
+            code,
+        )
 
     def _plan(self, now: float) -> dict[str, float]:
-        rates = {
-            name: control.rate(now) for name, control in self._routes.items()
-        }
-        total = sum(rates.values())
+        total = sum(control.rate for control in self._routes.values())
         running = self._phase is model.Phase.RUNNING
-        forced = now >= self._move.by
+        if running and self._is_due(now):
+            self._finish()
+            running = False
         planned = {
             name: control.plan(
-                now,
-                shares.Rates(rates[name], total),
-                finished=not running,
-                forced=forced,
+                now, shares.Rates(control.rate, total), finished=not running
             )
             for name, control in self._routes.items()
         }
-        if running:
-            self._finish(planned, now, forced)
-            if self._phase is model.Phase.DONE:
-                top = 1.0 - self._options.hold_back
-                planned = dict.fromkeys(planned, shares.rounded(top))
+        if any(
+            control.mode is route_.Mode.CHECKING
+            for control in self._routes.values()
+        ):
+            # The other routes may have the same fault, and a share of the
+            # whole service is what a fault can depend on.
+            planned = {
+                name: min(share, check.SHARE)
+                for name, share in planned.items()
+            }
+        if running and self._tried(planned, now):
+            self._finish()
+            top = shares.rounded(1.0 - self._options.hold_back)
+            planned = dict.fromkeys(planned, top)
         return planned
 
-    def _finish(
-        self, planned: dict[str, float], now: float, forced: bool
-    ) -> None:
-        if not forced:
-            if any(share < 1.0 for share in planned.values()):
-                self._full_since = None
-                return
-            if self._full_since is None:
-                self._full_since = now
-            trial = TRIAL_PART * (self._move.by - self._move.start)
-            if now < self._full_since + min(trial, TRIAL_MAX_S):
-                return
+    def _is_due(self, now: float) -> bool:
+        length = self._move.by - self._move.start
+        return now >= self._move.by - min(MARGIN_S, MARGIN_PART * length)
+
+    def _tried(self, planned: dict[str, float], now: float) -> bool:
+        """Tell whether all requests went to the new version long enough."""
+        if any(share < 1.0 for share in planned.values()):
+            self._full_since = None
+            return False
+        if self._full_since is None:
+            self._full_since = now
+        trial = TRIAL_PART * (self._move.by - self._move.start)
+        return now >= self._full_since + min(trial, TRIAL_MAX_S)
+
+    def _finish(self) -> None:
         self._phase = model.Phase.DONE
         few = [
             name
@@ -268,19 +325,3 @@
         if not 1.0 / SHARE_STEP < share / before < SHARE_STEP:
             return True
     return False
-
-
-def _reason(
-    name: str, finding: judge.Finding, control: route_.RouteControl
-) -> str:
-    where = finding.failure_domain or 'all failure domains'
-    what = (
-        'more failures'
-        if finding.statistic == judge.FAILURE
-        else f'slower answers ({finding.statistic})'
-    )
-    return (
-        f'{what} on {name} in {where}: '
-        f'{control.new_failures} of {control.new_requests} failed, '
-        f'before {control.old_failures} of {control.old_requests}'
-    )
--- a/damaskpier/rollout/latency.py
+++ b/damaskpier/rollout/latency.py
@@ -53,6 +53,22 @@
     return _HARM_BUCKETS[bucket]
 
 
+def _unharmed_bucket(bucket: int) -> int:
+    found = 0
+    for index, limit in enumerate(_HARM_BUCKETS):
+        if limit <= bucket:
+            found = index
+    return found
+
+
+_UNHARMED_BUCKETS = tuple(_unharmed_bucket(i) for i in range(LAST_BUCKET + 1))
+
+
+def unharmed_bucket(bucket: int) -> int:
+    """Return the slowest bucket that a latency of a bucket harms."""
+    return _UNHARMED_BUCKETS[bucket]
+
+
 def tail(histogram: dict[int, float], bucket: int) -> float:
     """Return the number of requests at or above a bucket."""
     total = 0
--- a/damaskpier/rollout/route.py
+++ b/damaskpier/rollout/route.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Any
 from typing import TYPE_CHECKING
 
+from damaskpier.rollout import check
 from damaskpier.rollout import judge
 from damaskpier.rollout import model
+from damaskpier.rollout import record
 from damaskpier.rollout import shares
 from damaskpier.rollout import watch
 
@@ -29,33 +32,27 @@
 WARM_REQUESTS = 3
 # Capital from which on the share does not grow.
 HALT_CAPITAL = 10.0
-# Nodes whose trips together lower the capital that is needed.
-TRIP_NODES = 3
+# After a halt the share grows back by this factor in each time.
+CATCH_UP = 1.5
+CATCH_UP_S = 2.0
+# Part of the time before the stated time in which steps are not limited.
+LAST_PART = 0.1
+# Time for which the trip of a node counts.
 TRIP_MEMORY_S = 15.0
+TRIP_NODES = 2
+TRIP_RATE = 0.7
 # Above this share an alarm of the watch leads to a check.
-CHECK_ABOVE = 0.5
-CHECK_SHARE = 0.5
-CHECK_MIN_S = 4.0
-CHECK_MAX_S = 30.0
-CHECK_REQUESTS = 20
-VANISHED_LIMIT = 2
-VANISHED_MEMORY_S = 300.0
+CHECK_ABOVE = 0.6
+# A fault that vanishes in a check and is back as soon as the share is, so
+# many times in a row, depends on the share.
+RETURNS = 2
+RETURN_REQUESTS = 10
+RETURN_S = 2.5
 # Requests on both versions for the comparison of a route to count.
 COMPARED_REQUESTS = 10
 RATE_TIME_S = 15.0
 
 
-class _Check:
-    """Comparison at equal shares after an alarm."""
-
-    def __init__(self, alarm: watch.Alarm, share: float, now: float) -> None:
-        self.alarm = alarm
-        self.share = share
-        self.since = now
-        self.new = model.VersionCounts()
-        self.old = model.VersionCounts()
-
-
 class Mode(enum.Enum):
     """What a route's share does; the values are for operators."""
 
@@ -81,24 +78,26 @@
         schedule = judge.Schedule(move.start, move.by)
         self._warm = judge.RouteJudge(schedule)
         self._judge = judge.RouteJudge(schedule)
-        self._old = judge.Record()
+        self._old = record.Record()
         self._staged: list[model.VersionCounts] = []
         self._window = -1
         self._watch = watch.Watch()
         self._share = 0.0
         self._share_since = move.start
-        self._check: _Check | None = None
-        self._vanished: list[float] = []
+        self._check: check.Check | None = None
+        self._checks = 0
+        self._vanished = False
+        self._returns = 0
+        self._return_at = -math.inf
         self._trips: dict[str, float] = {}
-        self._first_failure: int | None = None
+        self._failed_windows: list[int] = []  # first failure, last window
         self._warm_new = [0, 0]  # requests and failures
-        self._rate = 0.0
         self._rate_count = 0.0
         self._rate_from: float | None = None
-        self._persistent: judge.Finding | None = None
-        self._finding = judge.Finding(0.0)
-        self._warm_finding = judge.Finding(0.0)
+        self._certain: judge.Finding | None = None
+        self._finding = judge.Finding()
         self._dirty = False
+        self.rate = 0.0  # requests/s, 0 if unknown
         self.mode = Mode.GROWING
         self.old_requests = 0
         self.old_failures = 0
@@ -120,10 +119,11 @@
 
     def observe(
         self, cell: model.EvidenceCell, first_new: int | None, now: float
-    ) -> None:
+    ) -> record.Gains | None:
         """Take in a cell of this route.
 
         :param first_new: first window with requests on the new version
+        :returns: gains of the bets on the cell, if it is judged
         """
         # The record holds earlier windows only: the bets on a window must
         # not depend on its outcomes.
@@ -135,84 +135,97 @@
         warm_s = WARM_PART * (self._move.by - self._move.start)
         warm_s = min(max(warm_s, WARM_MIN_S), WARM_MAX_S)
         is_warm = first_new is None or cell.window < first_new + warm_s
+        gains = None
+        if 0.0 < cell.share < 1.0 and self._old.usable:
+            gains = self._old.gains(
+                cell, not is_warm and self.new_requests >= WARM_REQUESTS
+            )
+            judged = self._warm if is_warm else self._judge
+            judged.update(cell.window, cell.share, cell.failure_domain, gains)
+            self._dirty = True
         if is_warm:
             self._observe_warm(cell)
-        else:
-            self._judge.update(
-                cell, self._old, self.new_requests >= WARM_REQUESTS
-            )
-        if cell.share > CHECK_ABOVE and not is_warm:
-            alarm = self._watch.update(cell.new, self._old)
+        elif self._check is not None:
+            if gains is not None:
+                self._check.update(cell, gains, self._old)
+        elif cell.share > CHECK_ABOVE:
+            alarm = self._watch.update(cell, self._old)
             if alarm is not None:
-                self._alarmed(alarm, cell.share, now)
-        check = self._check
-        if check is not None and cell.share == CHECK_SHARE:
-            check.new = check.new.plus(cell.new)
-            check.old = check.old.plus(cell.old)
+                self._alarmed(alarm, now)
         self._staged.append(cell.old)
         self.old_requests += cell.old.requests
         self.old_failures += cell.old.failures
         self.new_requests += cell.new.requests
         self.new_failures += cell.new.failures
-        self._count_rate(cell, now)
-        self._dirty = True
+        self._count_rate(cell)
+        return None if is_warm else gains
 
     def observe_trip(self, notice: model.TripNotice, now: float) -> None:
         """Take in the notice that a node tripped on this route."""
         self._trips[notice.node_id] = now
-        if self._share > CHECK_ABOVE and len(self._recent(now)) > 1:
+        recent = [
+            at for at in self._trips.values() if now - at <= TRIP_MEMORY_S
+        ]
+        if len(recent) >= TRIP_NODES and self._old.usable:
+            expected = self._old.rate(self._old.failures)
             self._alarmed(
-                watch.Alarm(judge.FAILURE, 0.7, 0.0), self._share, now
+                watch.Alarm(
+                    record.FAILURE, max(TRIP_RATE, expected), expected
+                ),
+                now,
             )
 
-    def verdict(self, limit: float, now: float) -> judge.Finding | None:
-        """Return the finding that takes the version back, if any."""
-        if self._persistent is not None:
-            return self._persistent
+    def finding(self) -> judge.Finding:
+        """Return the capital of the comparison after the warm-up."""
         if self._dirty:
             self._dirty = False
-            self._warm_finding = self._warm.finding()
             self._finding = self._judge.finding()
-        if self._warm_finding.capital >= limit and self._fails_cold():
-            return self._warm_finding
-        found = self._finding
-        if len(self._recent(now)) >= TRIP_NODES:
-            limit = min(limit, limit**0.5)
-        return found if found.capital >= limit else None
+        return self._finding
 
-    def rate(self, now: float) -> float:
-        """Return the requests per second of the route, 0 if unknown."""
-        return self._rate
+    def certain(self, error_rate: float) -> judge.Finding | None:
+        """Return a finding that takes the version back by itself.
 
-    def plan(
-        self,
-        now: float,
-        rates: shares.Rates,
-        finished: bool,
-        forced: bool,
-    ) -> float:
-        """Return the share that the route should have."""
-        if self._check is not None:
+        These are failures of most first requests, a check that found the
+        version worse, and a fault that comes and goes with the share.
+        """
+        if self._certain is not None:
+            return self._certain
+        if self._check is not None and self._check.convicts(error_rate):
+            return self._check.finding()
+        if self._fails_cold():
+            found = self._warm.finding()
+            if found.capital >= 1.0 / error_rate:
+                return found
+        return None
+
+    def plan(self, now: float, rates: shares.Rates, finished: bool) -> float:
+        """Return the share that the route should have.
+
+        :param finished: whether the move is done
+        """
+        if self._check is not None and self._check.ended(now):
             self._end_check(now)
-        if self._check is not None and (finished or not forced):
+        if self._check is not None:
             self.mode = Mode.CHECKING
-            return CHECK_SHARE
-        if finished or forced:
+            return check.SHARE
+        if finished:
             self.mode = Mode.GROWING
             return shares.rounded(1.0 - self._options.hold_back)
         wanted = self._plan.share(now, rates)
-        if self._finding.capital >= HALT_CAPITAL and self._share:
+        if self.finding().capital >= HALT_CAPITAL and self._share:
             self.mode = Mode.HALTED
             self._share_since = now
             return min(wanted, self._share)
         self.mode = Mode.GROWING
-        if self._share > 0.0 and wanted > self._share * 1.5:
-            # After a halt the share grows back in steps.
-            if now < self._share_since + 2.0:
+        left = self._move.by - now
+        if (
+            self._share > 0.0
+            and wanted > self._share * CATCH_UP
+            and left > LAST_PART * (self._move.by - self._move.start)
+        ):
+            if now < self._share_since + CATCH_UP_S:
                 return self._share
-            left = self._move.by - now
-            if left > 0.1 * (self._move.by - self._move.start):
-                wanted = min(wanted, self._share * 1.5)
+            wanted = self._share * CATCH_UP
             self._share_since = now
         return shares.rounded(wanted)
 
@@ -224,21 +237,19 @@
             'old_failures': self.old_failures,
             'new_requests': self.new_requests,
             'new_failures': self.new_failures,
-            'capital': self._finding.capital,
+            'capital': self.finding().capital,
             'statistic': self._finding.statistic,
             'failure_domain': self._finding.failure_domain,
             'state': self.mode.value,
         }
 
     def _observe_warm(self, cell: model.EvidenceCell) -> None:
-        self._warm.update(cell, self._old, with_slow=False)
-        if cell.new.failures and self._first_failure is None:
-            self._first_failure = cell.window
-            self._last_warm = cell.window
-        if self._first_failure is not None:
-            self._last_warm = max(self._last_warm, cell.window)
         self._warm_new[0] += cell.new.requests
         self._warm_new[1] += cell.new.failures
+        if cell.new.failures and not self._failed_windows:
+            self._failed_windows = [cell.window, cell.window]
+        if self._failed_windows:
+            self._failed_windows[1] = max(self._failed_windows[1], cell.window)
 
     def _fails_cold(self) -> bool:
         requests, failures = self._warm_new
@@ -246,60 +257,44 @@
             return False
         if failures >= WARM_MANY_FAILURES:
             return True
-        return self._last_warm - self._first_failure >= WARM_LAST_S
+        first, last = self._failed_windows
+        return last - first >= WARM_LAST_S
 
-    def _count_rate(self, cell: model.EvidenceCell, now: float) -> None:
+    def _count_rate(self, cell: model.EvidenceCell) -> None:
         if self._rate_from is None:
             self._rate_from = cell.window
         self._rate_count += cell.old.requests + cell.new.requests
         passed = cell.window + 1 - self._rate_from
         if passed <= 0:
             return
-        self._rate = self._rate_count / passed
+        self.rate = self._rate_count / passed
         if passed > 2 * RATE_TIME_S:
             self._rate_from = cell.window + 1 - RATE_TIME_S
-            self._rate_count = self._rate * RATE_TIME_S
-
-    def _recent(self, now: float) -> list[str]:
-        return [
-            node
-            for node, at in self._trips.items()
-            if now - at <= TRIP_MEMORY_S
-        ]
+            self._rate_count = self.rate * RATE_TIME_S
 
-    def _alarmed(self, alarm: watch.Alarm, share: float, now: float) -> None:
+    def _alarmed(self, alarm: watch.Alarm, now: float) -> None:
         if self._check is not None or self._share <= CHECK_ABOVE:
             return
-        vanished = [
-            at for at in self._vanished if now - at <= VANISHED_MEMORY_S
-        ]
-        if len(vanished) >= VANISHED_LIMIT:
-            self._persistent = judge.Finding(
-                self._finding.capital, alarm.statistic
-            )
+        soon = (
+            alarm.before <= RETURN_REQUESTS
+            or now <= self._return_at + RETURN_S
+        )
+        self._returns = self._returns + 1 if self._vanished and soon else 0
+        if self._returns >= RETURNS:
+            self._certain = judge.Finding(0.0, alarm.statistic)
             return
-        self._vanished = vanished
-        self._check = _Check(alarm, share, now)
-        self._watch.reset()
+        self._checks += 1
+        length = self._move.by - self._move.start
+        self._check = check.Check(
+            alarm, self._checks, self._share, now, length
+        )
 
     def _end_check(self, now: float) -> None:
-        check = self._check
-        passed = now - check.since
-        enough = min(check.new.requests, check.old.requests) >= CHECK_REQUESTS
-        if passed < CHECK_MIN_S or (not enough and passed < CHECK_MAX_S):
-            return
-        if self._finding.capital >= HALT_CAPITAL and passed < CHECK_MAX_S:
-            return
+        ended = self._check
         self._check = None
+        self._vanished = ended.vanished()
+        self._return_at = now
         self._watch.reset()
+        self._trips.clear()
+        self._share = ended.share
         self._share_since = now
-        # A fault that is gone at half of the share, with both versions
-        # fine, may depend on the share.
-        old = check.old
-        seen = (old.failures + check.new.failures) / max(
-            old.requests + check.new.requests, 1
-        )
-        if check.alarm.statistic != judge.FAILURE:
-            self._vanished.append(now)
-        elif seen < 0.3 * check.alarm.seen:
-            self._vanished.append(now)
--- a/damaskpier/rollout/shares.py
+++ b/damaskpier/rollout/shares.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 from typing import NamedTuple
@@ -17,7 +18,11 @@
 BASELINE_PART = 0.04
 BASELINE_MAX_S = 4.0
 GROW_FROM = {True: 0.08, False: 0.2}  # by whether a route is repeatable
-GROW_UNTIL = {True: 0.85, False: 0.9}
+GROW_UNTIL = {True: 0.86, False: 0.9}
+# Growth between both: the part of the time, and the logarithm of the share
+# as a part of that of the first share. Shares from 0.1 to 0.4 compare the
+# versions with the fewest requests on the new one and get the most time.
+CURVE = ((0.0, 1.0), (0.22, 0.7), (0.42, 0.42), (0.82, 0.2), (1.0, 0.0))
 NOT_REPEATABLE_FACTOR = 0.5
 
 # The first share gives at least this rate of requests on the new version
@@ -81,7 +86,7 @@
         )
         if growth >= 1.0:
             return 1.0
-        return max(first, self._first ** (1.0 - growth))
+        return max(first, self._first ** _curve(growth))
 
     def _first_share(self, rates: Rates) -> float:
         if rates.route <= 0:
@@ -94,6 +99,13 @@
         return max(least, min(self._first, most))
 
 
+def _curve(growth: float) -> float:
+    for (before, high), (after, low) in itertools.pairwise(CURVE):
+        if growth <= after:
+            return high + (low - high) * (growth - before) / (after - before)
+    return 0.0
+
+
 def pick_new(share: float, rng: random.Random) -> bool:
     """Choose the new version with a probability."""
     return share > 0.0 and rng.random() < share
--- a/damaskpier/rollout/trip.py
+++ b/damaskpier/rollout/trip.py
@@ -16,12 +16,17 @@
 BROKEN_RATE = 0.7
 LEAST_RATE = 0.02
 TRIP_LIMIT = 9.0
+# A small share harms few requests, and its evidence is needed by the fleet.
+SMALL_SHARE = 0.3
+SMALL_SHARE_LIMIT = 18.0
 MOST_OLD_RATE = 0.3
 OLD_RECORD = 100.0
 MIN_OLD_RECORD = 5.0
 # Failures in a row of the old version that end a trip.
 OLD_RUN = 3
 SLOW_FACTOR = 3.0
+# Time for which a route needs more evidence after its share was reduced.
+EASED_S = 15.0
 
 
 class _Route:
@@ -32,6 +37,8 @@
         self.run = 0
         self.slow_ms = math.inf
         self.until = -math.inf
+        self.eased = -math.inf
+        self.share = 0.0
         self.trips = 0
         self.latency: dict[int, float] = {}
 
@@ -78,7 +85,10 @@
         else:
             gain = math.log((1.0 - BROKEN_RATE) / (1.0 - rate))
         route.score = max(0.0, route.score + gain)
-        if route.score < TRIP_LIMIT:
+        limit = SMALL_SHARE_LIMIT if share <= SMALL_SHARE else TRIP_LIMIT
+        if now < route.eased:
+            limit = SMALL_SHARE_LIMIT
+        if route.score < limit:
             return None
         route.score = 0.0
         route.until = now + self._hold_s * 2**route.trips
@@ -91,6 +101,20 @@
             f'{what} on the new version only',
         )
 
+    def follow(self, state: model.MoveState, now: float) -> None:
+        """Take in a new state of a move.
+
+        A route whose share was reduced is no longer tripped: the fleet
+        compares the versions and needs the evidence of all nodes.
+        """
+        for name, share in state.shares.items():
+            route = self._routes.setdefault((state.move, name), _Route())
+            if share < route.share:
+                route.until = -math.inf
+                route.eased = now + EASED_S
+                route.score = 0.0
+            route.share = share
+
     def tripped(self, move: str, route: str, now: float | None = None) -> bool:
         """Tell whether a route is sent to the old version only.
 
--- a/damaskpier/rollout/watch.py
+++ b/damaskpier/rollout/watch.py
@@ -11,79 +11,116 @@
 import math
 from typing import NamedTuple
 
-from damaskpier.rollout import judge
 from damaskpier.rollout import latency
 from damaskpier.rollout import model
+from damaskpier.rollout import record
 
 # Rates of bad answers for which a cumulative sum is kept, above the record.
 EXCESSES = (0.03, 0.2, 0.8)
 LIMIT = 7.0
 SLOW_LEVELS = (0.75, 0.9, 0.98)
 LEAST_RATE = 0.005
+MOST_RATE = 0.9
+# The old version shares the trouble if it is expected to have had at least
+# this many bad answers and had this part of them.
+SHARED_ANSWERS = 3.0
+SHARED_PART = 0.5
 
 
 class Alarm(NamedTuple):
-    """Rate of bad answers that the watch has seen, and the expected one."""
+    """What the watch has seen since the trouble seems to have begun.
+
+    ``before`` is the number of requests on the new version between the last
+    reset of the watch and that time.
+    """
 
     statistic: str
-    seen: float
+    seen: float  # rate of bad answers
     expected: float
+    before: int = 0
+
+
+class _Sum:
+    def __init__(self) -> None:
+        self.value = 0.0
+        self.new = [0, 0]  # bad answers and answers
+        self.old = [0, 0]
+        self.before = 0
+
+    def clear(self) -> None:
+        self.before += self.new[1]
+        self.value = 0.0
+        self.new = [0, 0]
+        self.old = [0, 0]
+
+    def shared(self) -> bool:
+        """Tell whether the old version has the same trouble."""
+        expected = self.old[1] * self.new[0] / self.new[1]
+        return (
+            expected >= SHARED_ANSWERS
+            and self.old[0] >= SHARED_PART * expected
+        )
 
 
 class Watch:
     """Cumulative sums of the bad answers of the new version on a route."""
 
     def __init__(self) -> None:
-        self._sums: dict[tuple[str, float], list[float]] = {}
-        self.limit = LIMIT
+        self._sums: dict[tuple[str, float], _Sum] = {}
 
     def reset(self) -> None:
         """Forget the answers seen so far."""
         self._sums.clear()
 
     def update(
-        self, counts: model.VersionCounts, old: judge.Record
+        self, cell: model.EvidenceCell, old: record.Record
     ) -> Alarm | None:
-        """Add answers of the new version; return an alarm if it is worse.
+        """Add the answers of a cell; return an alarm if there is one.
 
         :param old: record of the old version, also from earlier windows
         """
-        if not counts.requests or old.requests < judge.MIN_RECORD:
+        if not cell.new.requests or not old.usable:
             return None
         alarm = self._add(
-            judge.FAILURE,
-            counts.failures,
-            counts.requests,
+            record.FAILURE,
+            (cell.new.failures, cell.new.requests),
+            (cell.old.failures, cell.old.requests),
             old.rate(old.failures),
         )
         for level in SLOW_LEVELS:
             bucket = latency.quantile_bucket(old.latency, level)
+            harm = latency.harm_bucket(bucket)
             found = self._add(
                 f'p{level * 100:g}',
-                latency.tail(counts.latency, latency.harm_bucket(bucket)),
-                counts.requests,
+                (latency.tail(cell.new.latency, harm), cell.new.requests),
+                (latency.tail(cell.old.latency, bucket), cell.old.requests),
                 old.rate(latency.tail(old.latency, bucket)),
             )
             alarm = alarm or found
         return alarm
 
     def _add(
-        self, statistic: str, bad: int, requests: int, rate: float
+        self,
+        statistic: str,
+        new: tuple[int, int],
+        old: tuple[int, int],
+        rate: float,
     ) -> Alarm | None:
-        rate = min(max(rate, LEAST_RATE), 0.9)
+        rate = min(max(rate, LEAST_RATE), MOST_RATE)
         alarm = None
         for excess in EXCESSES:
             worse = rate + (1.0 - rate) * excess
-            gain = bad * math.log(worse / rate) + (requests - bad) * math.log(
-                (1.0 - worse) / (1.0 - rate)
-            )
-            # Sum, bad answers and answers since the sum was last zero.
-            kept = self._sums.setdefault((statistic, excess), [0.0, 0, 0])
-            kept[0] += gain
-            kept[1] += bad
-            kept[2] += requests
-            if kept[0] <= 0.0:
-                kept[:] = [0.0, 0, 0]
-            elif kept[0] > self.limit and alarm is None:
-                alarm = Alarm(statistic, kept[1] / kept[2], rate)
+            kept = self._sums.setdefault((statistic, excess), _Sum())
+            kept.value += new[0] * math.log(worse / rate) + (
+                new[1] - new[0]
+            ) * math.log((1.0 - worse) / (1.0 - rate))
+            for index in (0, 1):
+                kept.new[index] += new[index]
+                kept.old[index] += old[index]
+            if kept.value <= 0.0 or (kept.value > LIMIT and kept.shared()):
+                kept.clear()
+            elif kept.value > LIMIT and alarm is None:
+                alarm = Alarm(
+                    statistic, kept.new[0] / kept.new[1], rate, kept.before
+                )
         return alarm
