--- a/damaskpier/replay/trace.py
+++ b/damaskpier/replay/trace.py
@@ -76,7 +76,7 @@
 
     route: str
     node: int
-    outcome: dict[str, Any]
+    outcome: dict[str, _Single | list[_Step]]
     key: str = ''
 
 
@@ -244,27 +244,22 @@
             checked[version] = self._answers(version, value)
         return checked
 
-    def _answers(self, version: str, value: Any) -> Answers:
-        try:
-            if isinstance(value, list):
-                steps = msgspec.convert(value, list[_Step])
-                answers = tuple(
-                    sorted(Answer(s.min_share, s.status, s.ms) for s in steps)
-                )
-            else:
-                single = msgspec.convert(value, _Single)
-                answers = (Answer(0.0, single.status, single.ms),)
-        except msgspec.ValidationError as exc:
-            self._fail(f'outcome of {version!r}: {exc}')
+    def _answers(self, version: str, value: _Single | list[_Step]) -> Answers:
+        if type(value) is _Single:
+            answers = (Answer(0.0, value.status, value.ms),)
+        else:
+            answers = tuple(
+                sorted(Answer(s.min_share, s.status, s.ms) for s in value)
+            )
         if not answers or answers[0].min_share > 0.0:
             self._fail(f'no outcome of version {version!r} at share 0')
-        for answer in answers:
-            if not 0.0 <= answer.min_share <= 1.0:
-                self._fail(f'min_share {answer.min_share:g} is not in 0..1')
-            if not 100 <= answer.status <= 599:
-                self._fail(f'status {answer.status} is not in 100..599')
-            if not 0.0 <= answer.ms < math.inf:
-                self._fail(f'ms {answer.ms:g} is not a time')
+        for min_share, status, ms in answers:
+            if not 0.0 <= min_share <= 1.0:
+                self._fail(f'min_share {min_share:g} is not in 0..1')
+            if not 100 <= status <= 599:
+                self._fail(f'status {status} is not in 100..599')
+            if not 0.0 <= ms < math.inf:
+                self._fail(f'ms {ms:g} is not a time')
         return answers
 
 
--- a/damaskpier/rollout/evidence.py
+++ b/damaskpier/rollout/evidence.py
@@ -32,9 +32,9 @@
     def __init__(self, failure_domain: str, quiet_s: float = QUIET_S) -> None:
         self._failure_domain = failure_domain
         self._quiet_s = quiet_s
-        # Counts of requests of this node, as mutable lists
-        # [requests, failures, histogram] for old and new.
-        self._own: dict[model.CellKey, tuple[list, list]] = {}
+        # Counts of requests of this node by move, route, share and window:
+        # mutable lists [requests, failures, histogram] for old and new.
+        self._own: dict[tuple[str, str, float, int], tuple[list, list]] = {}
         self._failed_windows: set[int] = set()
         self._received: dict[model.CellKey, model.EvidenceCell] = {}
         self._slowest: dict[str, float] = {}
@@ -44,38 +44,39 @@
 
         :param now: time at which the answer arrived, in s
         """
-        window = math.floor(now - sample.ms / 1000.0)
-        key = model.CellKey(
-            sample.move,
-            sample.route,
-            self._failure_domain,
-            window,
-            sample.share,
-        )
+        move, route, is_new, failed, ms, share = sample
+        window = math.floor(now - ms / 1000.0)
+        key = move, route, share, window
         cell = self._own.get(key)
         if cell is None:
             cell = self._own[key] = ([0, 0, {}], [0, 0, {}])
-        counts = cell[sample.is_new]
+        counts = cell[is_new]
         counts[0] += 1
-        if sample.failed:
+        if failed:
             counts[1] += 1
             self._failed_windows.add(window)
-        bucket = latency.bucket_of(sample.ms)
+        bucket = latency.bucket_of(ms)
         counts[2][bucket] = counts[2].get(bucket, 0) + 1
-        if not sample.is_new:
-            slowest = self._slowest.get(sample.route, 0.0)
-            self._slowest[sample.route] = max(sample.ms, slowest * 0.98)
+        if not is_new:
+            slowest = 0.98 * self._slowest.get(route, 0.0)
+            self._slowest[route] = ms if ms > slowest else slowest
 
     def drain(self, now: float) -> list[model.EvidenceCell]:
         """Return and forget the counts of closed windows."""
         cells = self._received
         self._received = {}
+        waits = {
+            route: min(max(MIN_WAIT_S, WAIT_FACTOR * ms / 1000.0), MAX_WAIT_S)
+            for route, ms in self._slowest.items()
+        }
         closed = [
-            key for key in self._own if now >= key.window + 1 + self._wait(key)
+            key
+            for key in self._own
+            if now >= key[3] + 1 + waits.get(key[1], MIN_WAIT_S)
         ]
         if closed and (
             self._failed_windows
-            or min(key.window for key in closed) + 1 + self._quiet_s <= now
+            or min(key[3] for key in closed) + 1 + self._quiet_s <= now
         ):
             self._take(closed, cells)
         return [cells[key] for key in sorted(cells)]
@@ -88,41 +89,35 @@
     def forget(self, move: str) -> None:
         """Drop the counts of a move that is no longer judged."""
         for kept in (self._own, self._received):
-            for key in [key for key in kept if key.move == move]:
+            for key in [key for key in kept if key[0] == move]:
                 del kept[key]
 
-    def _wait(self, key: model.CellKey) -> float:
-        slowest = self._slowest.get(key.route, 0.0) / 1000.0
-        return min(max(MIN_WAIT_S, WAIT_FACTOR * slowest), MAX_WAIT_S)
-
     def _take(
         self,
-        closed: list[model.CellKey],
+        closed: list[tuple[str, str, float, int]],
         cells: dict[model.CellKey, model.EvidenceCell],
     ) -> None:
         # Windows with the same share are sent as one cell, under the last
         # of them: their requests were assigned with the same probability.
         last: dict[tuple[str, str, float], int] = {}
         for key in closed:
-            group = key.move, key.route, key.share
-            last[group] = max(key.window, last.get(group, key.window))
+            last[key[:3]] = max(key[3], last.get(key[:3], key[3]))
         for key in closed:
             old, new = self._own.pop(key)
-            group = key.move, key.route, key.share
+            move, route, share, _ = key
             _add(
                 cells,
                 model.EvidenceCell(
-                    key.move,
-                    key.route,
-                    key.failure_domain,
-                    last[group],
+                    move,
+                    route,
+                    self._failure_domain,
+                    last[key[:3]],
                     model.VersionCounts(*old),
                     model.VersionCounts(*new),
-                    key.share,
+                    share,
                 ),
             )
-        windows = {key.window for key in self._own}
-        self._failed_windows &= windows
+        self._failed_windows &= {key[3] for key in self._own}
 
 
 def _add(
--- a/damaskpier/rollout/latency.py
+++ b/damaskpier/rollout/latency.py
@@ -21,7 +21,7 @@
     if ms < 1.0:
         return 0
     index = int(BUCKETS_PER_OCTAVE * math.log2(ms)) + 1
-    return min(index, LAST_BUCKET)
+    return index if index < LAST_BUCKET else LAST_BUCKET
 
 
 def lower_bound_ms(bucket: int) -> float:
--- a/damaskpier/rollout/route.py
+++ b/damaskpier/rollout/route.py
@@ -51,6 +51,8 @@
 # Requests on both versions for the comparison of a route to count.
 COMPARED_REQUESTS = 10
 RATE_TIME_S = 15.0
+# The record of the old version, and the odds with it, change this rarely.
+RECORD_WINDOWS = 3
 
 
 class Mode(enum.Enum):
@@ -127,7 +129,9 @@
         """
         # The record holds earlier windows only: the bets on a window must
         # not depend on its outcomes.
-        if cell.window != self._window:
+        if cell.window >= self._window + RECORD_WINDOWS or (
+            cell.window != self._window and not self._old.usable
+        ):
             self._window = cell.window
             for counts in self._staged:
                 self._old.add(counts)
--- a/damaskpier/rollout/trip.py
+++ b/damaskpier/rollout/trip.py
@@ -65,7 +65,8 @@
         :param share: share of the new version on the route, 0..1
         :param now: time of the answer, in s
         """
-        self._now = max(self._now, now)
+        if now > self._now:
+            self._now = now
         key = sample.move, sample.route
         route = self._routes.get(key)
         if route is None:
