--- a/damaskpier/rollout/record.py
+++ b/damaskpier/rollout/record.py
@@ -34,6 +34,8 @@
 LIMIT = 800.0
 MIN_REQUESTS = 20.0
 MOST_RATE = 0.95
+# Added to each count: an outcome that the record does not have is possible.
+PRIOR_COUNT = 0.25
 
 _NORMAL = statistics.NormalDist()
 
@@ -101,7 +103,7 @@
 
     def rate(self, count: float) -> float:
         """Return the smoothed frequency of a count of this record."""
-        return min((count + 0.5) / (self.requests + 1.0), MOST_RATE)
+        return min((count + PRIOR_COUNT) / (self.requests + 1.0), MOST_RATE)
 
     def thresholds(self) -> list[Threshold]:
         """Return the limits of slow answers."""
--- a/damaskpier/rollout/route.py
+++ b/damaskpier/rollout/route.py
@@ -279,9 +279,8 @@
     def _alarmed(self, alarm: watch.Alarm, now: float) -> None:
         if self._check is not None or self._share <= CHECK_ABOVE:
             return
-        soon = (
-            alarm.before <= RETURN_REQUESTS
-            or now <= self._return_at + RETURN_S
+        soon = now <= self._return_at + RETURN_S or (
+            alarm.before is not None and alarm.before <= RETURN_REQUESTS
         )
         self._returns = self._returns + 1 if self._vanished and soon else 0
         if self._returns >= RETURNS:
--- a/damaskpier/rollout/shares.py
+++ b/damaskpier/rollout/shares.py
@@ -26,11 +26,15 @@
 NOT_REPEATABLE_FACTOR = 0.5
 
 # The first share gives at least this rate of requests on the new version
-# where traffic is low, up to a share of LOW_TRAFFIC_SHARE, and at most
+# where traffic is low, up to a share of LOW_TRAFFIC_SHARE, or more on a
+# rare route, which adds at most RARE_PART to the share of the service. It
+# gives at most
 # HIGH_RATE for the whole service where traffic is high: more requests
 # would meet a bad version without an earlier verdict.
 LOW_RATE = 0.25  # requests/s
-LOW_TRAFFIC_SHARE = 0.05
+LOW_TRAFFIC_SHARE = 0.042
+RARE_PART = 0.016
+RARE_SHARE = 0.08
 LOW_TRAFFIC_REQUESTS = 20
 LOW_TRAFFIC_PART = 0.25
 HIGH_RATE = 0.7  # requests/s
@@ -62,9 +66,6 @@
         self._first = first_share
         if not repeatable:
             self._first *= NOT_REPEATABLE_FACTOR
-        self._low = LOW_TRAFFIC_SHARE
-        if not repeatable:
-            self._low *= NOT_REPEATABLE_FACTOR
 
     @property
     def baseline_s(self) -> float:
@@ -94,7 +95,13 @@
         wanted = max(
             LOW_RATE, LOW_TRAFFIC_REQUESTS / (LOW_TRAFFIC_PART * self._length)
         )
-        least = min(wanted / rates.route, self._low)
+        low = max(
+            LOW_TRAFFIC_SHARE,
+            min(RARE_PART * rates.service / rates.route, RARE_SHARE),
+        )
+        if not self._repeatable:
+            low *= NOT_REPEATABLE_FACTOR
+        least = min(wanted / rates.route, low)
         most = max(HIGH_RATE / rates.service, LEAST_SHARE)
         return max(least, min(self._first, most))
 
--- a/damaskpier/rollout/watch.py
+++ b/damaskpier/rollout/watch.py
@@ -16,7 +16,8 @@
 from damaskpier.rollout import record
 
 # Rates of bad answers for which a cumulative sum is kept, above the record.
-EXCESSES = (0.03, 0.2, 0.8)
+# Of several alarms that of the largest rate tells best when trouble began.
+EXCESSES = (0.8, 0.2, 0.03)
 LIMIT = 7.0
 SLOW_LEVELS = (0.75, 0.9, 0.98)
 LEAST_RATE = 0.005
@@ -31,13 +32,13 @@
     """What the watch has seen since the trouble seems to have begun.
 
     ``before`` is the number of requests on the new version between the last
-    reset of the watch and that time.
+    reset of the watch and that time, or None if it is not known.
     """
 
     statistic: str
     seen: float  # rate of bad answers
     expected: float
-    before: int = 0
+    before: int | None = None
 
 
 class _Sum:
