Keep routes that may not be repeated behind; require more failures

The low-traffic share was the same for all routes; requests that miss on the new version won bets like failures, and took a version without a failure back. Change: the share of a route that may not be repeated is at most that of the others; a verdict on failures needs a higher failure rate on the new version. Ruled out: ignoring cells with too few requests on the new version, since earlier cells with too many hide the shortage.

--- a/damaskpier/rollout/controller.py
+++ b/damaskpier/rollout/controller.py
@@ -188,9 +188,29 @@
                 return
         late = self._phase is model.Phase.RUNNING and self._is_due(now)
         capital, name, finding = self._capital()
-        if capital >= (LATE_CAPITAL if late else self.limit):
+        if capital < (LATE_CAPITAL if late else self.limit):
+            return
+        # Requests that miss on the new version, because nodes knew no
+        # worker of it, win bets as well; they are not failures.
+        if finding.statistic != record.FAILURE or self._fails_more(name):
             self._convict(name, finding)
 
+    def _fails_more(self, route: str) -> bool:
+        controls = self._controls(route)
+        return sum(c.new_failures for c in controls) * sum(
+            c.old_requests for c in controls
+        ) > sum(c.old_failures for c in controls) * sum(
+            c.new_requests for c in controls
+        )
+
+    def _controls(self, route: str) -> list[route_.RouteControl]:
+        """Return the controls of a route, or of all for an empty name."""
+        return [
+            control
+            for name, control in self._routes.items()
+            if route in ('', name)
+        ]
+
     def _capital(self) -> tuple[float, str, judge.Finding]:
         """Return the capital of all bets, and what won most."""
         best = self._service.finding()
@@ -217,11 +237,7 @@
             if finding.statistic == record.FAILURE
             else f'slower answers ({finding.statistic})'
         )
-        controls = [
-            control
-            for name, control in self._routes.items()
-            if route in ('', name)
-        ]
+        controls = self._controls(route)
         self.take_back(
             f'{what} of the new version on {route or "all routes"}'
             + (
@@ -248,6 +264,18 @@
             )
             for name, control in self._routes.items()
         }
+        least = min(
+            (
+                planned[name]
+                for name, control in self._routes.items()
+                if control.repeatable
+            ),
+            default=1.0,
+        )
+        planned = {
+            name: share if self._routes[name].repeatable else min(share, least)
+            for name, share in planned.items()
+        }
         if any(
             control.mode is route_.Mode.CHECKING
             for control in self._routes.values()
--- a/damaskpier/rollout/route.py
+++ b/damaskpier/rollout/route.py
@@ -72,6 +72,7 @@
         spec: bundle_model.RouteSpec,
         options: options_.Options,
     ) -> None:
+        self.repeatable = spec.repeatable
         self._move = move
         self._options = options
         self._plan = shares.Plan(
--- a/damaskpier/rollout/shares.py
+++ b/damaskpier/rollout/shares.py
@@ -99,9 +99,9 @@
             LOW_TRAFFIC_SHARE,
             min(RARE_PART * rates.service / rates.route, RARE_SHARE),
         )
-        if not self._repeatable:
-            low *= NOT_REPEATABLE_FACTOR
         least = min(wanted / rates.route, low)
+        if not self._repeatable:
+            least *= NOT_REPEATABLE_FACTOR
         most = max(HIGH_RATE / rates.service, LEAST_SHARE)
         return max(least, min(self._first, most))
 
