--- a/tools/traces.py
+++ b/tools/traces.py
@@ -192,18 +192,49 @@
     return [answer._asdict() for answer in answers]
 
 
+def two_services() -> trace.Trace:
+    """Return a trace of a good and a bad move at the same time."""
+    good = setup_of('findlog', 4.0)
+    bad = setup_of('packyard', 5.0)._replace(start=30.0, by=150.0)
+    first = scenarios.make(scenarios.kind_named('same'), good, 50)
+    second = scenarios.make(scenarios.kind_named('fails-partly'), bad, 51)
+    for move in second.moves:
+        move.move = 'm2'
+    header = first.header
+    header.name = 'two-services'
+    header.routes += second.header.routes
+    events = sorted(first.events + second.events, key=lambda event: event.t)
+    return trace.Trace(header, events, max(first.end, second.end))
+
+
+def write(name: str, recorded: trace.Trace, outcomes: dict[str, Any]) -> None:
+    """Write a trace and its stated outcome."""
+    path = TRACES / f'{name}.jsonl'
+    path.write_text('\n'.join(lines_of(recorded)) + '\n', 'utf-8')
+    path.with_suffix('.expect.json').write_text(
+        json.dumps({'moves': outcomes}, indent=1) + '\n', 'utf-8'
+    )
+
+
 def main() -> None:
     """Write all traces and their stated outcomes."""
     for seed, (service, name, rate) in enumerate(COMMITTED):
         kind = scenarios.kind_named(name)
         setup = setup_of(service, rate)
         recorded = scenarios.make(kind, setup, seed)
-        path = TRACES / f'{service}-{name}.jsonl'
-        path.write_text('\n'.join(lines_of(recorded)) + '\n', 'utf-8')
-        outcome = {'moves': {'m1': expectation(kind, setup)}}
-        path.with_suffix('.expect.json').write_text(
-            json.dumps(outcome, indent=1) + '\n', 'utf-8'
-        )
+        outcome = {'m1': expectation(kind, setup)}
+        write(f'{service}-{name}', recorded, outcome)
+    recorded = two_services()
+    good, bad = recorded.moves
+    write(
+        'two-services',
+        recorded,
+        {
+            'm1': {'verdict': 'done', 'decided_by': good.by},
+            # A fifth of the requests fail: half of the time is allowed.
+            'm2': {'verdict': 'taken_back', 'decided_by': 90.0},
+        },
+    )
 
 
 if __name__ == '__main__':
