--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,1 +1,1 @@
-"""Tools for development; not part of the package."""
+"""Development tools; not part of the installed package."""
