Serve the tree, the states of moves and the nodes on the admin port

Cause: `damaskpier status` and `nodes` ask a root for the versions in its subtree, for the states of the moves and for the list of nodes, and the admin port did not have them. Change: build the content in damaskpier/operator/pages.py and serve it as `/nodes` and as part of `/status`. The version of a node below a child is the lowest one of that child's subtree, so the count of nodes that have applied a version is a lower bound. An audit entry of a sign-off names the move that it started. Conclusion: the root answers what the command line shows.

--- a/damaskpier/operator/follow.py
+++ b/damaskpier/operator/follow.py
@@ -105,7 +105,9 @@
             return
         shown = f'version {version}: '
         if fleet.applied is not None:
-            shown += f'applied by {fleet.applied} of {fleet.nodes} nodes, '
+            shown += (
+                f'applied by at least {fleet.applied} of {fleet.nodes} nodes, '
+            )
         shown += f'lowest version in the fleet {fleet.lowest_version}'
         self._print('fleet', fleet.document(), shown)
 
--- a/damaskpier/operator/output.py
+++ b/damaskpier/operator/output.py
@@ -98,6 +98,16 @@
     return moment.strftime('%Y-%m-%dT%H:%M:%SZ')
 
 
+def shorten(value: Any) -> str:
+    """Return a value of an entry's detail on one line."""
+    if isinstance(value, dict):
+        return ' '.join(
+            f'{key} {format_share(item) if isinstance(item, float) else item}'
+            for key, item in sorted(value.items())
+        )
+    return str(value)
+
+
 def format_share(share: float) -> str:
     """Return a share of 0 to 1 in percent."""
     return f'{share * 100:.3g}%'
--- /dev/null
+++ b/damaskpier/operator/pages.py
@@ -0,0 +1,69 @@
+"""Content of the admin pages that the command line reads from a root."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpier import application
+
+
+def tree(app: application.Application) -> dict[str, Any]:
+    """Return this node's place in the tree and its subtree's versions."""
+    service = app.service('tree')
+    status = service.status()
+    sent, received = service.counters.total_bytes()
+    return {
+        'role': status.role,
+        'path': list(status.path),
+        'parent': status.parent,
+        'children': list(status.children),
+        'subtree': status.subtree,
+        'lowest_version': status.lowest_version,
+        'refusals': status.refusals,
+        'bytes_sent': sent,
+        'bytes_received': received,
+    }
+
+
+def moves(app: application.Application) -> list[dict[str, Any]]:
+    """Return the moves of the active configuration with their states."""
+    snapshot = app.service('active').current()
+    if snapshot is None:
+        return []
+    found = []
+    for move in snapshot.head.moves:
+        content = move._asdict()
+        state = app.service('rollouts').state(move.move)
+        if state is not None:
+            content.update(state._asdict())
+            content['phase'] = state.phase.value
+        found.append(content)
+    return found
+
+
+def nodes(app: application.Application) -> list[dict[str, Any]]:
+    """Return the records of all nodes that are not gone.
+
+    ``config_version`` is the lowest configuration version that a node of
+    this subtree may have; it is left out for nodes elsewhere in the tree.
+    """
+    versions = _versions(app)
+    found = []
+    for record in app.service('membership').nodes():
+        content = record._asdict()
+        if record.node_id in versions:
+            content['config_version'] = versions[record.node_id]
+        found.append(content)
+    return found
+
+
+def _versions(app: application.Application) -> dict[str, int]:
+    versions = {}
+    for child in app.service('tree').children:
+        versions.update(dict.fromkeys(child.below, child.lowest))
+        versions[child.peer.node_id] = child.applied
+    local = app.service('membership').local().node_id
+    versions[local] = app.service('active').version()
+    return versions
--- a/damaskpier/operator/signoff.py
+++ b/damaskpier/operator/signoff.py
@@ -72,9 +72,12 @@
         )
         detail = {'note': note, 'bundle': codec.digest_of(bundle)}
         entry = _entry('sign-off', operator, outcome, detail, now)
-        await audit.record(store, out, entry)
+        moves = _started(outcome, now)
+        names = [move.move for move in moves] or ['']
+        await audit.record(
+            store, out, [entry._replace(move=name) for name in names]
+        )
         head = command.unless_refused(outcome)
-        moves = [move for move in head.moves if move.start >= now]
         out.text(f'Signed off as version {head.version}.')
         for move in moves:
             out.text(
@@ -142,7 +145,7 @@
             now,
         )
         entry = _entry('take-back', operator, outcome, {'reason': reason}, now)
-        await audit.record(store, out, entry._replace(move=move))
+        await audit.record(store, out, [entry._replace(move=move)])
         head = command.unless_refused(outcome)
         out.text(
             f'Move {move} is taken back; active version is {head.version}.'
@@ -156,6 +159,15 @@
         return await follower.follow(head.version, [])
 
 
+def _started(
+    outcome: model.Head | errors.Refusal, now: float
+) -> list[model.Move]:
+    """Return the moves that a sign-off started."""
+    if isinstance(outcome, errors.Refusal):
+        return []
+    return [move for move in outcome.moves if move.start >= now]
+
+
 def _entry(
     action: str,
     operator: str,
--- a/damaskpier/operator/status.py
+++ b/damaskpier/operator/status.py
@@ -100,7 +100,7 @@
         return
     shown = 'not known'
     if fleet.applied is not None:
-        shown = f'applied by {fleet.applied} of {fleet.nodes} nodes'
+        shown = f'by at least {fleet.applied} of {fleet.nodes} nodes'
     out.text(
         f'In force:        {shown}; lowest version {fleet.lowest_version} '
         f'(root {fleet.root})'
--- a/damaskpier/traffic/admin.py
+++ b/damaskpier/traffic/admin.py
@@ -14,6 +14,7 @@
 
 from damaskpier import errors
 from damaskpier.mesh import model
+from damaskpier.operator import pages
 from damaskpier import registry
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
             ('/announce', _AnnounceHandler, handler_args),
             ('/healthz', _HealthHandler, handler_args),
             ('/metrics', _MetricsHandler, handler_args),
+            ('/nodes', _NodesHandler, handler_args),
             ('/status', _StatusHandler, handler_args),
         ]
         self._server = httpserver.HTTPServer(
@@ -128,6 +130,12 @@
         self._send_json(status(self.app))
 
 
+class _NodesHandler(_Handler):
+    def get(self) -> None:
+        """Show the nodes that this one knows."""
+        self._send_json(pages.nodes(self.app))
+
+
 def parse_announcement(body: bytes) -> model.Announcement | errors.Refusal:
     """Return the announcement in a request body, or why it is invalid."""
     try:
@@ -167,7 +175,7 @@
         content['upstream'] = announcement._asdict()
         content['load'] = app.service('upstream').admission.load._asdict()
     if snapshot is not None:
-        content['moves'] = [move._asdict() for move in snapshot.head.moves]
+        content['moves'] = pages.moves(app)
         content['workers'] = {
             name: [
                 {
@@ -179,6 +187,8 @@
             ]
             for name in snapshot.bundle.services
         }
+    if app.has_service('tree'):
+        content['tree'] = pages.tree(app)
     if app.has_service('leases'):
         held = getattr(app.service('leases'), 'names_held', None)
         if held is not None:
--- /dev/null
+++ b/tests/test_operator/test_pages.py
@@ -0,0 +1,63 @@
+"""Tests of the pages that nodes serve for the command line."""
+
+from __future__ import annotations
+
+import types
+
+from damaskpier.bundle import model as bundle_model
+from damaskpier.mesh import model as mesh_model
+from damaskpier.operator import pages
+from damaskpier.operator import view
+from damaskpier.rollout import model as rollout_model
+
+MOVE = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 1.0, 2.0)
+
+
+def _record(node_id):
+    return mesh_model.NodeRecord(
+        node_id, 1, 1, 'rif', 'rif-1', '10.0.0.1', 1, 2
+    )
+
+
+class _App:
+    """Application whose services hold fixed values."""
+
+    def __init__(self, **services):
+        self._services = services
+
+    def service(self, name):
+        return types.SimpleNamespace(**self._services[name])
+
+
+def test_versions_of_nodes_below_are_lower_bounds():
+    """Guards against counting a node that may still have an old version."""
+    child = types.SimpleNamespace(
+        peer=_record('b'), applied=5, lowest=4, below={'b', 'c'}
+    )
+    app = _App(
+        tree={'children': [child]},
+        membership={
+            'nodes': lambda: [_record(name) for name in 'abcd'],
+            'local': lambda: _record('a'),
+        },
+        active={'version': lambda: 6},
+    )
+    found = {
+        node['node_id']: view.applied_version(node)
+        for node in pages.nodes(app)
+    }
+    assert found == {'a': 6, 'b': 5, 'c': 4, 'd': None}
+
+
+def test_moves_carry_their_state():
+    state = rollout_model.MoveState(
+        'm1', 3, 7, rollout_model.Phase.DONE, {'r': 1.0}, 'ok', 5001
+    )
+    head = types.SimpleNamespace(moves=(MOVE,))
+    app = _App(
+        active={'current': lambda: types.SimpleNamespace(head=head)},
+        rollouts={'state': {'m1': state}.get},
+    )
+    states = view.states_of_page({'moves': pages.moves(app)})
+    merged = view.merge_state(view.MoveView('m1'), states['m1'])
+    assert (merged.verdict, merged.result, merged.seq) == ('done', 5001, 7)
