Name the move in the audit entry of a sign-off

The test expects the sign-off and the take-back for the move. Conclusion: the trail of a move begins with its sign-off.

--- a/damaskpier/operator/signoff.py
+++ b/damaskpier/operator/signoff.py
@@ -71,12 +71,12 @@
             store, bundle, base_version, operator, by, note, now
         )
         detail = {'note': note, 'bundle': codec.digest_of(bundle)}
-        entry = _entry('sign-off', operator, outcome, detail, now)
         moves = _started(outcome, now)
-        names = [move.move for move in moves] or ['']
-        await audit.record(
-            store, out, [entry._replace(move=name) for name in names]
-        )
+        entries = [
+            _entry('sign-off', operator, outcome, name, detail, now)
+            for name in [move.move for move in moves] or ['']
+        ]
+        await audit.record(store, out, entries)
         head = command.unless_refused(outcome)
         out.text(f'Signed off as version {head.version}.')
         for move in moves:
@@ -144,8 +144,10 @@
             None,
             now,
         )
-        entry = _entry('take-back', operator, outcome, {'reason': reason}, now)
-        await audit.record(store, out, [entry._replace(move=move)])
+        entry = _entry(
+            'take-back', operator, outcome, move, {'reason': reason}, now
+        )
+        await audit.record(store, out, [entry])
         head = command.unless_refused(outcome)
         out.text(
             f'Move {move} is taken back; active version is {head.version}.'
@@ -172,6 +174,7 @@
     action: str,
     operator: str,
     outcome: model.Head | errors.Refusal,
+    move: str,
     detail: dict[str, str],
     now: float,
 ) -> trail.Entry:
@@ -179,10 +182,11 @@
         return trail.make_entry(
             operator,
             action,
+            move,
             result=outcome.code,
             detail={**detail, 'refused': outcome.reason},
             now=now,
         )
     return trail.make_entry(
-        operator, action, version=outcome.version, detail=detail, now=now
+        operator, action, move, outcome.version, detail=detail, now=now
     )
--- a/tests/test_operator/test_signoff.py
+++ b/tests/test_operator/test_signoff.py
@@ -168,7 +168,7 @@
         ('amina', 'take-back', 3, 0),
     ]
     only = moving.run(f'--json audit --move {MOVE} --limit 5').documents
-    assert [entry['action'] for entry in only] == ['take-back']
+    assert [entry['action'] for entry in only] == ['sign-off', 'take-back']
     moving.time += 3600
     assert moving.run('--json audit --since 10m').documents == []
     assert 'slow' in moving.run('audit --since 2h').out
