--- a/damaskpier/operator/status.py
+++ b/damaskpier/operator/status.py
@@ -30,6 +30,18 @@
     ),
 )
 
+# Keys of the evidence of a route that the table shows; JSON output has all.
+EVIDENCE_COLUMNS = (
+    'route',
+    'failure_domain',
+    'state',
+    'old_requests',
+    'old_failures',
+    'new_requests',
+    'new_failures',
+    'statistic',
+)
+
 
 def move_view(move: bundle_model.Move) -> view.MoveView:
     """Return the view of a move that has no state yet."""
@@ -193,22 +205,21 @@
     if rows:
         out.text('')
         out.table(('route', 'share of new version'), rows)
-    if item.evidence:
-        out.text('')
-        out.table(('evidence', 'value'), _evidence_rows(item.evidence))
+    _print_evidence(out, item.evidence)
 
 
-def _evidence_rows(evidence: Any) -> list[tuple[str, str]]:
+def _print_evidence(out: output.Output, evidence: Any) -> None:
     if not isinstance(evidence, dict):
-        return [('', str(evidence))]
-    rows = []
-    for key, value in sorted(evidence.items()):
-        if isinstance(value, dict):
-            shown = ', '.join(f'{name} {val}' for name, val in value.items())
-        else:
-            shown = str(value)
-        rows.append((str(key), shown))
-    return rows
+        return
+    routes = [
+        [entry.get(key) or '-' for key in EVIDENCE_COLUMNS]
+        for entry in evidence.get('routes') or ()
+        if isinstance(entry, dict)
+    ]
+    if routes:
+        out.text('')
+        header = [key.replace('_', ' ') for key in EVIDENCE_COLUMNS]
+        out.table(header, routes)
 
 
 class Nodes(command.PlatformCommand):
--- a/tests/test_operator/test_status.py
+++ b/tests/test_operator/test_status.py
@@ -146,3 +146,18 @@
     """Guards against a reference that differs from the code."""
     text = (reference.ROOT / name).read_text(encoding='utf-8')
     assert text == reference.pages()[name], 'run python -m tools.reference'
+
+
+def test_verdict_shows_the_evidence_by_route(moving):
+    route = {'route': 'ledger.retire', 'new_requests': 9, 'new_failures': 4}
+    state = {
+        'move': 'ledger-v1-v2-2',
+        'phase': 'taken_back',
+        'result': 5002,
+        'evidence': {'routes': [route, 'odd']},
+    }
+    moving.put('rollouts/ledger-v1-v2-2', state)
+    result = moving.run('verdict ledger-v1-v2-2')
+    assert 'taken back (DP-5002)' in result.out
+    assert result.out.splitlines()[-1].split()[:2] == ['ledger.retire', '-']
+    assert ' 9 ' in result.out
