Let the demonstration's callers heed the health page of a node

Change: callers read `/healthz` of each node every 0.2 s, as a load balancer does, and send nothing more to one that says it is draining. A request on a connection that the node accepted but has not read when it closes gets no answer; that is the node's part.

--- a/tools/demo/load.py
+++ b/tools/demo/load.py
@@ -14,6 +14,8 @@
 REQUEST_LIMIT_S = 8.0
 MAX_ATTEMPTS = 5
 RETRY_DELAY_S = 0.05
+# A node that is stopped as planned goes on to take requests for a second.
+HEALTH_INTERVAL_S = 0.2
 
 
 class Route(NamedTuple):
@@ -63,9 +65,11 @@
     """Sends requests to all nodes that accept connections.
 
     As a careful caller would, they repeat a request only if it certainly
-    did not run, or if its route is repeatable.
+    did not run, or if its route is repeatable. As a load balancer would,
+    they send nothing more to a node whose health page says that it leaves.
 
     :param entries: ``HOST:PORT`` by name of the node
+    :param health: address of the admin port by name of the node
     :param rate: requests per second
     """
 
@@ -73,30 +77,35 @@
         self,
         routes: tuple[Route, ...],
         entries: dict[str, str],
+        health: dict[str, str],
         rate: float,
         seed: int,
     ) -> None:
         self.requests: list[Request] = []
         self._routes = routes
         self._entries = dict(entries)
+        self._health = health
         self._rate = rate
         self._rng = random.Random(seed)
         self._count = 0
         self._pending: set[asyncio.Task[None]] = set()
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=2000
         )
 
     def start(self) -> None:
         """Begin to send requests."""
-        self._task = asyncio.create_task(self._send_forever())
+        self._tasks = [
+            asyncio.create_task(self._send_forever()),
+            asyncio.create_task(self._check_forever()),
+        ]
 
     async def stop(self) -> None:
         """Send no more requests and wait for the running ones."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._pending:
             await asyncio.gather(*self._pending)
         self._client.close()
@@ -114,6 +123,23 @@
             due += self._rng.expovariate(self._rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
 
+    async def _check_forever(self) -> None:
+        while True:
+            await asyncio.gather(*map(self._check, list(self._entries)))
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def _check(self, entry: str) -> None:
+        try:
+            response = await self._client.fetch(
+                f'http://{self._health[entry]}/healthz',
+                request_timeout=REQUEST_LIMIT_S,
+                raise_error=False,
+            )
+        except (OSError, httpclient.HTTPError):
+            return
+        if _content(response.body).get('state') == 'draining':
+            self._entries.pop(entry, None)
+
     async def _request(self, request_id: str, route: Route) -> None:
         start = time.monotonic()
         for attempt in range(1, MAX_ATTEMPTS + 1):
--- a/tools/demo/scenario.py
+++ b/tools/demo/scenario.py
@@ -275,6 +275,7 @@
             name: f'127.0.0.1:{ports.http}'
             for name, ports in group.ports.items()
         },
+        {name: demo.admin(name) for name in group.ports},
         RATE,
         seed,
     )
