--- a/damaskpier/rpc/server.py
+++ b/damaskpier/rpc/server.py
@@ -11,6 +11,7 @@
 import grpclib.server
 
 from damaskpier import registry
+from damaskpier.rpc import coalesce
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 
@@ -65,7 +66,7 @@
             self._app.cfg.integer('node', 'rpc_port'),
         )
         self.port = sock.getsockname()[1]
-        self._server = grpclib.server.Server(handlers)
+        self._server = coalesce.Server(handlers)
         await self._server.start(sock=sock, backlog=BACKLOG)
         self._app.service('membership').set_ports(rpc_port=self.port)
         LOG.info('mesh: other nodes reach this one on port %d', self.port)
@@ -81,8 +82,8 @@
 def make_socket(host: str, port: int) -> socket.socket:
     """Return a bound socket whose connections notice dead peers."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    # The protocol is named because asyncio sets TCP_NODELAY only on sockets
-    # that state it; delayed acknowledgements add 40 ms to calls otherwise.
+    # asyncio disables Nagle's algorithm only where the protocol is stated;
+    # with it, each attempt to attach waits 40 ms for a delayed ACK.
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/damaskpier/traffic/peers.py
+++ b/damaskpier/traffic/peers.py
@@ -7,11 +7,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from grpclib import client
 from grpclib import exceptions
 
 from damaskpier import errors
 from damaskpier import registry
+from damaskpier.rpc import coalesce
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 from damaskpier.traffic import messages
@@ -57,7 +57,7 @@
         self.last_used = clock()
         self._clock = clock
         self._heard = clock()
-        self._channel = client.Channel(record.host, record.rpc_port)
+        self._channel = coalesce.Channel(record.host, record.rpc_port)
         self._calls = mesh_grpc.CallsStub(self._channel)
         self._mesh = mesh_grpc.MeshStub(self._channel)
         self._watch: asyncio.Task[None] | None = None
@@ -203,8 +203,12 @@
         if message is None:
             return
         request = _unpack(message, self._clock())
-        reply = await self._app.service('upstream').call(request)
-        await stream.send_message(_pack_reply(reply))
+        upstream = self._app.service('upstream')
+        # A planned stop waits until the reply has been written as well.
+        with upstream.busy():
+            reply = await upstream.call(request)
+            await stream.send_message(_pack_reply(reply))
+            await stream.send_trailing_metadata()
 
 
 def make_calls_handler(app: application.Application) -> CallsHandler:
--- a/tests/test_traffic/conftest.py
+++ b/tests/test_traffic/conftest.py
@@ -6,7 +6,6 @@
 import random
 from typing import NamedTuple
 
-from grpclib import server
 import pytest
 from tornado import httpclient
 
@@ -18,6 +17,7 @@
 from damaskpier import metrics
 from damaskpier import registry
 from damaskpier.rollout import model as rollout_model
+from damaskpier.rpc import coalesce
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 from damaskpier.traffic import admin
@@ -60,7 +60,7 @@
 
     async def start(self):
         handlers = [peers.make_calls_handler(self.app), self]
-        self.server = server.Server(handlers)
+        self.server = coalesce.Server(handlers)
         await self.server.start('127.0.0.1', 0)
         cfg = self.app.cfg
         node_id = cfg.text('node', 'id')
