--- a/damaskpier/operator/signoff.py
+++ b/damaskpier/operator/signoff.py
@@ -71,10 +71,13 @@
             store, bundle, base_version, operator, by, note, now
         )
         detail = {'note': note, 'bundle': codec.digest_of(bundle)}
-        entry = _entry('sign-off', operator, outcome, detail, now)
-        await audit.record(store, out, entry)
+        moves = _started(outcome, now)
+        entries = [
+            _entry('sign-off', operator, outcome, name, detail, now)
+            for name in [move.move for move in moves] or ['']
+        ]
+        await audit.record(store, out, entries)
         head = command.unless_refused(outcome)
-        moves = [move for move in head.moves if move.start >= now]
         out.text(f'Signed off as version {head.version}.')
         for move in moves:
             out.text(
@@ -141,8 +144,10 @@
             None,
             now,
         )
-        entry = _entry('take-back', operator, outcome, {'reason': reason}, now)
-        await audit.record(store, out, entry._replace(move=move))
+        entry = _entry(
+            'take-back', operator, outcome, move, {'reason': reason}, now
+        )
+        await audit.record(store, out, [entry])
         head = command.unless_refused(outcome)
         out.text(
             f'Move {move} is taken back; active version is {head.version}.'
@@ -156,10 +161,20 @@
         return await follower.follow(head.version, [])
 
 
+def _started(
+    outcome: model.Head | errors.Refusal, now: float
+) -> list[model.Move]:
+    """Return the moves that a sign-off started."""
+    if isinstance(outcome, errors.Refusal):
+        return []
+    return [move for move in outcome.moves if move.start >= now]
+
+
 def _entry(
     action: str,
     operator: str,
     outcome: model.Head | errors.Refusal,
+    move: str,
     detail: dict[str, str],
     now: float,
 ) -> trail.Entry:
@@ -167,10 +182,11 @@
         return trail.make_entry(
             operator,
             action,
+            move,
             result=outcome.code,
             detail={**detail, 'refused': outcome.reason},
             now=now,
         )
     return trail.make_entry(
-        operator, action, version=outcome.version, detail=detail, now=now
+        operator, action, move, outcome.version, detail=detail, now=now
     )
