Write decisions to the platform in a task of its own

Cause: a round of decisions waited for the platform's time limit of 1 s per call while the platform was down, so decisions came up to 2 s late. Ruled out: a shorter time limit, because a slow platform would then never take a write. Change: rounds of decisions and writes are two tasks.

--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -17,6 +17,7 @@
 from damaskpier.rollout import options
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from damaskpier import application
@@ -49,31 +50,32 @@
         self._controllers: dict[str, controller.MoveController] = {}
         self._epoch = 0
         self._recorder = _Recorder(app, clock)
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start to decide whenever the lease is held."""
-        self._task = asyncio.create_task(self._run())
+        # Writing has a task of its own: a slow platform must not delay the
+        # decisions.
+        self._tasks = [
+            asyncio.create_task(_repeat(self._round)),
+            asyncio.create_task(_repeat(self._write)),
+        ]
 
     async def stop(self) -> None:
         """Stop deciding; states already sent stay in force."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def evidence_of(self, move: str) -> dict | None:
         """Return the evidence of a move that this node decides."""
         ctl = self._controllers.get(move)
         return ctl.evidence_summary() if ctl is not None else None
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._round()
-            except Exception:
-                LOG.exception('rollout: a round of decisions failed')
-            await asyncio.sleep(STEP_INTERVAL_S)
+    async def _write(self) -> None:
+        leases = self._app.service('leases')
+        if leases.may_act(FLEET_LEASE):
+            await self._recorder.write_pending(leases.epoch(FLEET_LEASE))
 
     async def _round(self) -> None:
         leases = self._app.service('leases')
@@ -89,7 +91,6 @@
             self._epoch = epoch
         await self._add_controllers(snapshot, epoch)
         self._decide()
-        await self._recorder.write_pending(epoch)
 
     async def _add_controllers(
         self, snapshot: bundle_model.Snapshot, epoch: int
@@ -233,6 +234,15 @@
         )
 
 
+async def _repeat(work: Callable[[], Awaitable[None]]) -> None:
+    while True:
+        try:
+            await work()
+        except Exception:
+            LOG.exception('rollout: a round failed')
+        await asyncio.sleep(STEP_INTERVAL_S)
+
+
 def setup(app: application.Application) -> None:
     """Register the service ``decider``."""
     app.add_service(
