End waiting calls when the platform client stops

Cause: closing the curl client leaves the futures of its calls pending, so a process that stops during an outage waited for them; a renewal that failed was repeated only after the whole interval. Change: waiting calls end with a refusal and watches end when the client stops; a failed renewal is repeated after 0.2 s, doubling up to the interval; racing operators with lost answers run over HTTP.

--- a/damaskpier/platform/http.py
+++ b/damaskpier/platform/http.py
@@ -117,9 +117,21 @@
         self._watch_wait_s = watch_wait_s
         self._silence_s = silence_s
         self._pool: _Pool | None = None
+        # Done once the client is stopped; set by the first call, since it
+        # belongs to an event loop.
+        self._stopped: asyncio.Future[None] | None = None
+        self._is_stopped = False
+
+    async def start(self) -> None:
+        """Allow calls, also after the client was stopped."""
+        self._is_stopped = False
+        self._stopped = None
 
     async def stop(self) -> None:
-        """Close the connections."""
+        """Close the connections; calls that wait for an answer end."""
+        self._is_stopped = True
+        if self._stopped is not None and not self._stopped.done():
+            self._stopped.set_result(None)
         if self._pool is not None:
             self._pool.client.close()
             self._pool = None
@@ -213,7 +225,7 @@
     ) -> AsyncIterator[list[base.Change] | errors.Refusal]:
         """Yield changes of keys with a prefix, newer than a version."""
         failures = 0
-        while True:
+        while not self._is_stopped:
             found = await self._watch_once(prefix, after)
             if isinstance(found, errors.Refusal):
                 yield found
@@ -293,12 +305,16 @@
         self.counters[kind] += 1
         self.counters['bytes_out'] += len(path) + len(body or b'')
         request = self._request(kind, method, path, body, if_version)
+        if self._is_stopped:
+            return memory.unavailable('the client is stopped')
         if self._pool is None:
             self._pool = _Pool()
         pool = self._pool
         pool.calls += 1
         try:
-            response = await pool.client.fetch(request, raise_error=False)
+            response = await self._fetch(pool, request)
+            if response is None:
+                return memory.unknown('the client was stopped')
         except httpclient.HTTPClientError as exc:
             # Raised where there is no answer, in spite of raise_error.
             return self._failed(pool, kind, exc)
@@ -316,6 +332,20 @@
             response.code, response.body or b'', _version_of(response)
         )
 
+    async def _fetch(
+        self, pool: _Pool, request: httpclient.HTTPRequest
+    ) -> httpclient.HTTPResponse | None:
+        """Return the answer, None if the client is stopped before it."""
+        if self._stopped is None:
+            self._stopped = asyncio.get_running_loop().create_future()
+        answer = pool.client.fetch(request, raise_error=False)
+        # A caller that is cancelled leaves the call to end by itself.
+        answer.add_done_callback(_note_outcome)
+        await asyncio.wait(
+            (answer, self._stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        return answer.result() if answer.done() else None
+
     def _request(
         self,
         kind: str,
@@ -407,6 +437,11 @@
     changes: list[_ChangeItem]
 
 
+def _note_outcome(answer: asyncio.Future[Any]) -> None:
+    if not answer.cancelled():
+        answer.exception()
+
+
 def _object_path(key: str) -> str:
     return '/objects/' + parse.quote(key, safe='/')
 
--- a/damaskpier/platform/lease.py
+++ b/damaskpier/platform/lease.py
@@ -38,7 +38,8 @@
 # differ in rate.
 CLOCK_MARGIN_S = 0.1
 TICK_INTERVAL_S = 0.5
-# Delay of the next renewal after one that took longer than the interval.
+# A failed renewal is repeated after this delay, which doubles with each
+# failure up to the interval of renewals.
 RETRY_DELAY_S = 0.2
 RELEASE_TIMEOUT_S = 2.0
 
@@ -346,11 +347,14 @@
         name = held.lease.name
         due = held.confirmed_at + self._renew_s
         while self._held.get(name) is held:
-            delay = RETRY_DELAY_S * self._rng.uniform(0.5, 1.0)
-            await asyncio.sleep(max(delay, due - self._clock()))
-            due = self._clock() + self._renew_s
+            await asyncio.sleep(max(0.0, due - self._clock()))
+            started = self._clock()
             outcome = await self.renew(name)
+            due = started + self._renew_s
             if isinstance(outcome, errors.Refusal):
+                delay = RETRY_DELAY_S * 2 ** min(held.failures, 10)
+                delay *= self._rng.uniform(0.5, 1.0)
+                due = self._clock() + min(self._renew_s, delay)
                 LOG.warning(
                     'platform: lease %s is not renewed: %s', name, outcome
                 )
--- a/tests/test_platform/test_http_faults.py
+++ b/tests/test_platform/test_http_faults.py
@@ -11,6 +11,7 @@
 from damaskpier import errors
 from damaskpier.fakes import platform as fake
 from damaskpier.platform import http
+from damaskpier.platform import signoff
 
 # Ends a test that hangs; no test depends on it otherwise.
 LIMIT_S = 60
@@ -114,9 +115,12 @@
 async def test_the_call_after_a_timeout_uses_a_new_connection(
     running, make_store
 ):
-    """Guards against connections that stay silent for good."""
+    """Guards against the use of another connection that is silent too."""
     store = make_store(timeout_s=LIMIT_S)
     await store.put('a/1', b'{}', 0)
+    running.platform.set_faults(fake.Faults(slow_ms=50))
+    await asyncio.gather(*(store.get('a/1') for _ in range(4)))
+    running.platform.set_faults(fake.Faults())
     running.platform.silence_open_connections()
     store._timeout_s = 0.2
     refused = await store.get('a/1')
@@ -128,7 +132,8 @@
 
 async def test_a_watch_leaves_a_silent_connection(running, make_store):
     """Guards against a watch that learns of nothing any more."""
-    store = make_store(silence_s=2)
+    # Without the limit of silence, the watch ends only after the test.
+    store = make_store(silence_s=2, watch_wait_s=10 * LIMIT_S)
     watch = store.watch('config/', 0)
     waiting = asyncio.ensure_future(anext(watch))
     while not running.platform.counters['watch']:
@@ -167,6 +172,54 @@
     assert http.BACKOFF_MAX_S / 2 <= delays[-1] <= http.BACKOFF_MAX_S
 
 
+async def test_a_stopped_client_leaves_no_caller_waiting(running, make_store):
+    """Guards against a process that does not end during an outage."""
+    store = make_store(timeout_s=LIMIT_S)
+    running.platform.set_faults(fake.Faults(down='hang'))
+    reading = asyncio.ensure_future(store.get('config/head'))
+    watching = asyncio.ensure_future(_all_of(store.watch('config/', 0)))
+    while not running.platform.counters['watch']:
+        await asyncio.sleep(0.01)
+    await store.stop()
+    assert (await reading).code is errors.PLATFORM_UNAVAILABLE
+    (refusal,) = await watching
+    assert refusal.code is errors.PLATFORM_UNAVAILABLE
+
+
+async def _all_of(watch):
+    return [item async for item in watch]
+
+
+async def test_racing_operators_with_lost_answers_have_one_winner_each(
+    running, make_store, bundle
+):
+    """Guards against an accepted sign-off that is not in force."""
+    running.platform.set_faults(fake.Faults(lose_fraction=0.3, seed=3))
+    accepted = []
+
+    async def operate(name, store):
+        for _ in range(10):
+            head = await signoff.sign_off(
+                store, bundle, None, name, None, '', 100.0
+            )
+            if not isinstance(head, errors.Refusal):
+                accepted.append((head.version, head.write_id))
+            else:
+                assert head.code is errors.PLATFORM_CONFLICT
+
+    names = ('ana', 'ben', 'eve')
+    stores = [make_store(timeout_s=LIMIT_S) for _ in names]
+    await asyncio.gather(*map(operate, names, stores))
+    head = await signoff.read_head(stores[0])
+    assert len(accepted) >= 10
+    assert sorted(item[0] for item in accepted) == [
+        *range(1, head.head.version + 1)
+    ]
+    for item in head.recent:
+        assert (item['version'], item['write_id']) in accepted
+    assert running.platform.counters['lost'] > 0
+
+
 async def test_a_waiting_watch_survives_longer_than_the_silence_limit(
     running, make_store
 ):
