--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -334,6 +334,13 @@
     'State a later time.',
 )
 
+ROLLOUT_RUNNING = _code(
+    5009,
+    'rollout-running',
+    'The move has no verdict yet.',
+    'Wait until the stated time.',
+)
+
 REPLAY_BAD_TRACE = _code(
     6001,
     'replay-bad-trace',
