Send the path as it was matched; start transfers at once

Cause: libcurl resolves dot segments, so a request could be matched as one route and reach the upstream as another path. Tornado's client starts a transfer in the next loop iteration and runs libcurl's timer when libcurl asks to remove it. Change: PATH_AS_IS; transfers start at once; the answer to HEAD keeps its length; peers' bytes, channels and load among the metrics; answers of a leaving node close the caller's connection; states of moves, leases and the tree in /status.

--- a/damaskpier/fakes/upstream.py
+++ b/damaskpier/fakes/upstream.py
@@ -95,7 +95,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.finished: collections.Counter[str] = collections.Counter()
         self.cancelled: collections.Counter[str] = collections.Counter()
-        self.deadlines: dict[str, str] = {}
+        self.paths: collections.deque[str] = collections.deque(maxlen=100)
         self.running = 0
         self.most_running = 0
         self.connections = 0
@@ -392,6 +392,7 @@
         fake.runs[request_id] += 1
         fake.sequence += 1
         sequence = fake.sequence
+        fake.paths.append(self.request.path)
         deadline = self.request.headers.get(headers.DEADLINE, '')
         wait_s = fake.options.service_ms / 1000
         if sequence <= fake.options.cold_requests:
--- a/damaskpier/traffic/admin.py
+++ b/damaskpier/traffic/admin.py
@@ -179,10 +179,17 @@
             ]
             for name in snapshot.bundle.services
         }
+    rollouts = app.service('rollouts')
+    content['move_states'] = [
+        {**state._asdict(), 'phase': state.phase.value}
+        for state in rollouts.states()
+    ]
     if app.has_service('leases'):
-        held = getattr(app.service('leases'), 'names_held', None)
-        if held is not None:
-            content['leases'] = sorted(held())
+        names = ('fleet', f'region-{local.region}')
+        held = app.service('leases').held
+        content['leases'] = [name for name in names if held(name)]
+    if app.has_service('tree'):
+        content['tree'] = app.service('tree').status()._asdict()
     return content
 
 
--- a/damaskpier/traffic/curl.py
+++ b/damaskpier/traffic/curl.py
@@ -15,6 +15,8 @@
 from tornado import httputil
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpier.traffic import messages
 
 # Unacknowledged data for this long ends an upstream connection.
@@ -78,6 +80,26 @@
             self._curls.append(handle)
             self._free_list.append(handle)
 
+    def fetch_impl(
+        self,
+        request: httpclient.HTTPRequest,
+        callback: Callable[[httpclient.HTTPResponse], None],
+    ) -> None:
+        """Start a transfer at once, not in the next loop iteration."""
+        self._requests.append((request, callback, self.io_loop.time()))
+        self._process_queue()
+        self._set_timeout(-1)
+        self._handle_timeout()
+
+    def _set_timeout(self, msecs: int) -> None:
+        # libcurl asks with -1 to remove its timer; the library would call it
+        # back at once.
+        if msecs >= 0:
+            super()._set_timeout(msecs)
+        elif self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+            self._timeout = None
+
     async def run(
         self, request: httpclient.HTTPRequest
     ) -> httpclient.HTTPResponse | Failure:
@@ -152,6 +174,9 @@
     curl.setopt(pycurl.MAXLIFETIME_CONN, CONNECTION_AGE_S)
     curl.setopt(pycurl.MAXAGE_CONN, IDLE_AGE_S)
     curl.setopt(pycurl.PROXY, '')
+    # libcurl would resolve dot segments, so that the upstream got another
+    # path than the one that the route was matched with.
+    curl.setopt(pycurl.PATH_AS_IS, 1)
 
 
 def _prepare_fresh(curl: pycurl.Curl) -> None:
--- a/damaskpier/traffic/frontend.py
+++ b/damaskpier/traffic/frontend.py
@@ -67,6 +67,7 @@
         self.port = 0
         self.router = router.Router(app, clock)
         self.running = 0
+        self.leaving = False
         self.draining = False
         self.app = app
         self.clock = clock
@@ -99,9 +100,13 @@
         self.port = sockets[0].getsockname()[1]
         self._server = server
         self.app.service('membership').set_ports(http_port=self.port)
+        self.app.service('metrics').gauge(
+            'requests_running', lambda: self.running
+        )
 
     async def stop(self) -> None:
         """Leave without interrupting a request."""
+        self.leaving = True
         self.app.events.emit('node-draining')
         await self._sleep(DRAIN_NOTICE_S)
         self.draining = True
@@ -228,6 +233,8 @@
         )
 
     def _closed(self) -> None:
+        if self._done:
+            return
         if self._task is not None:
             self._task.cancel()
         elif self._entered:
@@ -345,7 +352,8 @@
             fields[headers.VERSION] = outcome.version
         if self._request_id:
             fields[headers.REQUEST_ID] = self._request_id
-        if self._frontend.draining:
+        if self._frontend.leaving:
+            # Callers open their next connection to another node.
             fields['Connection'] = 'close'
         # A response without content must not carry a length.
         if status not in (204, 304) and not (
--- a/damaskpier/traffic/peers.py
+++ b/damaskpier/traffic/peers.py
@@ -10,6 +10,7 @@
 from grpclib import exceptions
 
 from damaskpier import errors
+from damaskpier import metrics
 from damaskpier import registry
 from damaskpier.rpc import coalesce
 from damaskpier.rpc import mesh_grpc
@@ -50,12 +51,14 @@
         self,
         record: model.NodeRecord,
         clock: Callable[[], float] = time.monotonic,
+        book: metrics.Metrics | None = None,
     ) -> None:
         self.address = (record.host, record.rpc_port)
         self.closed = False
         self.outstanding = 0
         self.last_used = clock()
         self._clock = clock
+        self._book = book or metrics.Metrics()
         self._heard = clock()
         self._channel = coalesce.Channel(record.host, record.rpc_port)
         self._calls = mesh_grpc.CallsStub(self._channel)
@@ -76,14 +79,18 @@
         try:
             async with asyncio.timeout(deadline_s):
                 async with self._calls.Call.open() as stream:
-                    async with asyncio.timeout(
-                        min(CONNECT_TIMEOUT_S, deadline_s)
-                    ):
+                    if self._channel._connected:
                         await stream.send_request()
+                    else:
+                        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                            await stream.send_request()
                     message = _pack(request, caller_node, self._clock())
                     # The peer starts only when it has the whole message, so
                     # nothing has run if this is not reached.
                     sent = True
+                    self._book.count(
+                        'peer_bytes', message.ByteSize(), direction='sent'
+                    )
                     await stream.send_message(message, end=True)
                     reply = await stream.recv_message()
         except TimeoutError:
@@ -95,6 +102,7 @@
             self.last_used = self._clock()
         if reply is None:
             return messages.Reply(_failed('no reply', sent))
+        self._book.count('peer_bytes', reply.ByteSize(), direction='received')
         return _unpack_reply(reply)
 
     def close(self) -> None:
@@ -150,13 +158,22 @@
         self._app = app
         self._clock = clock
         self._channels: dict[str, Channel] = {}
+        # Channels to old addresses that still have calls.
+        self._retired: list[Channel] = []
         self._node_id = app.cfg.text('node', 'id')
 
+    async def start(self) -> None:
+        """Show the number of channels."""
+        self._app.service('metrics').gauge(
+            'peer_channels', lambda: len(self._channels)
+        )
+
     async def stop(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
+        for channel in (*self._channels.values(), *self._retired):
             channel.close()
         self._channels.clear()
+        self._retired.clear()
 
     async def call(
         self, record: model.NodeRecord, request: messages.Request
@@ -170,10 +187,12 @@
         channel = self._channels.get(record.node_id)
         address = (record.host, record.rpc_port)
         if channel is None or channel.closed or channel.address != address:
-            if channel is not None and not channel.outstanding:
-                channel.close()
+            if channel is not None and not channel.closed:
+                self._retired.append(channel)
             self._forget_closed()
-            channel = Channel(record, self._clock)
+            channel = Channel(
+                record, self._clock, self._app.service('metrics')
+            )
             self._channels[record.node_id] = channel
         return channel
 
@@ -181,6 +200,10 @@
         closed = [key for key, ch in self._channels.items() if ch.closed]
         for key in closed:
             del self._channels[key]
+        for channel in self._retired:
+            if not channel.outstanding:
+                channel.close()
+        self._retired = [ch for ch in self._retired if not ch.closed]
 
 
 class CallsHandler(mesh_grpc.CallsBase):
--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -76,6 +76,10 @@
             force_instance=True,
         )
         self._prober = asyncio.create_task(self._probe_forever())
+        book = self._app.service('metrics')
+        book.gauge('upstream_slots', lambda: self.admission.load.slots)
+        book.gauge('upstream_in_use', lambda: self.admission.load.in_use)
+        book.gauge('upstream_queued', lambda: self.admission.load.queued)
 
     async def stop(self) -> None:
         """Refuse new requests, let running ones end and close."""
@@ -281,6 +285,9 @@
                 errors.CALL_UPSTREAM_REFUSED, 'the upstream shed the request'
             )
         fields = headers.end_to_end(outcome.headers.get_all())
+        if request.method == 'HEAD' and 'Content-Length' in outcome.headers:
+            length = outcome.headers['Content-Length']
+            fields += (('Content-Length', length),)
         return messages.Answer(
             outcome.code, fields, outcome.body or b'', took_s
         )
--- a/tests/test_traffic/conftest.py
+++ b/tests/test_traffic/conftest.py
@@ -136,6 +136,9 @@
             self.fleet.shares.get(route.name, 0.0),
         )
 
+    def states(self):
+        return []
+
     def share(self, service, route):
         return self.fleet.shares.get(route, 0.0)
 
@@ -244,6 +247,7 @@
         self.current = mesh.current
         self.pick = mesh.pick
         self.share = mesh.share
+        self.states = mesh.states
         self.record = mesh.record
 
 
--- a/tests/test_traffic/test_path.py
+++ b/tests/test_traffic/test_path.py
@@ -10,6 +10,7 @@
 from damaskpier.fakes import upstream as fake_upstream
 from damaskpier.traffic import headers
 from tests.test_traffic import conftest
+from tools import bench
 
 
 async def test_call_crosses_two_nodes(start_node, http):
@@ -140,3 +141,28 @@
         assert response.code == 200
     assert node.fake.connections <= 6
     assert node.fake.connections_refused == 0
+
+
+@pytest.mark.parametrize('path', ['/ledger/archive/../get', '//ledger/get'])
+async def test_path_reaches_the_upstream_unchanged(start_node, path):
+    """Guards against sending another path than the one that matched."""
+    node = await start_node('n1', service='ledger')
+    caller = bench.Caller(node.app.service('frontend').port)
+    status = await caller.call('GET', path)
+    caller.close()
+    if path.startswith('//'):
+        assert status == 404
+    else:
+        assert status == 200
+        assert node.fake.paths[-1] == path
+
+
+async def test_head_keeps_the_length(start_node, http, fleet):
+    """Guards against a HEAD that tells an empty body."""
+    fleet.snapshot = conftest.make_snapshot(
+        routes=(('head', 'HEAD', '/ledger/get', True, 60000),)
+    )
+    node = await start_node('n1', service='ledger')
+    response = await http(node.url + '/ledger/get', method='HEAD')
+    assert response.code == 200
+    assert int(response.headers['Content-Length']) > 0
