--- a/damaskpier/traffic/admin.py
+++ b/damaskpier/traffic/admin.py
@@ -190,9 +190,9 @@
     if app.has_service('tree'):
         content['tree'] = pages.tree(app)
     if app.has_service('leases'):
-        held = getattr(app.service('leases'), 'names_held', None)
-        if held is not None:
-            content['leases'] = sorted(held())
+        names = ('fleet', f'region-{local.region}')
+        held = app.service('leases').held
+        content['leases'] = [name for name in names if held(name)]
     return content
 
 
--- a/damaskpier/traffic/curl.py
+++ b/damaskpier/traffic/curl.py
@@ -15,6 +15,8 @@
 from tornado import httputil
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpier.traffic import messages
 
 # Unacknowledged data for this long ends an upstream connection.
@@ -30,7 +32,6 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     )
 )
 
@@ -42,6 +43,7 @@
     sent: bool  # whether a byte of the request may have left
     timed_out: bool
     too_large: bool = False
+    malformed: bool = False  # the request itself can not be sent
 
 
 class UpstreamClient(curl_httpclient.CurlAsyncHTTPClient):
@@ -78,6 +80,26 @@
             self._curls.append(handle)
             self._free_list.append(handle)
 
+    def fetch_impl(
+        self,
+        request: httpclient.HTTPRequest,
+        callback: Callable[[httpclient.HTTPResponse], None],
+    ) -> None:
+        """Start a transfer at once, not in the next loop iteration."""
+        self._requests.append((request, callback, self.io_loop.time()))
+        self._process_queue()
+        self._set_timeout(-1)
+        self._handle_timeout()
+
+    def _set_timeout(self, msecs: int) -> None:
+        # libcurl asks with -1 to remove its timer; the library would call it
+        # back at once.
+        if msecs >= 0:
+            super()._set_timeout(msecs)
+        elif self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+            self._timeout = None
+
     async def run(
         self, request: httpclient.HTTPRequest
     ) -> httpclient.HTTPResponse | Failure:
@@ -152,6 +174,9 @@
     curl.setopt(pycurl.MAXLIFETIME_CONN, CONNECTION_AGE_S)
     curl.setopt(pycurl.MAXAGE_CONN, IDLE_AGE_S)
     curl.setopt(pycurl.PROXY, '')
+    # libcurl would resolve dot segments, so that the upstream got another
+    # path than the one that the route was matched with.
+    curl.setopt(pycurl.PATH_AS_IS, 1)
 
 
 def _prepare_fresh(curl: pycurl.Curl) -> None:
@@ -172,7 +197,7 @@
     if not isinstance(exc, curl_httpclient.CurlError):
         # The request could not be set up, for instance because of a header
         # that is not valid.
-        return Failure(str(exc), sent=False, timed_out=False)
+        return Failure(str(exc), sent=False, timed_out=False, malformed=True)
     timed_out = exc.errno == pycurl.E_OPERATION_TIMEDOUT
     connected = bool(response.time_info.get('pretransfer'))
     return Failure(
@@ -182,4 +207,5 @@
         timed_out=timed_out,
         too_large=exc.errno
         in (pycurl.E_WRITE_ERROR, pycurl.E_FILESIZE_EXCEEDED),
+        malformed=exc.errno == pycurl.E_URL_MALFORMAT,
     )
