--- a/damaskpier/mesh/reader.py
+++ b/damaskpier/mesh/reader.py
@@ -46,7 +46,7 @@
         if self._app.has_service('rollouts'):
             watches.append(self._watch_moves)
         self._tasks = [
-            asyncio.create_task(self._keep(watch)) for watch in watches
+            asyncio.create_task(self._run(watch)) for watch in watches
         ]
 
     async def stop(self) -> None:
@@ -60,7 +60,8 @@
     def _store(self) -> base.ObjectStore:
         return self._app.service('platform')
 
-    async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
+    async def _run(self, watch: Callable[[], Awaitable[None]]) -> None:
+        """Start a watch again when it failed; nothing else reads for it."""
         while True:
             try:
                 await watch()
