Skip the warm-up when a move is resumed at a larger share

Cause: a controller that took over a move saw the version as cold and judged only the failure of most requests for up to 45 s. Change: a share above 10% in the stored state ends the warm-up. Conclusion: a change of decider does not delay a verdict.

--- a/damaskpier/rollout/controller.py
+++ b/damaskpier/rollout/controller.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 import logging
+import math
 from typing import TYPE_CHECKING
 from typing import TypedDict
 
@@ -35,6 +36,8 @@
 # its time, so that the last state reaches all nodes in time.
 MARGIN_S = 0.5
 MARGIN_PART = 0.02
+# A version with a larger share than this is warm.
+WARM_SHARE = 0.1
 # At the stated time, this capital against a version takes it back.
 LATE_CAPITAL = 20.0
 # Part of the capital for the comparison over all routes of the service.
@@ -126,6 +129,9 @@
         self._result = state.result
         for name, control in self._routes.items():
             control.resume(state.shares.get(name, 0.0))
+        if max(state.shares.values(), default=0.0) > WARM_SHARE:
+            # The new version has been in use: it is not cold any more.
+            self._first_new = math.floor(self._move.start - route_.WARM_MAX_S)
 
     def observe(self, cells: Iterable[model.EvidenceCell], now: float) -> None:
         """Take in evidence of this move; other cells are ignored."""
--- a/tests/test_rollout/test_controller.py
+++ b/tests/test_rollout/test_controller.py
@@ -97,6 +97,30 @@
     assert 0.1 <= state.shares['ledger.balance'] <= 0.2
 
 
+def test_resumed_controller_does_not_warm_up_again():
+    """Guards against a bad version that gains time from a new decider."""
+    decider = make()
+    shares = {route.name: 0.5 for route in conftest.ROUTES}
+    decider.resume(model.MoveState('m1', 2, 9, model.Phase.RUNNING, shares))
+    for window in range(300, 312):
+        decider.observe(
+            [
+                model.EvidenceCell(
+                    'm1',
+                    'ledger.balance',
+                    'rif-1',
+                    window,
+                    model.VersionCounts(20, 0, {25: 20}),
+                    model.VersionCounts(20, 6, {25: 20}),
+                    0.5,
+                )
+            ],
+            window + 2.0,
+        )
+    state = decider.step(314.0)
+    assert state.phase is model.Phase.TAKEN_BACK
+
+
 def feed(requests):
     """Return the states for a fixed number of good answers each second."""
     decider = make()
