--- a/tests/test_system/conftest.py
+++ b/tests/test_system/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.test_system import processes
+from tests.test_system import scenario
 
 
 @pytest.fixture
@@ -15,3 +16,14 @@
         yield running
     finally:
         running.stop()
+
+
+@pytest.fixture
+def fleet(system):
+    """Give three regions with a worker of each version of one service."""
+    for number, (region, domain) in enumerate(scenario.PLACES):
+        system.start_node(f'old{number}', region, domain, 'ledger')
+        system.start_node(f'new{number}', region, domain, 'ledger', 'v2')
+    system.sign_off(scenario.BUNDLE.format(version='v1'))
+    scenario.wait_for_version(system, 1)
+    return system
--- a/tests/test_system/processes.py
+++ b/tests/test_system/processes.py
@@ -24,6 +24,7 @@
 # Ends a hung test; no verdict depends on it.
 HUNG_S = 60.0
 FAULT_PATH = f'{upstream.ADMIN_PREFIX}/fault'
+STATE_PATH = f'{upstream.ADMIN_PREFIX}/state'
 
 SETTINGS = """\
 [node]
@@ -67,6 +68,11 @@
         """Return the address of the admin page."""
         return f'127.0.0.1:{self.ports["admin_port"]}'
 
+    def runs(self) -> dict[str, int]:
+        """Return how often each request ran in the upstream."""
+        state = call(f'127.0.0.1:{self.upstream_port}', STATE_PATH)
+        return state.body['runs']
+
     def fault(self, **fields: Any) -> None:
         """Set the fault of a path of the upstream."""
         post(f'127.0.0.1:{self.upstream_port}', FAULT_PATH, fields)
--- a/tests/test_system/test_rollout.py
+++ b/tests/test_system/test_rollout.py
@@ -2,80 +2,19 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import signal
 
-import pytest
-
 from tests.test_system import processes
+from tests.test_system import scenario
 
-BUNDLE = """\
-services:
-  ledger: {{version: {version}}}
-routes:
-  ledger.balance: {{service: ledger, method: GET, path: /ledger/balance,
-                   repeatable: true}}
-  ledger.retire: {{service: ledger, method: POST, path: /ledger/retire}}
-"""
-PATHS = [('GET', '/ledger/balance'), ('POST', '/ledger/retire')]
-PLACES = (
-    ('souss', 'souss-1'),
-    ('moyen-atlas', 'moyen-atlas-1'),
-    ('rif', 'rif-1'),
-)
 # The part of all requests that may meet a bad version.
 SMALL_SHARE = 0.05
 
 
-@pytest.fixture
-def fleet(system):
-    """Give three regions with a worker of each version of one service."""
-    for number, (region, domain) in enumerate(PLACES):
-        system.start_node(f'old{number}', region, domain, 'ledger')
-        system.start_node(f'new{number}', region, domain, 'ledger', 'v2')
-    system.sign_off(BUNDLE.format(version='v1'))
-    wait_for_version(system, 1)
-    return system
-
-
-def wait_for_version(system, version):
-    """Wait until each living node has applied a version."""
-
-    def applied():
-        return all(
-            processes.call(node.admin, '/status').body['version'] >= version
-            for node in living(system)
-        )
-
-    processes.wait_until(applied, f'version {version} on all nodes')
-
-
-def living(system):
-    """Return the nodes whose process runs."""
-    return [
-        node
-        for node in system.nodes.values()
-        if node.process.poll() is None and node.name not in system.frozen
-    ]
-
-
-@contextlib.contextmanager
-def calls(system, callers_of):
-    """Call the nodes of some names while the context is open."""
-
-    def addresses():
-        nodes = [n for n in living(system) if n.name.startswith(callers_of)]
-        return [node.http for node in nodes]
-
-    with processes.Callers(addresses, PATHS) as callers:
-        processes.wait_until(lambda: callers.answers() > 20, 'answers')
-        yield callers
-
-
 def start_move(system, by='40s'):
     """Sign off the new version; return the name of the move."""
-    system.sign_off(BUNDLE.format(version='v2'), '--by', by)
+    system.sign_off(scenario.BUNDLE.format(version='v2'), '--by', by)
     return system.head()['moves'][0]['move']
 
 
@@ -100,7 +39,7 @@
         'the head without the move',
     )
     assert head['version'] > 2
-    wait_for_version(system, head['version'])
+    scenario.wait_for_version(system, head['version'])
     before = len(callers.records)
     processes.wait_until(
         lambda: len(callers.records) > before + 100, 'more calls'
@@ -115,7 +54,7 @@
 def test_bad_version_is_taken_back_by_a_higher_version(fleet):
     """Guards against a bad version that keeps or regains traffic."""
     break_new_version(fleet)
-    with calls(fleet, 'old') as callers:
+    with scenario.calls(fleet, 'old') as callers:
         move = start_move(fleet)
         wait_for_verdict(fleet, move, 'taken_back')
         assert_taken_back(fleet, callers, move)
@@ -125,7 +64,7 @@
 
 def test_good_version_is_done_by_the_stated_time(fleet):
     """Guards against moves that stall or are taken back without cause."""
-    with calls(fleet, 'old') as callers:
+    with scenario.calls(fleet, 'old') as callers:
         move = start_move(fleet, by='15s')
         wait_for_verdict(fleet, move, 'done')
         processes.wait_until(
@@ -137,7 +76,7 @@
 
 def test_bad_version_is_taken_back_after_the_decider_died(fleet):
     """Guards against a move that nobody decides after its decider died."""
-    with calls(fleet, 'old') as callers:
+    with scenario.calls(fleet, 'old') as callers:
         move = start_move(fleet)
         processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
         root = fleet.fleet_root()
@@ -158,7 +97,7 @@
 
 def test_frozen_decider_does_not_decide_after_its_lease_lapsed(fleet):
     """Guards against two deciders: a paused holder that goes on writing."""
-    with calls(fleet, 'old') as callers:
+    with scenario.calls(fleet, 'old') as callers:
         move = start_move(fleet)
         processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
         root = fleet.fleet_root()
@@ -182,7 +121,7 @@
 
 def test_bad_version_is_stopped_while_the_platform_is_down(fleet):
     """Guards against a take-back that waits for the platform."""
-    with calls(fleet, 'old') as callers:
+    with scenario.calls(fleet, 'old') as callers:
         move = start_move(fleet)
         processes.wait_until(lambda: fleet.verdict(move), 'a stored state')
         fleet.fault(down='hang')
