--- a/damaskpier/platform/lease.py
+++ b/damaskpier/platform/lease.py
@@ -283,6 +283,10 @@
             status.failures > 0 and not status.paused_since_confirmed
         )
 
+    def names_held(self) -> list[str]:
+        """Return the names of the leases that are held at this moment."""
+        return [name for name in self._held if self.held(name)]
+
     def lapses_in(self, name: str) -> float | None:
         """Return the seconds until an observed lease can be taken.
 
--- a/damaskpier/platform/signoff.py
+++ b/damaskpier/platform/signoff.py
@@ -171,8 +171,9 @@
     :param epoch: fencing token of the decider's lease, None for operators
     :param now: seconds since the epoch
     :returns: the head that is in force after the move was taken back, or a
-        refusal; ``PLATFORM_CONFLICT`` if a sign-off put a later move on top
-        of this one at the same time, so that it can not be undone
+        refusal; ``PLATFORM_NOT_FOUND`` is final: the head has no such move,
+        or a sign-off put a later move on top of it at the same time, so that
+        it can not be undone
     """
     state = None
     for _ in range(TAKE_BACK_ATTEMPTS):
@@ -468,7 +469,10 @@
     if isinstance(record, errors.Refusal):
         return record
     if record.state.phase is rollout_model.Phase.TAKEN_BACK:
-        return _conflict(current, f'a later move is on top of {move}')
+        reason = f'a later move is on top of {move}'
+        return _conflict(current, reason)._replace(
+            code=errors.PLATFORM_NOT_FOUND
+        )
     return errors.Refusal(
         errors.PLATFORM_NOT_FOUND,
         f'move {move} is no longer in force at version {current.head.version}',
--- a/tests/test_platform/test_http_faults.py
+++ b/tests/test_platform/test_http_faults.py
@@ -72,6 +72,27 @@
     assert refused.run is errors.RunState.UNKNOWN
 
 
+async def test_a_write_that_takes_effect_after_the_read_back_counts(
+    running, make_store
+):
+    """Guards against "not applied" for a write that was only slow."""
+    value = b'{"write_id":"a"}'
+    platform = running.platform
+
+    class LateStore(PatientStore):
+        async def _read_back(self, key):
+            platform.set_faults(fake.Faults())
+            stored = await super()._read_back(key)
+            platform.state.put(key, value, 0)
+            return stored
+
+    store = make_store(LateStore, timeout_s=0.2)
+    platform.set_faults(fake.Faults(down='hang'))
+    stored = await store.put('config/head', value, 0)
+    assert stored == platform.state.get('config/head')
+    assert platform.state.revision == 1
+
+
 async def test_an_answer_that_can_not_be_verified_is_unknown(
     running, make_store
 ):
--- a/tests/test_platform/test_lease.py
+++ b/tests/test_platform/test_lease.py
@@ -62,6 +62,7 @@
 def test_a_contender_takes_a_lease_only_after_the_ttl(driver, clock, make):
     holder, contender = make(), make()
     assert run(driver, holder.acquire(NAME, HOLDER)) == (NAME, 1)
+    assert (holder.names_held(), contender.names_held()) == ([NAME], [])
     record = run(driver, contender.read(NAME))
     assert record.holder == HOLDER
     refused = run(driver, contender.acquire(NAME, {}))
