Repair views while other records change

Cause: a trial in which half of 120 nodes died and returned left single records missing in some views for up to 20 s: the comparison of digests started anew whenever any record changed, and records that came between the first message to a parent and its answer had no parent to go to. Change: only equal digests start the comparison anew, and a node whose view changed while it was attaching reports its digests at once; heads with nodes below them contest the lease of their region sooner.

--- a/damaskpier/mesh/parent.py
+++ b/damaskpier/mesh/parent.py
@@ -65,7 +65,7 @@
         self._channel: grpclib.client.Channel | None = None
         self._differing = 0
         self._lagging = 0
-        self._last_digest = 0
+        self._hello_digest = 0
         self._offered_version = 0
         self.answer: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
@@ -118,6 +118,7 @@
             async with asyncio.timeout(self._tree.timing.connect_s):
                 hello = mesh_pb2.Up(hello=self._tree.hello(self._placed))
                 self._sent_below = set(hello.hello.descendants)
+                self._hello_digest = self._app.service('membership').digest()
                 self._counters.add(self._counters.sent, hello)
                 await stream.send_message(hello)
                 first = await stream.recv_message()
@@ -142,6 +143,11 @@
         if self.closed:
             return
         self._tree.attached(self)
+        digest = self._app.service('membership').digest()
+        if digest != self._hello_digest:
+            # Records that came after the first message had no parent to go
+            # to.
+            self._report_digests()
         self.answer.set_result(Answer(True))
 
     def _set_path(self, msg: mesh_pb2.Welcome | mesh_pb2.PathUpdate) -> None:
@@ -242,15 +248,16 @@
 
     def _compare_digest(self, digest: int) -> None:
         membership = self._app.service('membership')
-        own = membership.digest()
-        if own == digest or own != self._last_digest:
+        if membership.digest() == digest:
             self._differing = 0
-            self._last_digest = own
             return
         self._differing += 1
-        if self._differing < DIFFERING_HEARTBEATS:
-            return
-        self._differing = 0
+        if self._differing >= DIFFERING_HEARTBEATS:
+            self._differing = 0
+            self._report_digests()
+
+    def _report_digests(self) -> None:
+        membership = self._app.service('membership')
         report = mesh_pb2.DigestReport(
             digests=wire.digests_to_pb(membership.digests())
         )
--- a/damaskpier/mesh/roots.py
+++ b/damaskpier/mesh/roots.py
@@ -151,6 +151,9 @@
             return timing.backoff_low_s * jitter
         if former is None and not self._app.cfg.addresses('mesh', 'seeds'):
             return timing.backoff_low_s * 3 * jitter
+        if self._tree.below():
+            # A node with others below it is one of few.
+            return timing.heartbeat_s * (0.3 + jitter)
         return timing.contest_delay_s * (0.5 + jitter)
 
     async def _contest(self, name: str, wanted: Callable[[], bool]) -> float:
