Let requests run while instances die and stop in the system tests

Cause: two of the tests passed with the code broken on purpose, because no request was running at the time of the kill or the stop. The test of an outage passed when only local trips worked. A repeated take-back added an audit entry each time. Change: the affected upstreams answer after 150 ms; the outage test waits for the take-back on every node before the platform returns; a state is audited once.

--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -160,6 +160,7 @@
         self._clock = clock
         self._pending: dict[str, tuple[model.MoveState, dict]] = {}
         self._retry_at = 0.0
+        self._audited: model.MoveState | None = None
 
     def add(self, state: model.MoveState, evidence: dict) -> None:
         """Queue a state; it replaces an older one of the same move."""
@@ -216,6 +217,10 @@
         return None if head.code in final else head
 
     def _audit(self, state: model.MoveState, evidence: dict) -> None:
+        # A take-back is tried again until the head has changed as well.
+        if state == self._audited:
+            return
+        self._audited = state
         self._app.service('audit').append(
             audit.make_entry(
                 self._app.cfg.text('node', 'id'),
--- a/tests/test_system/test_failures.py
+++ b/tests/test_system/test_failures.py
@@ -8,6 +8,8 @@
 from tests.test_system import processes
 from tests.test_system import scenario
 
+SLOW_MS = 150
+
 
 def kill(node):
     """Kill a node and its upstream, as the loss of an instance does."""
@@ -46,8 +48,11 @@
     The killed instance's own counts are lost, but a request that it ran and
     that was sent again would be counted by another one.
     """
+    victim = fleet.nodes['old1']
+    # Many requests have to run at the time of the kill.
+    victim.fault(path='*', slow_ms=SLOW_MS)
     with scenario.calls(fleet, 'new') as callers:
-        victim = fleet.nodes['old1']
+        wait_for_more(callers, 100)
         before = victim.runs()
         kill(victim)
         wait_for_more(callers, 300)
@@ -69,14 +74,16 @@
 
 def test_planned_stops_cut_no_request(fleet):
     """Guards against requests that are cut by a stop of node or upstream."""
+    stopped, leaving = fleet.nodes['old0'], fleet.nodes['old1']
+    for node in (stopped, leaving):
+        node.fault(path='*', slow_ms=SLOW_MS)
     with scenario.calls(fleet, 'new') as callers:
-        stopped = fleet.nodes['old0']
+        wait_for_more(callers, 100)
         stopped.process.send_signal(signal.SIGTERM)
         wait_for_more(callers, 200)
         processes.wait_until(
             lambda: stopped.process.poll() is not None, 'the end of the node'
         )
-        leaving = fleet.nodes['old1']
         leaving.upstream.send_signal(signal.SIGTERM)
         processes.wait_until(
             lambda: leaving.upstream.poll() is not None, 'the end of upstream'
--- a/tests/test_system/test_rollout.py
+++ b/tests/test_system/test_rollout.py
@@ -127,14 +127,22 @@
         fleet.fault(down='hang')
         break_new_version(fleet)
 
-        def stopped():
-            last = [record.version for record in callers.records[-200:]]
-            return len(callers.records) > 400 and set(last) == {'v1'}
-
+        def decided():
+            pages = [
+                processes.call(node.admin, '/status').body
+                for node in scenario.living(fleet)
+            ]
+            return all(
+                page['moves'][0]['phase'] == 'taken_back' for page in pages
+            )
+
+        processes.wait_until(decided, 'the take-back on all nodes')
+        before = len(callers.records)
         processes.wait_until(
-            lambda: any(r.status == 500 for r in callers.records), 'failures'
+            lambda: len(callers.records) > before + 100, 'more calls'
         )
-        processes.wait_until(stopped, 'only answers of the old version')
+        late = [record.version for record in callers.records[before + 10 :]]
+        assert set(late) == {'v1'}
         fleet.fault(down='')
         wait_for_verdict(fleet, move, 'taken_back')
         assert_taken_back(fleet, callers, move)
