Share the fixtures of the platform tests

Cause: two fixtures stood in two files each. Change: the driver of stepped calls and the store in memory are fixtures of the folder; no check changes. Conclusion: none.

--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -10,6 +10,8 @@
 from damaskpier import config
 from damaskpier.fakes import platform as fake
 from damaskpier.platform import http
+from damaskpier.platform import memory
+from tests.test_platform import stepped
 
 BUNDLE = """\
 services:
@@ -46,3 +48,17 @@
     await store.start()
     yield store
     await store.stop()
+
+
+@pytest.fixture
+def driver():
+    """Return a driver of calls that go on step by step."""
+    driver = stepped.Driver()
+    yield driver
+    driver.close()
+
+
+@pytest.fixture
+def memory_store():
+    """Return a store in memory."""
+    return memory.MemoryObjectStore()
--- a/tests/test_platform/stepped.py
+++ b/tests/test_platform/stepped.py
@@ -64,25 +64,24 @@
 
     async def put(self, key, value, if_version):
         """Write an object."""
-
-        def work():
-            outcome = self.state.put(key, value, if_version)
-            if isinstance(outcome, memory.Conflict):
-                return memory.conflict(key, outcome.current)
-            return outcome
-
-        return await self._call('put', key, work)
+        return await self._change(
+            'put', key, lambda: self.state.put(key, value, if_version)
+        )
 
     async def delete(self, key, if_version):
         """Delete an object."""
+        return await self._change(
+            'delete', key, lambda: self.state.delete(key, if_version)
+        )
 
+    async def _change(self, kind, key, change):
         def work():
-            outcome = self.state.delete(key, if_version)
+            outcome = change()
             if isinstance(outcome, memory.Conflict):
                 return memory.conflict(key, outcome.current)
             return outcome
 
-        return await self._call('delete', key, work)
+        return await self._call(kind, key, work)
 
     async def _call(self, kind, key, work):
         if self.is_down:
--- a/tests/test_platform/test_audit.py
+++ b/tests/test_platform/test_audit.py
@@ -4,34 +4,25 @@
 
 import asyncio
 
-import pytest
-
 from damaskpier import errors
 from damaskpier.platform import audit
-from damaskpier.platform import memory
 from damaskpier.platform import objects
 
 
-@pytest.fixture
-def store():
-    """Return a store in memory."""
-    return memory.MemoryObjectStore()
-
-
 def entry(number, **kwargs):
     """Return an entry with a number."""
     return audit.make_entry('ana', 'sign-off', version=number, **kwargs)
 
 
-async def test_entries_are_read_newest_first_with_filters(store):
-    trail = audit.Trail(store, segment_entries=2)
+async def test_entries_are_read_newest_first_with_filters(memory_store):
+    trail = audit.Trail(memory_store, segment_entries=2)
     for number in range(5):
         trail.append(entry(number, now=float(number)))
     trail.append(
         audit.make_entry('n1', 'take-back', 'm', 5, errors.ROLLOUT_SLOW)
     )
     assert await trail.flush() is None
-    reader = audit.Trail(store, segment_entries=2)
+    reader = audit.Trail(memory_store, segment_entries=2)
     found = await reader.read(3)
     assert [item.version for item in found] == [5, 4, 3]
     (taken,) = await reader.read(actor='n1')
@@ -41,37 +32,39 @@
     assert await reader.read(move='other') == []
 
 
-async def test_the_trail_keeps_a_bounded_number_of_segments(store):
+async def test_the_trail_keeps_a_bounded_number_of_segments(memory_store):
     """Guards against a trail that grows without end."""
-    trail = audit.Trail(store, segment_entries=2, max_segments=3)
+    trail = audit.Trail(memory_store, segment_entries=2, max_segments=3)
     for number in range(20):
         trail.append(entry(number))
         await trail.flush()
-    keys = [item.key for item in store.state.list(objects.AUDIT_PREFIX, 99)]
+    keys = [
+        item.key for item in memory_store.state.list(objects.AUDIT_PREFIX, 99)
+    ]
     assert keys == [f'audit/{number:08d}' for number in (8, 9, 10)]
     assert [item.version for item in await trail.read()] == [
         *range(19, 13, -1)
     ]
-    store.state.delete(audit.LAST_SEGMENT_KEY, None)
-    assert len(await audit.Trail(store, segment_entries=2).read()) == 6
+    memory_store.state.delete(audit.LAST_SEGMENT_KEY, None)
+    assert len(await audit.Trail(memory_store, segment_entries=2).read()) == 6
 
 
-async def test_entries_of_an_outage_are_written_later_in_order(store):
+async def test_entries_of_an_outage_are_written_later_in_order(memory_store):
     """Guards against changes without a trace after an outage."""
     waits = []
 
     async def sleep(delay):
         waits.append(delay)
         if len(waits) == 3:
-            store.set_down(False)
+            memory_store.set_down(False)
 
-    trail = audit.Trail(store, sleep, max_buffered=5)
-    store.set_down(True)
+    trail = audit.Trail(memory_store, sleep, max_buffered=5)
+    memory_store.set_down(True)
     for number in range(8):
         trail.append(entry(number))
     assert trail.dropped == 3
     await trail.start()
-    while store.state.revision == 0:
+    while memory_store.state.revision == 0:
         await asyncio.sleep(0)
     await trail.stop()
     assert waits == [0.5, 1.0, 2.0]
@@ -79,10 +72,10 @@
     assert [item.version for item in found] == [7, 6, 5, 4, 3]
 
 
-async def test_lost_answers_do_not_repeat_entries(store):
+async def test_lost_answers_do_not_repeat_entries(memory_store):
     """Guards against entries that appear twice or not at all."""
-    store.lost_fraction = 0.5
-    trails = [audit.Trail(store, segment_entries=3) for _ in range(2)]
+    memory_store.lost_fraction = 0.5
+    trails = [audit.Trail(memory_store, segment_entries=3) for _ in range(2)]
     for number in range(30):
         trail = trails[number % 2]
         trail.append(entry(number))
--- a/tests/test_platform/test_lease.py
+++ b/tests/test_platform/test_lease.py
@@ -8,7 +8,6 @@
 from damaskpier import events
 from damaskpier.platform import lease
 from damaskpier.platform import memory
-from tests.test_platform import stepped
 
 NAME = 'fleet'
 HOLDER = {'node_id': 'n1', 'rpc_port': 7000}
@@ -30,14 +29,6 @@
     return Clock()
 
 
-@pytest.fixture
-def driver():
-    """Return a driver of calls that go on step by step."""
-    driver = stepped.Driver()
-    yield driver
-    driver.close()
-
-
 @pytest.fixture
 def make(driver, clock):
     """Return a function that makes the leases of another process."""
--- a/tests/test_platform/test_signoff.py
+++ b/tests/test_platform/test_signoff.py
@@ -5,12 +5,10 @@
 import pytest
 
 from damaskpier import errors
-from damaskpier.platform import memory
 from damaskpier.platform import moves
 from damaskpier.platform import objects
 from damaskpier.platform import signoff
 from damaskpier.rollout import model
-from tests.test_platform import stepped
 
 
 def moved(bundle, version, service='ledger'):
@@ -19,31 +17,27 @@
     return bundle._replace(services={**bundle.services, service: spec})
 
 
-@pytest.fixture
-def store():
-    """Return a store in memory."""
-    return memory.MemoryObjectStore()
-
-
-async def test_a_first_sign_off_starts_no_move(store, bundle):
-    head = await signoff.sign_off(store, bundle, 0, 'ana', None, '', 100.0)
+async def test_a_first_sign_off_starts_no_move(memory_store, bundle):
+    head = await signoff.sign_off(
+        memory_store, bundle, 0, 'ana', None, '', 100.0
+    )
     assert (head.version, head.moves, head.signed_by) == (1, (), 'ana')
-    snapshot = await signoff.read_snapshot(store)
+    snapshot = await signoff.read_snapshot(memory_store)
     assert snapshot == (head, bundle)
 
 
 async def test_a_changed_version_starts_a_move_that_is_taken_back(
-    store, bundle
+    memory_store, bundle
 ):
-    await signoff.sign_off(store, bundle, 0, 'ana', None, '', 100.0)
+    await signoff.sign_off(memory_store, bundle, 0, 'ana', None, '', 100.0)
     head = await signoff.sign_off(
-        store, moved(bundle, 'v2'), 1, 'ana', 160.0, '', 100.0
+        memory_store, moved(bundle, 'v2'), 1, 'ana', 160.0, '', 100.0
     )
     (move,) = head.moves
     assert move == ('ledger-v1-v2-2', 'ledger', 'v1', 'v2', 100.0, 160.0)
     for _ in range(2):  # the second call changes nothing
         after = await signoff.take_back(
-            store,
+            memory_store,
             move.move,
             'n1',
             'bad',
@@ -52,46 +46,38 @@
             110.0,
         )
         assert (after.version, after.moves) == (3, ())
-    assert (await signoff.read_snapshot(store)).bundle == bundle
+    assert (await signoff.read_snapshot(memory_store)).bundle == bundle
 
 
 async def test_a_move_that_a_sign_off_replaced_is_not_reported_taken_back(
-    store, bundle
+    memory_store, bundle
 ):
     """Guards against a take-back that reports success without effect.
 
     The sign-off saw the move done, and its head came before the one of the
     take-back, so the version to be taken back is still in force.
     """
-    await signoff.sign_off(store, bundle, 0, 'ana', None, '', 100.0)
+    await signoff.sign_off(memory_store, bundle, 0, 'ana', None, '', 100.0)
     head = await signoff.sign_off(
-        store, moved(bundle, 'v2'), 1, 'ana', None, '', 100.0
+        memory_store, moved(bundle, 'v2'), 1, 'ana', None, '', 100.0
     )
     move = head.moves[0].move
     state = model.MoveState(move, 1, 1, model.Phase.DONE, {})
-    await moves.write_move_state(store, state, {}, 'n1', 110.0)
+    await moves.write_move_state(memory_store, state, {}, 'n1', 110.0)
     head = await signoff.sign_off(
-        store, moved(bundle, 'v3'), 2, 'ana', None, '', 120.0
+        memory_store, moved(bundle, 'v3'), 2, 'ana', None, '', 120.0
     )
     assert head.moves[0].old == 'v2'
     await moves.write_taken_back(
-        store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 121.0
+        memory_store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 121.0
     )
     outcome = await signoff.take_back(
-        store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 122.0
+        memory_store, move, 'n1', 'bad', errors.ROLLOUT_SLOW, 1, 122.0
     )
     assert outcome.code is errors.PLATFORM_NOT_FOUND
     assert 'a later move is on top' in outcome.reason
 
 
-@pytest.fixture
-def driver():
-    """Return a driver of calls that go on step by step."""
-    driver = stepped.Driver()
-    yield driver
-    driver.close()
-
-
 def sign_off_up_to_head(driver, bundle, operator):
     """Start a sign-off and stop before the write of the head."""
     args = (bundle, None, operator, None, '', 100.0)
