--- a/tests/test_traffic/test_path.py
+++ b/tests/test_traffic/test_path.py
@@ -8,6 +8,7 @@
 import pytest
 
 from damaskpier.fakes import upstream as fake_upstream
+from damaskpier.traffic import frontend
 from damaskpier.traffic import headers
 from tests.test_traffic import conftest
 from tools import bench
@@ -166,3 +167,39 @@
     response = await http(node.url + '/ledger/get', method='HEAD')
     assert response.code == 200
     assert int(response.headers['Content-Length']) > 0
+
+
+async def test_slow_body_and_idle_connection_are_closed(
+    start_node, monkeypatch
+):
+    """Guards against callers that hold places without sending."""
+    monkeypatch.setattr(frontend, 'BODY_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(frontend, 'IDLE_TIMEOUT_S', 0.05)
+    node = await start_node('n1', service='ledger')
+    front = node.app.service('frontend')
+    head = (
+        b'POST /ledger/retire HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n'
+    )
+    for sent in (head, b''):
+        reader, writer = await asyncio.open_connection('127.0.0.1', front.port)
+        writer.write(sent)
+        async with asyncio.timeout(30):
+            assert await reader.read() == b''
+        writer.close()
+    await conftest.until(lambda: front.running == 0)
+    assert node.fake.sequence == 0
+
+
+async def test_caller_that_leaves_within_the_body_frees_its_place(start_node):
+    """Guards against places that are never given back."""
+    node = await start_node('n1', service='ledger')
+    front = node.app.service('frontend')
+    _, writer = await asyncio.open_connection('127.0.0.1', front.port)
+    writer.write(
+        b'POST /ledger/retire HTTP/1.1\r\nHost: x\r\n'
+        b'Content-Length: 9\r\n\r\nx'
+    )
+    await conftest.until(lambda: front.running == 1)
+    writer.close()
+    await conftest.until(lambda: front.running == 0)
+    assert node.fake.sequence == 0
