--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from damaskpier import application
     from damaskpier.mesh import model
@@ -29,6 +31,7 @@
 PROBE_PATH = '/healthz'
 DEFAULT_CONNECTIONS = 32
 DEFAULT_QUEUE = 32
+DEFAULT_IDLE = 8  # connections kept open where the slots are not known
 # A probe takes a slot's worth of work from the upstream, so calls that
 # finished this recently replace it.
 IDLE_BEFORE_PROBE_S = PROBE_INTERVAL_S
@@ -56,6 +59,7 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._prober: asyncio.Task[None] | None = None
         self._node_draining = False
+        self._refusing = False
         self._failed_probes = 0
         self._last_answer = 0.0
         self._idle = asyncio.Event()
@@ -72,6 +76,10 @@
             force_instance=True,
         )
         self._prober = asyncio.create_task(self._probe_forever())
+        book = self._app.service('metrics')
+        book.gauge('upstream_slots', lambda: self.admission.load.slots)
+        book.gauge('upstream_in_use', lambda: self.admission.load.in_use)
+        book.gauge('upstream_queued', lambda: self.admission.load.queued)
 
     async def stop(self) -> None:
         """Refuse new requests, let running ones end and close."""
@@ -100,12 +108,10 @@
         self.announcement = announcement
         if changed:
             self._configure()
-            self.admission.draining = (
-                self._node_draining or announcement.draining
-            )
-            if announcement.draining:
-                self.admission.refuse_queued(_draining())
-        # The membership expires a worker that is not announced again.
+            self.admission.draining = self._refusing or announcement.draining
+        if announcement.draining:
+            self.admission.refuse_queued(_draining())
+        # The membership wants each announcement, to notice when they end.
         self._publish()
 
     async def call(self, request: messages.Request) -> messages.Reply:
@@ -113,22 +119,28 @@
 
         Cancelling the call closes the connection to the upstream.
         """
+        with self.busy():
+            result = await self._admit(request)
+        return messages.Reply(result, self.admission.load)
+
+    @contextlib.contextmanager
+    def busy(self) -> Iterator[None]:
+        """Keep :meth:`drain` from returning."""
         self._running += 1
         self._idle.clear()
         try:
-            result = await self._admit(request)
+            yield
         finally:
             self._running -= 1
             if not self._running:
                 self._idle.set()
-        return messages.Reply(result, self.admission.load)
 
     async def drain(self, timeout_s: float) -> bool:
         """Refuse new requests and wait until the running ones have ended.
 
         :return: whether all of them ended in time
         """
-        self._node_draining = True
+        self._refusing = True
         self.admission.draining = True
         try:
             await asyncio.wait_for(self._idle.wait(), timeout_s)
@@ -146,6 +158,7 @@
         # learned that it is leaving; only the record changes here.
         self._node_draining = True
         self._publish()
+        self._app.service('membership').set_draining()
 
     def _publish(self) -> None:
         announcement = self.announcement
@@ -174,7 +187,8 @@
         self.admission.configure(slots, queue)
         if self._client is not None:
             self._client.set_connections(
-                announcement.connections or DEFAULT_CONNECTIONS
+                announcement.connections or DEFAULT_CONNECTIONS,
+                slots or DEFAULT_IDLE,
             )
 
     def _unavailable(self, request: messages.Request) -> errors.Refusal | None:
@@ -271,6 +285,9 @@
                 errors.CALL_UPSTREAM_REFUSED, 'the upstream shed the request'
             )
         fields = headers.end_to_end(outcome.headers.get_all())
+        if request.method == 'HEAD' and 'Content-Length' in outcome.headers:
+            length = outcome.headers['Content-Length']
+            fields += (('Content-Length', length),)
         return messages.Answer(
             outcome.code, fields, outcome.body or b'', took_s
         )
@@ -320,6 +337,8 @@
 
 def _refusal_of(failure: curl.Failure) -> errors.Refusal:
     run = errors.RunState.UNKNOWN if failure.sent else errors.RunState.NOT_RUN
+    if failure.malformed:
+        return errors.Refusal(errors.CALL_BAD_HEADER, failure.reason, run)
     if not failure.sent:
         return errors.Refusal(errors.CALL_CONNECT, failure.reason, run)
     if failure.too_large:
