--- a/damaskpier/rollout/latency.py
+++ b/damaskpier/rollout/latency.py
@@ -21,7 +21,7 @@
     if ms < 1.0:
         return 0
     index = int(BUCKETS_PER_OCTAVE * math.log2(ms)) + 1
-    return min(index, LAST_BUCKET)
+    return index if index < LAST_BUCKET else LAST_BUCKET
 
 
 def lower_bound_ms(bucket: int) -> float:
@@ -53,6 +53,22 @@
     return _HARM_BUCKETS[bucket]
 
 
+def _unharmed_bucket(bucket: int) -> int:
+    found = 0
+    for index, limit in enumerate(_HARM_BUCKETS):
+        if limit <= bucket:
+            found = index
+    return found
+
+
+_UNHARMED_BUCKETS = tuple(_unharmed_bucket(i) for i in range(LAST_BUCKET + 1))
+
+
+def unharmed_bucket(bucket: int) -> int:
+    """Return the slowest bucket that a latency of a bucket harms."""
+    return _UNHARMED_BUCKETS[bucket]
+
+
 def tail(histogram: dict[int, float], bucket: int) -> float:
     """Return the number of requests at or above a bucket."""
     total = 0
