Turn unexpected errors of a peer call into a refusal

Cause: an error of the HTTP/2 library outside the known kinds would end the request in the frontend as unknown, without a retry and without telling the balancer. Change: such an error is logged and becomes a refusal with what is known of the run. Measured: pytest tests/test_traffic, 79 passed; the new test fails on a scratch copy without the handler (RuntimeError).

--- a/damaskpier/traffic/peers.py
+++ b/damaskpier/traffic/peers.py
@@ -97,6 +97,11 @@
             return messages.Reply(_timed_out(sent))
         except _FAILURES as exc:
             return messages.Reply(_failed(exc, sent))
+        except Exception as exc:
+            # The HTTP/2 library raises errors of its own where a stream
+            # ends while it is written to.
+            LOG.exception('traffic: a call to %s:%d failed', *self.address)
+            return messages.Reply(_failed(exc, sent))
         finally:
             self.outstanding -= 1
             self.last_used = self._clock()
--- a/tests/test_traffic/test_peers.py
+++ b/tests/test_traffic/test_peers.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from grpclib import client as grpc_client
 from grpclib import server as grpc_server
 import pytest
 
@@ -228,3 +229,25 @@
     handler.release['r'].set()
     await channel.call(request('r'), 'n1')
     await conftest.until(lambda: channel.closed)
+
+
+@pytest.mark.parametrize(
+    ('step', 'run'),
+    [
+        ('send_request', errors.RunState.NOT_RUN),
+        ('send_message', errors.RunState.UNKNOWN),
+    ],
+)
+async def test_unexpected_error_tells_what_is_known(
+    peer, monkeypatch, step, run
+):
+    """Guards against errors of the HTTP/2 library that end a request."""
+    _, _, channel = peer
+
+    async def fail(self, *args, **kwargs):
+        raise RuntimeError('stream closed')
+
+    monkeypatch.setattr(grpc_client.Stream, step, fail)
+    refusal = (await channel.call(request('r'), 'n1')).result
+    assert refusal.run is run
+    assert channel.outstanding == 0
