Answer requests on connections that were open when a node stopped

Ruled out: the drain of running requests, which all ended. Change: after it stops listening, the node keeps open connections for 0.5 s and answers what still arrives as not run. Measured: test_connection_opened_before_the_stop_is_answered fails without the wait and passes with it; tests/test_traffic/test_failures.py: 14 passed. Conclusion: a connection that the kernel has queued but the node has not yet accepted can still be reset when the node stops listening; callers should follow /healthz, which tells of draining 1 s before.

--- a/damaskpier/traffic/frontend.py
+++ b/damaskpier/traffic/frontend.py
@@ -32,6 +32,7 @@
 # Time during which a leaving node still admits, so that the other nodes can
 # learn of it first.
 DRAIN_NOTICE_S = 1.0
+LINGER_S = 0.5
 READ_CHUNK = 64 * 1024
 
 HTTP_STATUS = {
@@ -121,6 +122,9 @@
             await self.app.service('upstream').drain(left_s)
         if self._server is not None:
             self._server.stop()
+            # A connection that was accepted before may still bring a
+            # request, which is answered before the connections close.
+            await self._sleep(LINGER_S)
             await self._server.close_all_connections()
 
     def enter(self) -> errors.Refusal | None:
--- a/tests/test_traffic/test_failures.py
+++ b/tests/test_traffic/test_failures.py
@@ -158,6 +158,9 @@
     seen = []
 
     async def notice(seconds):
+        if seen:
+            assert seconds == frontend.LINGER_S
+            return
         assert seconds == frontend.DRAIN_NOTICE_S
         seen.append(fleet.records['n1'].draining)
         health = await http(
@@ -173,6 +176,25 @@
     assert seen == [True, 503, 200]
 
 
+async def test_connection_opened_before_the_stop_is_answered(start_node):
+    """Guards against an accepted connection that is closed unread."""
+    node = await start_node('n1', service='ledger')
+    front = node.app.service('frontend')
+    reader, writer = await asyncio.open_connection('127.0.0.1', front.port)
+    answers = []
+
+    async def wait(seconds):
+        if seconds == frontend.LINGER_S:
+            writer.write(b'GET /ledger/get HTTP/1.1\r\nHost: n1\r\n\r\n')
+            answers.append(await reader.readuntil(b'\r\n\r\n'))
+
+    front._sleep = wait
+    await node.app.stop()
+    writer.close()
+    assert b'503' in answers[0].splitlines()[0]
+    assert b'Damaskpier-Run: not-run' in answers[0]
+
+
 async def test_cancellation_reaches_the_upstream(start_node, http):
     """Guards against work that goes on after the caller has left."""
     first = await start_node('n1')
