Hold back the evidence of slow answers alike for both versions

Cause: a timeout of the old version made a node wait longer before it sent its windows, one of the new version did not. Change: the wait grows with the latency of either version.

--- a/damaskpier/rollout/evidence.py
+++ b/damaskpier/rollout/evidence.py
@@ -10,8 +10,9 @@
 
 # Answers of a window are waited for this long after its end, so that the
 # answers of both versions are in when a window is compared. The wait grows
-# with the old version's latency: an answer that takes over twice as long
-# and 10 ms more counts as slow whether or not it is waited for.
+# with the latency of both versions alike: if only the old one's counted, its
+# timeouts would be sent later than those of the new version, and a timeout
+# common to both would look like a fault of the new one.
 MIN_WAIT_S = 0.2
 MAX_WAIT_S = 4.0
 WAIT_FACTOR = 2.2
@@ -57,9 +58,8 @@
             self._failed_windows.add(window)
         bucket = latency.bucket_of(ms)
         counts[2][bucket] = counts[2].get(bucket, 0) + 1
-        if not is_new:
-            slowest = 0.98 * self._slowest.get(route, 0.0)
-            self._slowest[route] = ms if ms > slowest else slowest
+        slowest = 0.98 * self._slowest.get(route, 0.0)
+        self._slowest[route] = ms if ms > slowest else slowest
 
     def drain(self, now: float) -> list[model.EvidenceCell]:
         """Return and forget the counts of closed windows."""
--- a/tests/test_rollout/test_evidence.py
+++ b/tests/test_rollout/test_evidence.py
@@ -87,3 +87,13 @@
     assert store.drain(11.6) == []
     store.record(model.Sample('m1', 'r', True, True, 5.0, 0.5), 11.7)
     assert [cell.window for cell in store.drain(12.3)] == [11]
+
+
+def test_timeouts_of_both_versions_wait_alike():
+    """Guards against new timeouts that are compared before the old ones."""
+    sent = []
+    for is_new in (False, True):
+        store = evidence.EvidenceStore('souss-1')
+        store.record(model.Sample('m1', 'r', is_new, True, 2000.0, 0.5), 12.5)
+        sent.append([bool(store.drain(now)) for now in (13.0, 14.0, 16.0)])
+    assert sent[0] == sent[1]
