Record no share where a request had only one version to go to

Cause: the comparison of versions relies on the share with which a version was chosen. Requests to the old version counted with the share of the new one while no worker of the new one was ready, so the missing requests won bets; tripped nodes withheld evidence while the fleet checked a version at equal shares; trips waited up to a second for the next evidence message. Change: a share of 0 or 1 where only one version has a worker; a reduced share ends a trip; a trip goes up the tree at once.

--- a/damaskpier/mesh/tree.py
+++ b/damaskpier/mesh/tree.py
@@ -105,6 +105,7 @@
         events.connect('config-refused', self._on_refused)
         events.connect('rollout-changed', self._on_move)
         events.connect('lease-lost', self._on_lease)
+        events.connect('trip-noticed', self._on_trip)
         self._tasks = [
             asyncio.create_task(coro, name=name)
             for name, coro in (
@@ -441,6 +442,10 @@
             beat = mesh_pb2.Heartbeat(version=version, digest=digest)
             self.children.broadcast(mesh_pb2.Down(heartbeat=beat))
 
+    def _on_trip(self) -> None:
+        if self.parent is not None:
+            self._send_evidence(self.parent)
+
     def _send_evidence(self, parent: parent_module.Parent) -> None:
         if not self._app.has_service('evidence'):
             return
--- a/damaskpier/rollout/service.py
+++ b/damaskpier/rollout/service.py
@@ -71,6 +71,7 @@
         self._states[state.move] = state
         if known is None or known.phase is not state.phase:
             LOG.info('rollout: move %s is %s', state.move, state.phase.value)
+        self._app.service('evidence').follow(state)
         self._app.events.emit('rollout-changed', state)
         return True
 
@@ -121,13 +122,13 @@
         clock: Callable[[], float] = time.time,
     ) -> None:
         cfg = app.cfg
-        self._node_id = cfg.text('node', 'id')
+        self._app = app
         self._clock = clock
         chosen = options.from_settings(cfg)
         self._store = evidence.EvidenceStore(
             cfg.text('node', 'failure_domain'), chosen.quiet_interval
         )
-        self._trip = trip.LocalTrip(self._node_id, chosen.trip_hold)
+        self._trip = trip.LocalTrip(cfg.text('node', 'id'), chosen.trip_hold)
         self._trips: dict[tuple[str, str, str], model.TripNotice] = {}
 
     def record(self, sample: model.Sample) -> None:
@@ -144,6 +145,10 @@
             )
             self._add_trip(notice)
 
+    def follow(self, state: model.MoveState) -> None:
+        """Take in a new state of a move; a smaller share ends a trip."""
+        self._trip.follow(state, self._clock())
+
     def tripped(self, move: str, route: str) -> bool:
         """Tell whether this node stopped sending to a new version."""
         return self._trip.tripped(move, route, self._clock())
@@ -175,6 +180,8 @@
     def _add_trip(self, notice: model.TripNotice) -> None:
         key = (notice.move, notice.route, notice.node_id)
         self._trips.setdefault(key, notice)
+        # A trip does not wait for the next evidence message.
+        self._app.events.emit('trip-noticed')
 
 
 def _share_of(state: model.MoveState | None, route: str) -> float:
--- a/damaskpier/traffic/router.py
+++ b/damaskpier/traffic/router.py
@@ -84,6 +84,7 @@
         :param request: request with its version left empty
         """
         choice = self._app.service('rollouts').pick(snapshot, route)
+        choice = self._without_choice(snapshot, route, choice)
         picked = choice.version
         version, chooser = self._choose_version(snapshot, route, picked)
         if chooser is None:
@@ -158,6 +159,27 @@
         chooser.finished(worker, reply, self._clock() - began)
         return reply.result
 
+    def _without_choice(
+        self,
+        snapshot: model.Snapshot,
+        route: model.RouteSpec,
+        choice: rollout_model.Choice,
+    ) -> rollout_model.Choice:
+        """Set the share to 0 or 1 where only one version has a worker.
+
+        The evidence compares versions by the share with which they were
+        chosen; requests that a missing version could not get would count
+        against the other one.
+        """
+        move = snapshot.move_of(route.service)
+        if move is None or not 0 < choice.share < 1:
+            return choice
+        is_new = choice.version == move.new
+        other = move.old if is_new else move.new
+        if len(self._chooser(snapshot, route.service, other)):
+            return choice
+        return choice._replace(share=float(is_new))
+
     def _choose_version(
         self,
         snapshot: model.Snapshot,
--- /dev/null
+++ b/tests/test_rollout/test_service.py
@@ -0,0 +1,76 @@
+"""Tests of the services that hold move states and evidence on a node."""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier.rollout import model
+from damaskpier.rollout import service
+
+SETTINGS = """\
+[node]
+id = n1
+region = souss
+failure_domain = souss-1
+[platform]
+address = 127.0.0.1:9
+"""
+NOW = 1000.0
+
+
+@pytest.fixture
+def app():
+    """Return an application with the two services and a fixed clock."""
+    app = application.Application(config.loads(SETTINGS))
+    app.add_service('evidence', service.Evidence(app, lambda: NOW))
+    app.add_service('rollouts', service.Rollouts(app, None, lambda: NOW))
+    return app
+
+
+def state(seq, share, phase=model.Phase.RUNNING, epoch=1):
+    """Return a state of the move m1."""
+    return model.MoveState('m1', epoch, seq, phase, {'ledger.get': share})
+
+
+def trip(app):
+    """Record answers until the node trips."""
+    evidence = app.service('evidence')
+    for _ in range(50):
+        sample = model.Sample('m1', 'ledger.get', False, False, 5.0, 0.5)
+        evidence.record(sample)
+    for _ in range(50):
+        sample = model.Sample('m1', 'ledger.get', True, True, 5.0, 0.5)
+        evidence.record(sample)
+
+
+def test_trip_is_announced_at_once_and_sent_once(app):
+    """Guards against a trip that waits for the next evidence message."""
+    noticed = []
+    app.events.connect('trip-noticed', lambda: noticed.append(True))
+    trip(app)
+    assert noticed == [True]
+    assert app.service('evidence').tripped('m1', 'ledger.get')
+    assert len(app.service('evidence').drain().trips) == 1
+    assert app.service('evidence').drain() is None
+
+
+def test_reduced_share_of_the_fleet_ends_a_trip(app):
+    """Guards against tripped nodes that withhold evidence in a check."""
+    rollouts = app.service('rollouts')
+    rollouts.merge(state(1, 0.9))
+    trip(app)
+    rollouts.merge(state(2, 0.5))
+    assert not app.service('evidence').tripped('m1', 'ledger.get')
+
+
+def test_states_are_merged_by_their_order(app):
+    """Guards against an older state, or one after a take-back."""
+    rollouts = app.service('rollouts')
+    assert rollouts.merge(state(2, 0.2))
+    assert not rollouts.merge(state(1, 0.1))
+    assert rollouts.merge(state(1, 0.3, epoch=2))
+    assert rollouts.merge(state(1, 0.0, model.Phase.TAKEN_BACK))
+    assert not rollouts.merge(state(9, 1.0, model.Phase.DONE, epoch=9))
+    assert rollouts.state('m1').phase is model.Phase.TAKEN_BACK
--- a/tests/test_traffic/test_failures.py
+++ b/tests/test_traffic/test_failures.py
@@ -264,6 +264,34 @@
     assert fleet.samples == []
 
 
+@pytest.mark.parametrize(
+    ('versions', 'picked', 'share'),
+    [
+        (('v1',), 'v1', 0.0),
+        (('v2',), 'v2', 1.0),
+        (('v1', 'v2'), 'v1', 0.25),
+        (('v1', 'v2'), 'v2', 0.25),
+    ],
+)
+async def test_share_counts_only_where_there_was_a_choice(
+    start_node, http, fleet, versions, picked, share
+):
+    """Guards against evidence for requests that had only one version.
+
+    Outcomes of the only version would count as if the other one could have
+    had them.
+    """
+    first = await start_node('n1')
+    for number, version in enumerate(versions, 2):
+        await start_node(f'n{number}', service='ledger', version=version)
+    move = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 0.0, 1.0)
+    fleet.snapshot = conftest.make_snapshot(2, (move,))
+    fleet.picked = picked
+    fleet.shares['get'] = 0.25
+    await http(first.url + '/ledger/get')
+    assert [sample.share for sample in fleet.samples] == [share]
+
+
 @pytest.mark.parametrize(('share', 'code'), [(0.1, 200), (0.0, 503)])
 async def test_taken_back_version_gets_no_traffic(
     start_node, http, fleet, share, code
