Take a move back whose new version has no worker at the stated time

Ruled out: leaving it open, because a move ends by its stated time. Conclusion: done now means that there was somewhere to move to.

--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -312,8 +312,8 @@
 ROLLOUT_LATE = _code(
     5005,
     'rollout-late',
-    'The move could not finish by the stated time.',
-    'Check that enough workers of the new version are ready.',
+    'No worker of the new version was ready at the stated time.',
+    'Start its workers, check their announcements, sign off again.',
 )
 ROLLOUT_OPEN = _code(
     5006,
--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -28,6 +28,9 @@
 FLEET_LEASE = 'fleet'
 STEP_INTERVAL_S = 0.25
 WRITE_RETRY_S = 1.0
+# Moves end this long before their stated time, so that the last shares reach
+# every node by then.
+END_MARGIN_S = 1.0
 
 
 class Decider(registry.Service):
@@ -49,6 +52,8 @@
         self._clock = clock
         self._controllers: dict[str, controller.MoveController] = {}
         self._epoch = 0
+        # Moves whose new version had a ready worker at some time.
+        self._served: set[str] = set()
         self._recorder = _Recorder(app, clock)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -90,7 +95,7 @@
             self._controllers.clear()
             self._epoch = epoch
         await self._add_controllers(snapshot, epoch)
-        self._decide()
+        self._decide(snapshot)
 
     async def _add_controllers(
         self, snapshot: bundle_model.Snapshot, epoch: int
@@ -99,6 +104,7 @@
         for name in list(self._controllers):
             if name not in moves:
                 del self._controllers[name]
+                self._served.discard(name)
         for name, move in moves.items():
             if name in self._controllers:
                 continue
@@ -131,8 +137,38 @@
             or rollouts.state(name) is not None
         )
 
-    def _decide(self) -> None:
+    def _has_worker(self, move: bundle_model.Move) -> bool:
+        return any(
+            record.routable and record.version == move.new
+            for record in self._app.service('membership').workers(move.service)
+        )
+
+    def _step(
+        self,
+        ctl: controller.MoveController,
+        move: bundle_model.Move,
+        known: model.MoveState | None,
+        now: float,
+    ) -> model.MoveState | None:
+        """Decide on a move, which needs a worker of the new version.
+
+        Without one at the stated time, calling the move done would claim
+        that traffic has moved. A version whose workers go away after the
+        move was done keeps its verdict.
+        """
+        if self._has_worker(move):
+            self._served.add(move.move)
+        elif known is None or known.phase is not model.Phase.DONE:
+            if now >= move.by - END_MARGIN_S:
+                reason = f'no worker of {move.service} {move.new} is ready'
+                ctl.take_back(reason, errors.ROLLOUT_LATE)
+            elif move.move not in self._served:
+                return None
+        return ctl.step(now)
+
+    def _decide(self, snapshot: bundle_model.Snapshot) -> None:
         now = self._clock()
+        moves_by_name = {move.move: move for move in snapshot.head.moves}
         rollouts = self._app.service('rollouts')
         cells, trips = self._app.service('evidence').take()
         for name, ctl in self._controllers.items():
@@ -143,7 +179,7 @@
             for notice in trips:
                 if notice.move == name:
                     ctl.observe_trip(notice, now)
-            state = ctl.step(now)
+            state = self._step(ctl, moves_by_name[name], known, now)
             if state is None:
                 continue
             rollouts.merge(state)
