Bound the evidence of a region that is cut off; share one conversion

Cause: a region root without a parent kept every window of evidence until it could send it, so memory grew for as long as regions had lost each other. Two modules also held the same conversion of move states to messages. Change: windows older than 60 s are dropped, for both versions alike; the tree uses the conversion of the rollout package. Conclusion: the memory for evidence is bounded by 90 s of windows.

--- a/damaskpier/mesh/children.py
+++ b/damaskpier/mesh/children.py
@@ -11,6 +11,7 @@
 from damaskpier.mesh import links
 from damaskpier.mesh import placement
 from damaskpier.mesh import wire
+from damaskpier.rollout import wire as rollout_wire
 from damaskpier.rpc import mesh_pb2
 
 if TYPE_CHECKING:
@@ -214,7 +215,9 @@
         self.send_config(child)
         self._send_view(child, digests)
         for state in self._tree.move_states():
-            child.send(mesh_pb2.Down(move=wire.move_to_pb(state)))
+            child.send(
+                mesh_pb2.Down(move=rollout_wire.state_to_message(state))
+            )
         placement.replace_interim(self._tree, child)
         self._tree.subtree_changed()
         self._tree.siblings_changed()
--- a/damaskpier/mesh/parent.py
+++ b/damaskpier/mesh/parent.py
@@ -12,6 +12,7 @@
 from damaskpier import errors
 from damaskpier.mesh import links
 from damaskpier.mesh import wire
+from damaskpier.rollout import wire as rollout_wire
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
 
@@ -228,7 +229,7 @@
         if not self._app.has_service('rollouts'):
             return
         try:
-            state = wire.move_from_pb(msg)
+            state = rollout_wire.state_from_message(msg)
         except ValueError as exc:
             LOG.error('mesh: state of move %s is not usable: %s', msg, exc)
             return
--- a/damaskpier/mesh/tree.py
+++ b/damaskpier/mesh/tree.py
@@ -21,6 +21,7 @@
 from damaskpier.mesh import timing as timing_module
 from damaskpier.mesh import wire
 from damaskpier import registry
+from damaskpier.rollout import wire as rollout_wire
 from damaskpier.rpc import mesh_pb2
 
 if TYPE_CHECKING:
@@ -372,7 +373,9 @@
         )
 
     def _on_move(self, state: rollout_model.MoveState) -> None:
-        self.children.broadcast(mesh_pb2.Down(move=wire.move_to_pb(state)))
+        self.children.broadcast(
+            mesh_pb2.Down(move=rollout_wire.state_to_message(state))
+        )
 
     def _on_lease(self, name: str) -> None:
         LOG.warning('mesh: lost the lease %s', name)
--- a/damaskpier/mesh/wire.py
+++ b/damaskpier/mesh/wire.py
@@ -8,7 +8,6 @@
 import zlib
 
 from damaskpier.mesh import model
-from damaskpier.rollout import model as rollout_model
 from damaskpier.rpc import mesh_pb2
 
 if TYPE_CHECKING:
@@ -116,38 +115,6 @@
     return int.from_bytes(digest, 'little')
 
 
-def move_to_pb(state: rollout_model.MoveState) -> mesh_pb2.MoveState:
-    """Return the message of a move state."""
-    return mesh_pb2.MoveState(
-        move=state.move,
-        epoch=state.epoch,
-        seq=state.seq,
-        phase=state.phase.value,
-        shares=[
-            mesh_pb2.RouteShare(route=route, share=share)
-            for route, share in sorted(state.shares.items())
-        ],
-        reason=state.reason,
-        result=state.result,
-    )
-
-
-def move_from_pb(msg: mesh_pb2.MoveState) -> rollout_model.MoveState:
-    """Return the move state of a message.
-
-    :raises ValueError: if the phase is not known
-    """
-    return rollout_model.MoveState(
-        msg.move,
-        msg.epoch,
-        msg.seq,
-        rollout_model.Phase(msg.phase),
-        {item.route: item.share for item in msg.shares},
-        msg.reason,
-        msg.result,
-    )
-
-
 def holder_of(record: model.NodeRecord, admin_port: int = 0) -> dict[str, Any]:
     """Return the fields that name a node as the holder of a lease."""
     return {
--- a/damaskpier/rollout/evidence.py
+++ b/damaskpier/rollout/evidence.py
@@ -86,6 +86,13 @@
         for cell in cells:
             _add(self._received, cell)
 
+    def expire(self, oldest: int) -> None:
+        """Drop the counts of windows before a window, in s."""
+        # The window is at the same place in the keys of both.
+        for kept in (self._own, self._received):
+            for key in [key for key in kept if key[3] < oldest]:
+                del kept[key]
+
     def forget(self, move: str) -> None:
         """Drop the counts of a move that is no longer judged."""
         for kept in (self._own, self._received):
--- a/damaskpier/rollout/service.py
+++ b/damaskpier/rollout/service.py
@@ -26,6 +26,9 @@
 # States of moves that left the configuration are kept for the answers that
 # are still under way and for nodes that reattach with an old configuration.
 MAX_STATES = 256
+# A region that is cut off has nobody to send its evidence to. What is older is
+# dropped for both versions alike, so the comparison stays valid.
+MAX_EVIDENCE_AGE_S = 60.0
 
 
 class Rollouts(registry.Service):
@@ -129,11 +132,13 @@
             cfg.text('node', 'failure_domain'), chosen.quiet_interval
         )
         self._trip = trip.LocalTrip(cfg.text('node', 'id'), chosen.trip_hold)
+        self._expire_at = 0.0
         self._trips: dict[tuple[str, str, str], model.TripNotice] = {}
 
     def record(self, sample: model.Sample) -> None:
         """Count an outcome and check it for a local trip."""
         now = self._clock()
+        self._expire(now)
         self._store.record(sample, now)
         notice = self._trip.record(sample, sample.share, now)
         if notice is not None:
@@ -155,6 +160,7 @@
 
     def merge(self, delta: mesh_pb2.EvidenceDelta) -> None:
         """Add the counts and trips that a child sent."""
+        self._expire(self._clock())
         self._store.merge([wire.from_message(cell) for cell in delta.cells])
         for message in delta.trips:
             self._add_trip(wire.trip_from_message(message))
@@ -164,10 +170,7 @@
         cells, trips = self.take()
         if not cells and not trips:
             return None
-        return mesh_pb2.EvidenceDelta(
-            cells=[wire.to_message(cell) for cell in cells],
-            trips=[wire.trip_to_message(notice) for notice in trips],
-        )
+        return wire.delta_to_message(cells, trips)
 
     def take(
         self,
@@ -177,6 +180,12 @@
         self._trips.clear()
         return self._store.drain(self._clock()), trips
 
+    def _expire(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + MAX_EVIDENCE_AGE_S / 2
+        self._store.expire(int(now - MAX_EVIDENCE_AGE_S))
+
     def _add_trip(self, notice: model.TripNotice) -> None:
         key = (notice.move, notice.route, notice.node_id)
         self._trips.setdefault(key, notice)
--- a/tests/test_rollout/test_service.py
+++ b/tests/test_rollout/test_service.py
@@ -24,7 +24,8 @@
 def app():
     """Return an application with the two services and a fixed clock."""
     app = application.Application(config.loads(SETTINGS))
-    app.add_service('evidence', service.Evidence(app, lambda: NOW))
+    app.now = NOW
+    app.add_service('evidence', service.Evidence(app, lambda: app.now))
     app.add_service('rollouts', service.Rollouts(app, None, lambda: NOW))
     return app
 
@@ -74,3 +75,16 @@
     assert rollouts.merge(state(1, 0.0, model.Phase.TAKEN_BACK))
     assert not rollouts.merge(state(9, 1.0, model.Phase.DONE, epoch=9))
     assert rollouts.state('m1').phase is model.Phase.TAKEN_BACK
+
+
+def test_evidence_that_nobody_takes_is_bounded(app):
+    """Guards against memory that grows while a region is cut off."""
+    evidence = app.service('evidence')
+    for second in range(600):
+        app.now = NOW + second
+        evidence.record(
+            model.Sample('m1', 'ledger.get', True, False, 5.0, 0.5)
+        )
+    app.now += 10
+    cells, _ = evidence.take()
+    assert sum(cell.new.requests for cell in cells) <= 100
