--- a/tools/capacity/report.py
+++ b/tools/capacity/report.py
@@ -114,7 +114,7 @@
         'B',
         'bundles',
         'routes',
-        lambda run: run['whole_config_bytes_per_node'],
+        lambda run: run['whole_config_bytes'] / run['nodes'],
     ),
     Measure(
         'bundle_convergence',
@@ -207,7 +207,9 @@
         f'Made by `{COMMAND}`; the raw figures are in capacity.json. Each row '
         'is a straight line through the measured points; "largest residual" '
         'is the greatest distance of a point from it. Values at '
-        f'{TARGET_NODES} nodes are extrapolated.',
+        f'{TARGET_NODES} nodes are extrapolated, and left out where the line '
+        'falls below 0: there the cost of a process is shared by more nodes '
+        'in the larger fleets.',
         '',
         '| measure | measured at | values | slope | at 0 | largest residual '
         f'| at {TARGET_NODES} nodes |',
@@ -217,7 +219,7 @@
         xs = ', '.join(f'{x:g}' for x in fit.xs)
         ys = ', '.join(f'{y:.3g}' for y in fit.ys)
         far = ''
-        if fit.xlabel == 'nodes':
+        if fit.xlabel == 'nodes' and fit.at(TARGET_NODES) > 0:
             far = f'{fit.at(TARGET_NODES):.3g} {fit.unit}'
         lines.append(
             f'| {fit.label} ({fit.unit}) | {xs} {fit.xlabel} | {ys} '
--- a/tools/capacity/runs.py
+++ b/tools/capacity/runs.py
@@ -98,7 +98,7 @@
     return {
         'nodes': nodes,
         'routes': routes,
-        'whole_config_bytes_per_node': whole['sent'].get('config', [0, 0])[1],
+        'whole_config_bytes': whole['sent'].get('config', [0, 0])[1],
         'changing': _difference(before, after, nodes),
         'converged_s': converged,
         'rss_kb_per_node': after.rss_kb / nodes,
