--- a/tools/capacity/runs.py
+++ b/tools/capacity/runs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import statistics
 import time
 from typing import Any
@@ -53,12 +55,7 @@
 
 async def measure_size(nodes: int) -> dict[str, Any]:
     """Measure a fleet at rest and with changes."""
-    fleet = deployment.Deployment(nodes)
-    try:
-        await fleet.start()
-        operator = await Operator.connect(fleet.platform)
-        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
-        await _until_applied(fleet, operator.version, nodes)
+    async with _signed_off_fleet(nodes) as (fleet, operator):
         await asyncio.sleep(SETTLE_S)
         before = fleet.read()
         await asyncio.sleep(STEADY_S)
@@ -67,9 +64,6 @@
         converged = await _changes(fleet, operator, nodes, CHANGE_INTERVAL_S)
         last = fleet.read()
         changes = _difference(after, last, nodes)
-        await operator.close()
-    finally:
-        fleet.stop()
     return {
         'nodes': nodes,
         'rss_kb_per_node': after.rss_kb / nodes,
@@ -82,19 +76,13 @@
 
 async def measure_bundle(nodes: int, routes: int) -> dict[str, Any]:
     """Measure changes of one route in bundles of several sizes."""
-    fleet = deployment.Deployment(nodes)
-    try:
-        await fleet.start()
-        operator = await Operator.connect(fleet.platform)
+    async with _started_fleet(nodes) as (fleet, operator):
         before = fleet.read()
         await operator.sign(make_bundle(routes // deployment.SERVICES))
         await _until_applied(fleet, operator.version, nodes)
         whole = _difference(before, fleet.read(), nodes)
         converged = await _changes(fleet, operator, nodes, CHANGE_INTERVAL_S)
         after = fleet.read()
-        await operator.close()
-    finally:
-        fleet.stop()
     return {
         'nodes': nodes,
         'routes': routes,
@@ -107,18 +95,10 @@
 
 async def measure_rate(nodes: int, rate: float) -> dict[str, Any]:
     """Measure a fleet under a steady rate of changes."""
-    fleet = deployment.Deployment(nodes)
-    try:
-        await fleet.start()
-        operator = await Operator.connect(fleet.platform)
-        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
-        await _until_applied(fleet, operator.version, nodes)
+    async with _signed_off_fleet(nodes) as (fleet, operator):
         before = fleet.read()
         converged = await _changes(fleet, operator, nodes, 1 / rate)
         after = fleet.read()
-        await operator.close()
-    finally:
-        fleet.stop()
     return {
         'nodes': nodes,
         'rate': rate,
@@ -129,21 +109,13 @@
 
 async def measure_churn(nodes: int) -> dict[str, Any]:
     """Measure planned restarts, then the loss and return of a domain."""
-    fleet = deployment.Deployment(nodes)
-    try:
-        await fleet.start()
-        operator = await Operator.connect(fleet.platform)
-        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
-        await _until_applied(fleet, operator.version, nodes)
+    async with _signed_off_fleet(nodes) as (fleet, operator):
         before = fleet.read()
         for number in range(RESTARTS):
             await fleet.restart(number)
         await fleet.until_alive(nodes)
         restarts = _difference(before, fleet.read(), nodes)
         loss = await _lose_domain(fleet, nodes)
-        await operator.close()
-    finally:
-        fleet.stop()
     return {
         'nodes': nodes,
         'restarts': RESTARTS,
@@ -176,6 +148,32 @@
     }
 
 
+@contextlib.asynccontextmanager
+async def _started_fleet(
+    nodes: int,
+) -> AsyncIterator[tuple[deployment.Deployment, Operator]]:
+    """Give a fleet without a configuration, and its operator."""
+    fleet = deployment.Deployment(nodes)
+    try:
+        await fleet.start()
+        operator = await Operator.connect(fleet.platform)
+        yield fleet, operator
+        await operator.close()
+    finally:
+        fleet.stop()
+
+
+@contextlib.asynccontextmanager
+async def _signed_off_fleet(
+    nodes: int,
+) -> AsyncIterator[tuple[deployment.Deployment, Operator]]:
+    """Give a fleet with the base configuration on every node."""
+    async with _started_fleet(nodes) as (fleet, operator):
+        await operator.sign(make_bundle(BASE_ROUTES_PER_SERVICE))
+        await _until_applied(fleet, operator.version, nodes)
+        yield fleet, operator
+
+
 class Operator:
     """Signs off one bundle after another."""
 
