--- a/tools/bench.py
+++ b/tools/bench.py
@@ -203,6 +203,7 @@
     for name, pid in pids.items():
         used = cpu_s(pid) - before[name]
         result[f'{name}_cpu_us_per_call'] = 1e6 * used / len(times)
+        result[f'{name}_rss_mb'] = resident_mb(pid)
     return result
 
 
@@ -226,6 +227,12 @@
     return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
 
 
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
+
+
 def start_all(run: Processes) -> tuple[dict[str, int], dict[str, int]]:
     """Start the processes; return their ports and process ids."""
     run.start(
