Send evidence by one function with or without a trip

Cause: two functions checked for a parent before the same call. Change: the sending function checks it. Measured: python -m pytest tests/test_mesh tests/test_rollout tests/test_system/test_rollout.py -k 'mesh or service or by_a_higher': 44 passed.

--- a/damaskpier/mesh/tree.py
+++ b/damaskpier/mesh/tree.py
@@ -106,7 +106,7 @@
         events.connect('config-refused', self._on_refused)
         events.connect('rollout-changed', self._on_move)
         events.connect('lease-lost', self._on_lease)
-        events.connect('trip-noticed', self._on_trip)
+        events.connect('trip-noticed', self._send_evidence)
         self._tasks = [
             asyncio.create_task(coro, name=name)
             for name, coro in (
@@ -439,22 +439,18 @@
                 lowest_version=self.lowest_version(),
             )
             self.parent.send(mesh_pb2.Up(heartbeat=beat))
-            self._send_evidence(self.parent)
+            self._send_evidence()
         if len(self.children):
             digest = self._app.service('membership').digest()
             beat = mesh_pb2.Heartbeat(version=version, digest=digest)
             self.children.broadcast(mesh_pb2.Down(heartbeat=beat))
 
-    def _on_trip(self) -> None:
-        if self.parent is not None:
-            self._send_evidence(self.parent)
-
-    def _send_evidence(self, parent: parent_module.Parent) -> None:
-        if not self._app.has_service('evidence'):
+    def _send_evidence(self) -> None:
+        if self.parent is None or not self._app.has_service('evidence'):
             return
         delta = self._app.service('evidence').drain()
         if delta is not None and (delta.cells or delta.trips):
-            parent.send(mesh_pb2.Up(evidence=delta))
+            self.parent.send(mesh_pb2.Up(evidence=delta))
 
     def _redirect_children(self) -> None:
         heirs = [child.peer for child in self.children.local()]
