--- a/damaskpier/platform/moves.py
+++ b/damaskpier/platform/moves.py
@@ -105,9 +105,7 @@
                 return refusal
             if_version = current.store_version
         outcome = await _put(store, state, evidence, by_whom, now, if_version)
-        if isinstance(outcome, MoveRecord):
-            return outcome
-        if outcome.code is not errors.PLATFORM_CONFLICT:
+        if not _lost_race(outcome):
             return outcome
     return outcome
 
@@ -153,9 +151,7 @@
         elif current.code is not errors.PLATFORM_NOT_FOUND:
             return current
         outcome = await _put(store, state, evidence, by_whom, now, if_version)
-        if isinstance(outcome, MoveRecord):
-            return outcome
-        if outcome.code is not errors.PLATFORM_CONFLICT:
+        if not _lost_race(outcome):
             return outcome
     return outcome
 
@@ -182,6 +178,14 @@
     return MoveRecord(state, evidence, by_whom, now, outcome.version)
 
 
+def _lost_race(outcome: MoveRecord | errors.Refusal) -> bool:
+    """Tell whether another writer was first, so that a retry may work."""
+    return (
+        isinstance(outcome, errors.Refusal)
+        and outcome.code is errors.PLATFORM_CONFLICT
+    )
+
+
 def _overtaken(
     current: MoveRecord, state: model.MoveState
 ) -> errors.Refusal | None:
