--- a/damaskpier/application.py
+++ b/damaskpier/application.py
@@ -72,10 +72,16 @@
                 LOG.exception('kernel: service %s failed to stop', name)
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT, then stop gracefully."""
+        """Run until SIGTERM or SIGINT, then stop gracefully.
+
+        SIGHUP emits ``reload-requested``.
+        """
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.stopping.set)
+        loop.add_signal_handler(
+            signal.SIGHUP, self.events.emit, 'reload-requested'
+        )
         await self.start()
         await self.stopping.wait()
         LOG.info('kernel: stopping')
--- a/damaskpier/cmd/cli.py
+++ b/damaskpier/cmd/cli.py
@@ -20,7 +20,7 @@
 from damaskpier.operator import exits
 from damaskpier.operator import signoff
 from damaskpier.operator import status
-from damaskpier.platform import http
+from damaskpier.store import http
 
 if TYPE_CHECKING:
     from cleo.io.inputs import definition
@@ -28,7 +28,7 @@
     from cleo.io import io as cleo_io
 
     from damaskpier import config
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 OPTIONS = (
     helpers.option(
--- a/damaskpier/cmd/node.py
+++ b/damaskpier/cmd/node.py
@@ -17,12 +17,12 @@
 from damaskpier.mesh import membership
 from damaskpier.mesh import tree
 from damaskpier import metrics
-from damaskpier.platform import audit
-from damaskpier.platform import http
-from damaskpier.platform import lease
 from damaskpier.rollout import decider
 from damaskpier.rollout import service as rollout_service
 from damaskpier.rpc import server
+from damaskpier.store import audit
+from damaskpier.store import http
+from damaskpier.store import lease
 from damaskpier.traffic import admin
 from damaskpier.traffic import frontend
 from damaskpier.traffic import peers
--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -272,6 +272,12 @@
     'The value is larger than the platform accepts.',
     'Write a smaller value.',
 )
+PLATFORM_HISTORY_LOST = _code(
+    4019,
+    'platform-history-lost',
+    'The platform no longer has the changes that a watch asked for.',
+    'None; the node reads the objects again.',
+)
 LEASE_LOST = _code(
     4007,
     'lease-lost',
--- a/damaskpier/fakes/platform.py
+++ b/damaskpier/fakes/platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the object API of the platform, with faults on command.
 
-The protocol, which :mod:`damaskpier.platform.http` speaks:
+The protocol, which :mod:`damaskpier.store.http` speaks:
 
 ``GET /v1/objects/KEY``
     200 with the value as body and the version as ``ETag``, or 404.
@@ -42,8 +42,8 @@
 from tornado import netutil
 from tornado import web
 
-from damaskpier.platform import base
-from damaskpier.platform import memory
+from damaskpier.store import base
+from damaskpier.store import memory
 
 MAX_WRITES_PER_S = 300
 MAX_READS_PER_S = 2000
--- /dev/null
+++ b/damaskpier/fleet/choice.py
@@ -0,0 +1,214 @@
+"""Choice of a worker by expected time and by distance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.traffic.balancer import base
+from damaskpier.traffic import ejection
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    import random
+
+    from damaskpier.mesh import model
+
+# Round trips that are assumed to workers of the own failure domain, of the
+# own region and of other regions.
+ROUND_TRIP_S = (0.0005, 0.003, 0.018)
+# Traffic between failure domains is billed by volume: a more distant worker
+# has to be faster by this time, for each request and each byte of it.
+DISTANCE_S = (0.0, 0.030, 0.040)
+DISTANCE_S_PER_BYTE = (0.0, 4e-6, 6e-6)
+# Latency that is assumed of a worker before a call to it has finished,
+# where no other worker of the service has shown any.
+UNKNOWN_LATENCY_S = 0.05
+MEAN_WEIGHT = 0.05
+# Workers of other failure domains that are compared for a request.
+SAMPLED = 3
+# A worker that refused by its queue is passed over for this long.
+REFUSED_S = 0.05
+# A worker that said that it leaves, or has none of the version, is passed
+# over until its new record has arrived.
+LEFT_OUT_S = 1.0
+LEAST_RELIABILITY = 0.05
+
+_OVERLOADED = frozenset((errors.CALL_OVERLOADED, errors.CALL_UPSTREAM_REFUSED))
+
+
+class Chooser:
+    """Chooses among the workers of one version of a service.
+
+    The workers of the own failure domain are compared with a few others
+    drawn at random: comparing all of them would make every node choose the
+    same one (Mitzenmacher, "The power of two choices", 1996).
+
+    :param local: record of the caller's node
+    """
+
+    def __init__(
+        self,
+        local: Callable[[], model.NodeRecord],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._local = local
+        self._rng = rng
+        self._clock = clock
+        self._ejector = ejection.Ejector(clock)
+        self._workers: dict[str, base.Worker] = {}
+        self._near: list[base.Worker] = []
+        self._others: list[base.Worker] = []
+        self._left: dict[str, float] = {}
+        self._mean_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def update(self, records: Iterable[model.NodeRecord]) -> None:
+        """Set the routable workers; what is known of old ones is kept."""
+        workers: dict[str, base.Worker] = {}
+        for record in records:
+            worker = self._workers.get(record.node_id)
+            if (
+                worker is None
+                or worker.record.incarnation != record.incarnation
+                or worker.record.instance != record.instance
+            ):
+                tier = self._tier(record)
+                worker = base.Worker(record, ROUND_TRIP_S[tier], tier)
+                self._left.pop(record.node_id, None)
+            worker.record = record
+            workers[record.node_id] = worker
+        self._workers = workers
+        self._ejector.keep(set(workers))
+        self._near = [w for w in workers.values() if w.tier == 0]
+        self._others = [w for w in workers.values() if w.tier]
+
+    def pick(
+        self, size: float, exclude: Collection[str] = ()
+    ) -> base.Worker | None:
+        """Return the worker for the next attempt, if there is one.
+
+        :param size: expected bytes of the request and its response
+        :param exclude: workers that were tried
+        """
+        now = self._clock()
+        near = self._usable(self._near, exclude, now)
+        others = self._usable(self._others, exclude, now)
+        if len(others) > SAMPLED:
+            others = self._rng.sample(others, SAMPLED)
+        candidates = near + others
+        if not candidates:
+            # An ejected worker is better than none.
+            candidates = [
+                worker
+                for worker in self._workers.values()
+                if worker.key not in exclude
+                and self._left.get(worker.key, 0.0) <= now
+            ]
+        if not candidates:
+            return None
+        return min(
+            candidates, key=lambda worker: self._cost_s(worker, size, now)
+        )
+
+    def started(self, worker: base.Worker) -> None:
+        """Note that an attempt on a worker begins."""
+        worker.outstanding += 1
+
+    def abandoned(self, worker: base.Worker) -> None:
+        """Note that an attempt ended without showing anything."""
+        worker.outstanding -= 1
+
+    def finished(
+        self, worker: base.Worker, reply: messages.Reply, latency_s: float
+    ) -> None:
+        """Note the outcome of an attempt."""
+        worker.outstanding -= 1
+        now = self._clock()
+        if reply.load is not None:
+            worker.load = reply.load
+            worker.load_at = now
+        result = reply.result
+        if isinstance(result, messages.Answer):
+            self._answered(worker, result, latency_s)
+        elif result.code in _OVERLOADED:
+            worker.full_until = now + REFUSED_S
+        elif result.code in (errors.CALL_DRAINING, errors.CALL_NO_WORKER):
+            self._left[worker.key] = now + LEFT_OUT_S
+        elif result.code is errors.CALL_DEADLINE:
+            if result.run is errors.RunState.UNKNOWN:
+                self._learn(worker, latency_s)
+        else:
+            self._ejector.silent(worker.key)
+            self._rate(worker, good=False)
+
+    def expected_s(self, worker: base.Worker) -> float:
+        """Return the expected time of an attempt without waiting."""
+        if worker.latency_s is not None:
+            return worker.latency_s
+        return self._mean_s or UNKNOWN_LATENCY_S
+
+    def _answered(
+        self, worker: base.Worker, answer: messages.Answer, latency_s: float
+    ) -> None:
+        failed = answer.status >= 500
+        self._ejector.answered(worker.key, failed=failed)
+        self._rate(worker, good=not failed)
+        if not failed:
+            self._learn(worker, latency_s)
+
+    def _learn(self, worker: base.Worker, latency_s: float) -> None:
+        if worker.latency_s is None:
+            worker.latency_s = latency_s
+        else:
+            worker.latency_s += base.LATENCY_WEIGHT * (
+                latency_s - worker.latency_s
+            )
+        weight = MEAN_WEIGHT if self._mean_s else 1.0
+        self._mean_s += weight * (latency_s - self._mean_s)
+
+    def _rate(self, worker: base.Worker, good: bool) -> None:
+        worker.reliability += base.RELIABILITY_WEIGHT * (
+            float(good) - worker.reliability
+        )
+
+    def _cost_s(self, worker: base.Worker, size: float, now: float) -> float:
+        expected_s = self.expected_s(worker)
+        waiting = worker.busy(now) + 1.0 - worker.slots
+        if waiting > 0:
+            expected_s *= 1.0 + waiting / worker.slots
+        # Each failure costs a repeat, which the division stands for.
+        expected_s /= max(worker.reliability, LEAST_RELIABILITY) ** 2
+        tier = worker.tier
+        if now < worker.full_until:
+            expected_s += 1.0
+        return expected_s + DISTANCE_S[tier] + DISTANCE_S_PER_BYTE[tier] * size
+
+    def _usable(
+        self,
+        workers: list[base.Worker],
+        exclude: Collection[str],
+        now: float,
+    ) -> list[base.Worker]:
+        usable = []
+        for worker in workers:
+            if worker.key in exclude:
+                continue
+            if self._left.get(worker.key, 0.0) > now:
+                continue
+            weight = self._ejector.weight(worker.key)
+            if weight >= 1 or (weight > 0 and self._rng.random() < weight):
+                usable.append(worker)
+        return usable
+
+    def _tier(self, record: model.NodeRecord) -> int:
+        local = self._local()
+        if record.failure_domain == local.failure_domain:
+            return 0
+        return 1 if record.region == local.region else 2
--- /dev/null
+++ b/damaskpier/fleet/configuration.py
@@ -0,0 +1,140 @@
+"""Configuration that the node applies; service ``configuration``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier import registry
+
+if TYPE_CHECKING:
+    from damaskpier import application
+
+LOG = logging.getLogger(__name__)
+
+
+class RouteTable:
+    """Routes of one configuration by host, longest prefix first."""
+
+    def __init__(self, cfg: model.Configuration) -> None:
+        self._hosts: dict[str, list[model.Route]] = {}
+        for route in cfg.routes:
+            self._hosts.setdefault(route.host, []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        # Every prefix ends with a slash, so a dictionary of prefixes finds
+        # the route in one step for each segment of the path.
+        self._prefixes = {
+            host: {route.prefix: route for route in reversed(routes)}
+            for host, routes in self._hosts.items()
+        }
+
+    def match(self, host: str, path: str) -> model.Route | None:
+        """Return the route of a request, if there is one."""
+        prefixes = self._prefixes.get(host.partition(':')[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+
+class Applied(registry.Service):
+    """The configuration in force on this node; versions only grow.
+
+    Emits ``config-applied(configuration)``.
+    """
+
+    def __init__(self, app: application.Application) -> None:
+        self._app = app
+        self._current: model.Configuration | None = None
+        self._table: RouteTable | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Follow the store."""
+        self._task = asyncio.create_task(self._follow())
+        self._app.service('metrics').gauge('config_version', self.version)
+
+    async def stop(self) -> None:
+        """Stop following the store."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def current(self) -> model.Configuration | None:
+        """Return the configuration in force; None before the first one."""
+        return self._current
+
+    def table(self) -> RouteTable | None:
+        """Return the routes in force; None before the first version."""
+        return self._table
+
+    def version(self) -> int:
+        """Return the version in force; 0 before the first one."""
+        return self._current.version if self._current else 0
+
+    def offer(self, cfg: model.Configuration) -> bool:
+        """Apply a configuration if it is newer than the one in force."""
+        if cfg.version <= self.version():
+            return False
+        refusal = check(cfg)
+        if refusal is not None:
+            LOG.error(
+                'config: version %d is refused, version %d stays in force: %s',
+                cfg.version,
+                self.version(),
+                refusal,
+            )
+            return False
+        before = self.version()
+        self._current = cfg
+        self._table = RouteTable(cfg)
+        LOG.info(
+            'config: version %d is in force, with %d routes; was %d',
+            cfg.version,
+            len(cfg.routes),
+            before,
+        )
+        self._app.events.emit('config-applied', cfg)
+        return True
+
+    async def _follow(self) -> None:
+        is_lost = False
+        async for found in self._app.service('source').configurations():
+            if isinstance(found, errors.Refusal):
+                if not is_lost:
+                    LOG.warning('config: lost the store: %s', found)
+                is_lost = True
+                continue
+            if is_lost:
+                LOG.info('config: reached the store again')
+            is_lost = False
+            self.offer(found)
+
+
+def check(cfg: model.Configuration) -> errors.Refusal | None:
+    """Return the first fault of a configuration, None if it has none."""
+    for route in cfg.routes:
+        for part in route.parts:
+            if part.service not in cfg.services:
+                return errors.Refusal(
+                    errors.BUNDLE_REFERENCE,
+                    f'route {route.name}: no service {part.service!r}',
+                )
+        if not any(part.weight > 0 for part in route.parts):
+            return errors.Refusal(
+                errors.BUNDLE_SCHEMA, f'route {route.name}: no weight'
+            )
+    return None
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``configuration``."""
+    app.add_service('configuration', Applied(app), after=('metrics', 'source'))
--- /dev/null
+++ b/damaskpier/fleet/dialect.py
@@ -0,0 +1,64 @@
+"""Headers by which callers and upstreams talk to a node."""
+
+from __future__ import annotations
+
+import abc
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpier.http1 import messages
+
+
+class CallerTerms(NamedTuple):
+    """What a caller says of its request besides the request itself.
+
+    ``deadline_s`` is the time that the caller waits, None if not told.
+    """
+
+    request_id: str
+    deadline_s: float | None
+
+
+class UpstreamTerms(NamedTuple):
+    """What an upstream is told besides the request itself."""
+
+    instance: str
+    caller: str
+    remaining_s: float
+
+
+class Dialect(abc.ABC):
+    """Translates between headers and what they mean.
+
+    ``id_header`` is the lower-case name of the header that identifies a
+    request, which upstreams echo.
+    """
+
+    id_header: str
+
+    @abc.abstractmethod
+    def read_caller(self, request: messages.Request) -> CallerTerms:
+        """Return what a caller says of its request."""
+
+    @abc.abstractmethod
+    def upstream_headers(
+        self, headers: messages.Fields, terms: UpstreamTerms
+    ) -> messages.Fields:
+        """Return the headers for an upstream."""
+
+    @abc.abstractmethod
+    def is_not_run(self, response: messages.Response) -> bool:
+        """Tell whether an upstream says that it did not run a request."""
+
+    @abc.abstractmethod
+    def is_other_instance(self, response: messages.Response) -> bool:
+        """Tell whether another upstream than the expected one answered."""
+
+    @abc.abstractmethod
+    def is_genuine(self, response: messages.Response) -> bool:
+        """Tell whether a response comes from the upstream's program."""
+
+    @abc.abstractmethod
+    def retry_after(self, delay_s: float) -> messages.Fields:
+        """Return the headers that tell a caller when to come back."""
--- /dev/null
+++ b/damaskpier/fleet/hop.py
@@ -0,0 +1,281 @@
+"""Requests between nodes over HTTP/1.1; service ``peers``.
+
+The node of the caller adds headers of this system to the caller's request;
+the node of the worker removes them. A response bears either the upstream's
+answer or a result code with the state of the run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.http1 import client
+from damaskpier.http1 import messages as http_messages
+from damaskpier.http1 import server
+from damaskpier import registry
+from damaskpier.traffic import headers
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.mesh import model
+
+SERVICE = 'Damaskpier-Service'
+ROUTE = 'Damaskpier-Route'
+CALLER = 'Damaskpier-Caller'
+PRIORITY = 'Damaskpier-Priority'
+PATIENCE = 'Damaskpier-Patience-Ms'
+REPEATABLE = 'Damaskpier-Repeatable'
+LOAD = 'Damaskpier-Load'
+# Path of the messages between nodes that are not callers' requests.
+EXCHANGE_PATH = '/damaskpier/exchange'
+
+# A node that works on a request shows this with interim responses; the
+# caller's node gives a connection up that brings nothing for longer.
+PROGRESS = server.Progress(first_s=0.15, interval_s=0.2)
+SILENCE_S = 0.6
+# The peer gets a deadline this much earlier, so that its refusal, which
+# knows the state of the run, arrives before the caller's node gives up.
+RETURN_MARGIN_S = 0.02
+MAX_IDLE = 24
+IDLE_CLOSE_S = 60.0
+
+
+class Peers(registry.Service):
+    """Connections to the nodes that this one calls."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._pools: dict[tuple[str, int], client.Pool] = {}
+        self._node_id = app.cfg.text('node', 'id')
+
+    async def start(self) -> None:
+        """Show the number of connections."""
+        self._app.service('metrics').gauge(
+            'peer_connections_opened',
+            lambda: sum(pool.opened for pool in self._pools.values()),
+        )
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        for pool in self._pools.values():
+            pool.drop_idle()
+
+    async def call(
+        self, record: model.NodeRecord, request: messages.Request
+    ) -> messages.Reply:
+        """Run a request on the worker beside a node."""
+        if record.node_id == self._node_id:
+            return await self._app.service('worker').call(request)
+        now = self._clock()
+        deadline = request.deadline - now
+        outcome = await self.pool(record).request(
+            http_messages.encode_request(
+                request.method,
+                request.target,
+                _hop_headers(request, now),
+                request.body,
+            ),
+            client.Options(
+                deadline=asyncio.get_running_loop().time() + deadline,
+                is_head=request.method == 'HEAD',
+                silence_s=SILENCE_S,
+            ),
+        )
+        if isinstance(outcome, http_messages.Failure):
+            return messages.Reply(_refusal_of(outcome))
+        return _reply_of(outcome)
+
+    def pool(self, record: model.NodeRecord) -> client.Pool:
+        """Return the connections to a node."""
+        address = (record.host, record.rpc_port)
+        pool = self._pools.get(address)
+        if pool is None:
+            self._forget_unused()
+            pool = self._pools[address] = client.Pool(*address, MAX_IDLE)
+        return pool
+
+    def _forget_unused(self) -> None:
+        limit = self._clock() - IDLE_CLOSE_S
+        for address, pool in list(self._pools.items()):
+            if not pool.in_use and pool.last_used < limit:
+                pool.drop_idle()
+                del self._pools[address]
+
+
+class PeerServer(registry.Service):
+    """Serves the requests of other nodes; service ``peer-server``."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self.server = server.Server(self._handle, progress=PROGRESS)
+
+    async def start(self) -> None:
+        """Listen for other nodes."""
+        cfg = self._app.cfg
+        await self.server.listen(
+            cfg.text('node', 'host'), cfg.integer('node', 'rpc_port')
+        )
+        self._app.service('membership').set_ports(rpc_port=self.server.port)
+
+    async def stop(self) -> None:
+        """Finish the requests that run, and close."""
+        await self.server.stop()
+
+    async def _handle(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        if request.path == EXCHANGE_PATH:
+            body = self._app.service('exchange').received(request.body)
+            return http_messages.Response(200, (), body)
+        parsed = _request_of(request, self._clock())
+        if isinstance(parsed, errors.Refusal):
+            return _response_of(messages.Reply(parsed))
+        return _response_of(await self._app.service('worker').call(parsed))
+
+
+def _hop_headers(
+    request: messages.Request, now: float
+) -> http_messages.Fields:
+    remaining_s = request.deadline - now
+    if remaining_s > 4 * RETURN_MARGIN_S:
+        remaining_s -= RETURN_MARGIN_S
+    fields = request.headers + (
+        (headers.REQUEST_ID, request.request_id),
+        (SERVICE, request.service),
+        (ROUTE, request.route),
+        (headers.DEADLINE, str(max(0, int(remaining_s * 1000)))),
+    )
+    if request.version:
+        fields += ((headers.VERSION, request.version),)
+    if request.caller:
+        fields += ((CALLER, request.caller),)
+    if request.priority:
+        fields += ((PRIORITY, str(request.priority)),)
+    if request.repeatable:
+        fields += ((REPEATABLE, '1'),)
+    if request.patience_s < remaining_s:
+        patience_ms = max(0, int(request.patience_s * 1000))
+        fields += ((PATIENCE, str(patience_ms)),)
+    return fields
+
+
+def _request_of(
+    request: http_messages.Request, now: float
+) -> messages.Request | errors.Refusal:
+    own = {}
+    rest = []
+    for name, value in request.headers:
+        lower = name.lower()
+        if lower.startswith(headers.OWN_PREFIX):
+            own[lower] = value
+        elif lower != 'content-length':
+            rest.append((name, value))
+    try:
+        patience = own.get(PATIENCE.lower())
+        return messages.Request(
+            request_id=own[headers.REQUEST_ID.lower()],
+            route=own[ROUTE.lower()],
+            service=own[SERVICE.lower()],
+            version=own.get(headers.VERSION.lower(), ''),
+            method=request.method,
+            target=request.target,
+            headers=tuple(rest),
+            body=request.body,
+            deadline=now + int(own[headers.DEADLINE.lower()]) / 1000,
+            depth=0,
+            repeatable=REPEATABLE.lower() in own,
+            priority=int(own.get(PRIORITY.lower(), 0)),
+            caller=own.get(CALLER.lower(), ''),
+            patience_s=float('inf')
+            if patience is None
+            else int(patience) / 1000,
+        )
+    except (KeyError, ValueError) as exc:
+        return errors.Refusal(
+            errors.CALL_BAD_HEADER, f'not a request of a node: {exc!r}'
+        )
+
+
+def _response_of(reply: messages.Reply) -> http_messages.Response:
+    fields: http_messages.Fields = ()
+    if reply.load is not None:
+        load = reply.load
+        fields = ((LOAD, f'{load.in_use},{load.queued},{load.slots}'),)
+    result = reply.result
+    if isinstance(result, errors.Refusal):
+        run = errors.RUN_STATE_NAMES[result.run]
+        fields += (
+            (headers.RESULT, str(result.code.number)),
+            (headers.RUN, run),
+        )
+        return http_messages.Response(503, fields, result.reason.encode())
+    return http_messages.Response(
+        result.status, headers.end_to_end(result.headers) + fields, result.body
+    )
+
+
+_RUN_STATES = {name: state for state, name in errors.RUN_STATE_NAMES.items()}
+
+
+def _reply_of(response: http_messages.Response) -> messages.Reply:
+    own = {}
+    rest = []
+    for name, value in response.headers:
+        lower = name.lower()
+        if lower.startswith(headers.OWN_PREFIX):
+            own[lower] = value
+        elif lower not in ('content-length', 'connection'):
+            rest.append((name, value))
+    load = None
+    told = own.get(LOAD.lower())
+    if told:
+        in_use, queued, slots = told.split(',')
+        load = messages.Load(int(slots), int(in_use), int(queued))
+    number = own.get(headers.RESULT.lower())
+    if number is None:
+        answer = messages.Answer(response.status, tuple(rest), response.body)
+        return messages.Reply(answer, load)
+    try:
+        code = errors.by_number(int(number))
+    except (KeyError, ValueError):
+        code = errors.CALL_UNKNOWN
+    run = _RUN_STATES.get(
+        own.get(headers.RUN.lower(), ''), errors.RunState.UNKNOWN
+    )
+    reason = response.body.decode('utf-8', 'replace')
+    return messages.Reply(errors.Refusal(code, reason, run), load)
+
+
+def _refusal_of(failure: http_messages.Failure) -> errors.Refusal:
+    if not failure.sent:
+        return errors.Refusal(errors.CALL_CONNECT, failure.reason)
+    code = errors.CALL_UNKNOWN
+    if failure.timed_out and not failure.silent:
+        code = errors.CALL_DEADLINE
+    return errors.Refusal(code, failure.reason, errors.RunState.UNKNOWN)
+
+
+def setup(app: application.Application) -> None:
+    """Register the services ``peers`` and ``peer-server``."""
+    app.add_service('peers', Peers(app), after=('metrics', 'worker'))
+    app.add_service(
+        'peer-server',
+        PeerServer(app),
+        after=('metrics', 'membership', 'worker', 'peers'),
+    )
--- /dev/null
+++ b/damaskpier/fleet/ingress.py
@@ -0,0 +1,203 @@
+"""HTTP server for callers; service ``ingress``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier.fleet import router
+from damaskpier.http1 import messages as http_messages
+from damaskpier.http1 import server
+from damaskpier import registry
+from damaskpier.traffic import headers
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.fleet import dialect
+
+LOG = logging.getLogger(__name__)
+
+# After SIGTERM the node goes on serving for this part of the time that it
+# has, because callers notice only by then that it is not ready.
+SERVE_PART = 0.5
+# Part of the time that it has within which the requests have to end.
+FINISH_PART = 0.9
+# Time that a caller waits where neither it nor the route tells.
+DEFAULT_DEADLINE_S = 5.0
+
+_STATUS = {
+    errors.CALL_NO_ROUTE: 404,
+    errors.CALL_BAD_HEADER: 400,
+    errors.CALL_TOO_LARGE: 413,
+    errors.CALL_DEADLINE: 504,
+}
+
+
+class Ingress(registry.Service):
+    """Takes requests of callers and gives them their answers."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        terms: dialect.Dialect,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._app = app
+        self._terms = terms
+        self._clock = clock
+        self.server = server.Server(self._handle, self._limits)
+        self._grace_s = app.cfg.number('fleet', 'grace')
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        cfg = self._app.cfg
+        await self.server.listen(
+            cfg.text('node', 'host'), cfg.integer('node', 'http_port')
+        )
+        self._app.service('membership').set_ports(http_port=self.server.port)
+        self._app.service('metrics').gauge(
+            'requests_running', lambda: self.server.running
+        )
+
+    async def stop(self) -> None:
+        """Leave without interrupting a request."""
+        began = self._clock()
+        self._app.events.emit('node-draining')
+        self._app.service('worker').drain_node()
+        self.server.leave()
+        await asyncio.sleep(SERVE_PART * self._grace_s)
+        left_s = FINISH_PART * self._grace_s - (self._clock() - began)
+        try:
+            await asyncio.wait_for(self.server.stop(), left_s)
+        except TimeoutError:
+            LOG.warning(
+                'ingress: %d requests were still running', self.server.running
+            )
+
+    def _limits(self) -> server.Limits:
+        cfg = self._app.service('configuration').current()
+        limits = model.CallerLimits() if cfg is None else cfg.limits
+        return server.Limits(*limits)
+
+    async def _handle(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        began = self._clock()
+        terms = self._terms.read_caller(request)
+        table = self._app.service('configuration').table()
+        if table is None:
+            outcome = _refused(
+                errors.CALL_NO_CONFIG, 'the node has no configuration yet'
+            )
+            return self._respond(terms, None, outcome, began)
+        route = table.match(request.header('host'), request.path)
+        if route is None:
+            outcome = _refused(
+                errors.CALL_NO_ROUTE, f'no route for {request.path[:80]}'
+            )
+            return self._respond(terms, None, outcome, began)
+        limit_s = route.timeout_s or DEFAULT_DEADLINE_S
+        if terms.deadline_s is not None:
+            limit_s = min(limit_s, terms.deadline_s)
+        outcome = await self._app.service('router').route(
+            route,
+            messages.Request(
+                request_id=terms.request_id,
+                route=route.name,
+                service='',
+                version='',
+                method=request.method,
+                target=request.target,
+                headers=_forwarded(request),
+                body=request.body,
+                deadline=began + limit_s,
+                depth=0,
+                repeatable=route.repeatable,
+                priority=route.priority,
+                caller=self._app.cfg.text('node', 'service'),
+            ),
+        )
+        return self._respond(terms, route, outcome, began)
+
+    def _respond(
+        self,
+        terms: dialect.CallerTerms,
+        route: model.Route | None,
+        outcome: router.Outcome,
+        began: float,
+    ) -> http_messages.Response:
+        result = outcome.result
+        took_s = self._clock() - began
+        metrics = self._app.service('metrics')
+        metrics.observe('request', took_s)
+        if isinstance(result, messages.Answer):
+            metrics.count('requests', code='answered')
+            return http_messages.Response(
+                result.status, headers.end_to_end(result.headers), result.body
+            )
+        metrics.count('requests', code=str(result.code))
+        status, fields = self._refusal(result)
+        LOG.info(
+            'ingress: %s of %s refused with %d: %s; run %s; %d tries, last '
+            'on %s, after %d ms, config %d',
+            terms.request_id,
+            route.name if route else '-',
+            status,
+            result,
+            errors.RUN_STATE_NAMES[result.run],
+            outcome.attempts,
+            outcome.worker or '-',
+            took_s * 1000,
+            self._app.service('configuration').version(),
+        )
+        body = f'{result}\n'.encode()
+        return http_messages.Response(status, fields, body)
+
+    def _refusal(
+        self, result: errors.Refusal
+    ) -> tuple[int, http_messages.Fields]:
+        if result.run is errors.RunState.NOT_RUN:
+            status = _STATUS.get(result.code, 503)
+            if status in (503, 504):
+                # Nothing has run, so that any request may come back.
+                return 503, self._terms.retry_after(router.RETURN_S)
+            return status, ()
+        if result.code is errors.CALL_DEADLINE:
+            return 504, ()
+        return 502, ()
+
+
+def _forwarded(request: http_messages.Request) -> http_messages.Fields:
+    host = request.header('host')
+    return (('Host', host), *headers.end_to_end(request.headers))
+
+
+def _refused(code: errors.ResultCode, reason: str) -> router.Outcome:
+    return router.Outcome(errors.Refusal(code, reason))
+
+
+def setup(app: application.Application, terms: dialect.Dialect) -> None:
+    """Register the service ``ingress``, which starts last."""
+    app.add_service(
+        'ingress',
+        Ingress(app, terms),
+        after=(
+            'metrics',
+            'configuration',
+            'membership',
+            'rollouts',
+            'worker',
+            'peers',
+            'peer-server',
+            'exchange',
+            'router',
+            'control',
+        ),
+    )
--- /dev/null
+++ b/damaskpier/fleet/rollouts.py
@@ -0,0 +1,523 @@
+"""Moves of services to new versions; service ``rollouts``.
+
+No node is in charge of a move. All nodes send each other their counts and
+judge them alike, by the same schedule; the first one to reach a verdict
+writes it to the store, where a conditional update lets one verdict win.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import hashlib
+import logging
+import random
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier import registry
+from damaskpier.rollout import judge
+from damaskpier.rollout import latency
+from damaskpier.rollout import model as rollout_model
+from damaskpier.rollout import record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+
+LOG = logging.getLogger(__name__)
+
+# Counts are sent and judged this often while a move runs.
+TICK_S = 0.4
+# First share of the new version, between these bounds so that about this
+# many requests a second meet it in the whole fleet.
+FIRST_SHARE_LOW = 0.03
+FIRST_SHARE_HIGH = 0.08
+FIRST_REQUESTS_PER_S = 14.0
+# Steps of the share: part of the move's time from which on it holds.
+STEPS = (
+    (0.40, 0.15),
+    (0.46, 0.30),
+    (0.52, 0.50),
+    (0.58, 0.75),
+    (0.64, 1.0),
+)
+# The verdict that the move is done comes at this part of its time, and when
+# the last requests of the old version have had time to end.
+DONE_AT = 0.86
+# Chance that noise takes a good version back.
+ERROR_RATE = 0.001
+# A version is bad only if its failures exceed those of the old one by this
+# part of its requests; less may be a fault of single workers.
+MIN_EXCESS = 0.12
+MIN_FAILURES = 4
+# Or if its median latency is higher by this many buckets, 8 of which are a
+# factor of two.
+MIN_SLOWER_BUCKETS = 11
+MIN_SLOW_REQUESTS = 12
+# Latency counts this long after the first answers of the new version, whose
+# workers are slow at first.
+WARMUP_S = 4.0
+# Outcomes that are compared as they are are those of this time.
+RECENT_S = 4.0
+# Time between the nodes that may write a verdict, by rank.
+WRITE_STAGGER_S = 0.4
+MAX_WRITE_RANK = 8
+NO_VERSION = 'none'
+
+
+class Evidence(NamedTuple):
+    """Recent outcomes of both versions on a route."""
+
+    at: float
+    old: rollout_model.VersionCounts
+    new: rollout_model.VersionCounts
+
+
+class RouteCase:
+    """Evidence on one route of a move."""
+
+    def __init__(self, schedule: judge.Schedule) -> None:
+        self._record = record.Record()
+        self._judge = judge.RouteJudge(schedule)
+        self._staged: list[rollout_model.VersionCounts] = []
+        self._staged_at = 0.0
+        self._recent: collections.deque[Evidence] = collections.deque()
+
+    def observe(
+        self, cell: rollout_model.EvidenceCell, now: float, is_warm: bool
+    ) -> None:
+        """Take in counts."""
+        self._recent.append(Evidence(now, cell.old, cell.new))
+        while self._recent[0].at < now - RECENT_S:
+            self._recent.popleft()
+        # Bets on a cell must not depend on its outcomes.
+        if now >= self._staged_at + 1.0 or not self._record.usable:
+            self._staged_at = now
+            for counts in self._staged:
+                self._record.add(counts)
+            self._staged.clear()
+        if self._record.usable and 0.0 < cell.share < 1.0:
+            gains = self._record.gains(cell, is_warm)
+            self._judge.update(
+                int(now), cell.share, cell.failure_domain, gains
+            )
+        self._staged.append(cell.old)
+
+    def fault(self) -> str:
+        """Return what is wrong with the new version, '' if nothing is."""
+        capital = self._judge.finding().capital
+        if capital < 1.0 / ERROR_RATE:
+            return ''
+        old = new = rollout_model.VersionCounts()
+        for evidence in self._recent:
+            old = old.plus(evidence.old)
+            new = new.plus(evidence.new)
+        rate = new.failures / max(1, new.requests)
+        usual = old.failures / max(1, old.requests)
+        if new.failures >= MIN_FAILURES and rate - usual >= MIN_EXCESS:
+            return (
+                f'{new.failures} of {new.requests} requests failed, '
+                f'{usual:.1%} on the old version; capital {capital:.3g}'
+            )
+        if new.requests < MIN_SLOW_REQUESTS or not old.requests:
+            return ''
+        median = latency.quantile_bucket(new.latency, 0.5)
+        before = latency.quantile_bucket(old.latency, 0.5)
+        if median - before >= MIN_SLOWER_BUCKETS:
+            return (
+                f'median of {latency.lower_bound_ms(median):.0f} ms, '
+                f'{latency.lower_bound_ms(before):.0f} ms on the old '
+                f'version; capital {capital:.3g}'
+            )
+        return ''
+
+
+class Move:
+    """An order as this node follows it."""
+
+    def __init__(self, order: model.Order, now: float) -> None:
+        self.order = order
+        self.began = now
+        self.phase = order.phase
+        self.reason = ''
+        self.full_since: float | None = None
+        self.first_answer: float | None = None
+        self.writing = False
+        self._schedule = judge.Schedule(now, now + order.duration_s)
+        self._cases: dict[str, RouteCase] = {}
+        self._counts: dict[tuple[str, float], tuple[list, list]] = {}
+
+    @property
+    def move_id(self) -> str:
+        """Return the name of the move among all moves."""
+        return move_id(self.order)
+
+    def record(
+        self, route: str, is_new: bool, failed: bool, ms: float, share: float
+    ) -> None:
+        """Count an outcome of this node."""
+        cell = self._counts.setdefault(
+            (route, share), ([0, 0, {}], [0, 0, {}])
+        )
+        counts = cell[is_new]
+        counts[0] += 1
+        counts[1] += failed
+        bucket = latency.bucket_of(ms)
+        counts[2][bucket] = counts[2].get(bucket, 0) + 1
+
+    def take(
+        self, failure_domain: str, now: float
+    ) -> list[rollout_model.EvidenceCell]:
+        """Return and forget the counts of this node."""
+        counts, self._counts = self._counts, {}
+        return [
+            rollout_model.EvidenceCell(
+                self.move_id,
+                route,
+                failure_domain,
+                int(now),
+                rollout_model.VersionCounts(*old),
+                rollout_model.VersionCounts(*new),
+                share,
+            )
+            for (route, share), (old, new) in counts.items()
+        ]
+
+    def observe(self, cell: rollout_model.EvidenceCell, now: float) -> None:
+        """Take in counts of any node."""
+        if cell.new.requests and self.first_answer is None:
+            self.first_answer = now
+        is_warm = (
+            self.first_answer is not None
+            and now >= self.first_answer + WARMUP_S
+        )
+        case = self._cases.get(cell.route)
+        if case is None:
+            case = self._cases[cell.route] = RouteCase(self._schedule)
+        case.observe(cell, now, is_warm)
+
+    def fault(self) -> str:
+        """Return what is wrong with the new version, '' if nothing is."""
+        for route, case in self._cases.items():
+            fault = case.fault()
+            if fault:
+                return f'{route}: {fault}'
+        return ''
+
+    def share(self, now: float, per_s: float) -> float:
+        """Return the share of requests that the new version gets.
+
+        :param per_s: requests of the service a second in the whole fleet
+        """
+        share = FIRST_REQUESTS_PER_S / max(per_s, 1.0)
+        share = min(max(share, FIRST_SHARE_LOW), FIRST_SHARE_HIGH)
+        passed = (now - self.began) / max(self.order.duration_s, 1.0)
+        for since, step in STEPS:
+            if passed >= since:
+                share = step
+        return share
+
+
+class Rollouts(registry.Service):
+    """Chooses versions and gives the verdicts on moves.
+
+    :param clock: returns the time in seconds
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._moves: dict[str, Move] = {}
+        self._shares: dict[str, float] = {}
+        self._picks: collections.Counter[str] = collections.Counter()
+        self._rates: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Follow the orders in the store."""
+        self._tasks = [
+            asyncio.create_task(self._follow()),
+            asyncio.create_task(self._tick_forever()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+
+    def pick(self, service: str) -> rollout_model.Choice:
+        """Choose the version that the next request of a service goes to.
+
+        The version is empty where any will do.
+        """
+        move = self._moves.get(service)
+        if move is None:
+            return rollout_model.Choice('', 0.0)
+        self._picks[service] += 1
+        target = move.order.version
+        if move.phase is model.Phase.DONE:
+            return rollout_model.Choice(target, 1.0)
+        old = self._old_version(service, target)
+        if move.phase is model.Phase.TAKEN_BACK:
+            return rollout_model.Choice(old or NO_VERSION, 0.0)
+        share = self._shares.get(service, 0.0)
+        if not old:
+            return rollout_model.Choice(target, 1.0)
+        if not self._has_workers(service, target):
+            return rollout_model.Choice(old, 0.0)
+        if share >= 1 or self._rng.random() < share:
+            return rollout_model.Choice(target, share)
+        return rollout_model.Choice(old, share)
+
+    def record(
+        self,
+        service: str,
+        route: str,
+        version: str,
+        failed: bool,
+        ms: float,
+        share: float,
+    ) -> None:
+        """Count the outcome of a request that had a choice of version."""
+        move = self._moves.get(service)
+        if move is None or move.phase is not model.Phase.RUNNING:
+            return
+        is_new = version == move.order.version
+        move.record(route, is_new, failed, ms, share)
+
+    def observe(self, cells: list[rollout_model.EvidenceCell]) -> None:
+        """Take in counts of another node."""
+        now = self._clock()
+        by_id = {move.move_id: move for move in self._moves.values()}
+        for cell in cells:
+            move = by_id.get(cell.move)
+            if move is not None:
+                move.observe(cell, now)
+
+    def states(self) -> list[rollout_model.MoveState]:
+        """Return the verdicts that this node knows."""
+        return [
+            _state_of(move)
+            for move in self._moves.values()
+            if move.phase is not model.Phase.RUNNING
+        ]
+
+    def merge(self, state: rollout_model.MoveState) -> None:
+        """Take over a verdict of another node."""
+        for move in self._moves.values():
+            if move.move_id == state.move and (
+                move.phase is model.Phase.RUNNING
+                and state.phase is not rollout_model.Phase.RUNNING
+            ):
+                move.reason = state.reason
+                move.phase = model.Phase(state.phase.value)
+                LOG.info(
+                    'rollout: %s is %s by the word of another node: %s',
+                    state.move,
+                    state.phase.value,
+                    state.reason,
+                )
+
+    async def _follow(self) -> None:
+        is_lost = False
+        async for found in self._app.service('source').orders():
+            if isinstance(found, errors.Refusal):
+                if not is_lost:
+                    LOG.warning('rollout: lost the store: %s', found)
+                is_lost = True
+                continue
+            is_lost = False
+            for order in found:
+                self._take_order(order)
+
+    def _take_order(self, order: model.Order) -> None:
+        known = self._moves.get(order.service)
+        if known is not None and known.order.order_id == order.order_id:
+            known.order = order
+            if order.phase is not model.Phase.RUNNING:
+                self._conclude(known, order.phase, 'the store says so')
+            return
+        LOG.info(
+            'rollout: order to move %s to %s within %.1f s, state %s',
+            order.service,
+            order.version,
+            order.duration_s,
+            order.phase.value,
+        )
+        self._moves[order.service] = Move(order, self._clock())
+        self._shares.pop(order.service, None)
+
+    def _conclude(self, move: Move, phase: model.Phase, reason: str) -> None:
+        if move.phase is phase:
+            return
+        move.phase = phase
+        move.reason = reason
+        LOG.info('rollout: %s is %s: %s', move.move_id, phase.value, reason)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            for move in list(self._moves.values()):
+                self._tick(move)
+
+    def _tick(self, move: Move) -> None:
+        now = self._clock()
+        service = move.order.service
+        if move.phase is not model.Phase.RUNNING:
+            if move.order.phase is model.Phase.RUNNING:
+                self._write_later(move)
+            return
+        self._measure_rate(service)
+        cells = move.take(self._domain(), now)
+        if cells:
+            for cell in cells:
+                move.observe(cell, now)
+            self._app.service('exchange').share_evidence(cells)
+        fault = move.fault()
+        if fault:
+            self._decide(move, model.Phase.TAKEN_BACK, fault)
+            return
+        self._advance(move, now)
+
+    def _advance(self, move: Move, now: float) -> None:
+        service = move.order.service
+        if not self._has_workers(service, move.order.version):
+            self._shares[service] = 0.0
+            move.full_since = None
+            return
+        share = move.share(now, self._rates.get(service, 0.0))
+        if share != self._shares.get(service):
+            LOG.info(
+                'rollout: share of %s is %.2f, at %.1f s of %.1f s',
+                move.move_id,
+                share,
+                now - move.began,
+                move.order.duration_s,
+            )
+        self._shares[service] = share
+        if share < 1:
+            move.full_since = None
+            return
+        if move.full_since is None:
+            move.full_since = now
+        elapsed = now - move.began
+        if (
+            elapsed >= DONE_AT * move.order.duration_s
+            and now - move.full_since >= self._longest_s()
+        ):
+            self._decide(move, model.Phase.DONE, 'all traffic has moved')
+
+    def _decide(self, move: Move, phase: model.Phase, reason: str) -> None:
+        self._conclude(move, phase, reason)
+        self._app.service('exchange').share_state(_state_of(move))
+        self._write_later(move)
+
+    def _write_later(self, move: Move) -> None:
+        if move.writing:
+            return
+        move.writing = True
+        delay_s = WRITE_STAGGER_S * min(
+            self._rank(move.move_id), MAX_WRITE_RANK
+        )
+        task = asyncio.create_task(self._write(move, delay_s))
+        self._tasks.append(task)
+
+    async def _write(self, move: Move, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        try:
+            if move.order.phase is not model.Phase.RUNNING:
+                return
+            written = await self._app.service('source').conclude(
+                move.order, move.phase
+            )
+            if isinstance(written, errors.Refusal):
+                LOG.warning(
+                    'rollout: the verdict on %s is not written yet: %s',
+                    move.move_id,
+                    written,
+                )
+                return
+            self._take_order(written)
+        finally:
+            move.writing = False
+
+    def _rank(self, name: str) -> int:
+        """Return this node's place among those that may write a verdict."""
+        own = self._app.cfg.text('node', 'id')
+        mine = _hash(name, own)
+        return sum(
+            1
+            for node in self._app.service('membership').nodes()
+            if _hash(name, node.node_id) < mine
+        )
+
+    def _measure_rate(self, service: str) -> None:
+        nodes = len(self._app.service('membership').nodes())
+        per_s = self._picks.pop(service, 0) / TICK_S * nodes
+        known = self._rates.get(service, per_s)
+        self._rates[service] = known + 0.3 * (per_s - known)
+
+    def _longest_s(self) -> float:
+        cfg = self._app.service('configuration').current()
+        if cfg is None:
+            return 0.0
+        return max((route.timeout_s for route in cfg.routes), default=0.0)
+
+    def _old_version(self, service: str, target: str) -> str:
+        versions = collections.Counter(
+            worker.version
+            for worker in self._app.service('membership').workers(service)
+            if worker.version != target
+        )
+        return versions.most_common(1)[0][0] if versions else ''
+
+    def _has_workers(self, service: str, version: str) -> bool:
+        return any(
+            worker.version == version
+            for worker in self._app.service('membership').workers(service)
+        )
+
+    def _domain(self) -> str:
+        return self._app.cfg.text('node', 'failure_domain')
+
+
+def move_id(order: model.Order) -> str:
+    """Return the name of an order's move among all moves."""
+    return f'{order.service}/{order.version}/{order.order_id}'
+
+
+def _state_of(move: Move) -> rollout_model.MoveState:
+    return rollout_model.MoveState(
+        move.move_id,
+        0,
+        0,
+        rollout_model.Phase(move.phase.value),
+        {},
+        move.reason,
+    )
+
+
+def _hash(name: str, node_id: str) -> bytes:
+    return hashlib.blake2b(
+        f'{name}\0{node_id}'.encode(), digest_size=8
+    ).digest()
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``rollouts``."""
+    app.add_service(
+        'rollouts',
+        Rollouts(app),
+        after=('metrics', 'source', 'membership', 'configuration'),
+    )
--- /dev/null
+++ b/damaskpier/fleet/router.py
@@ -0,0 +1,331 @@
+"""Carries a request from its route to a worker; service ``router``."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.fleet import choice
+from damaskpier.fleet import model
+from damaskpier import registry
+from damaskpier.rollout import model as rollout_model
+from damaskpier.traffic import messages
+from damaskpier.traffic import retry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+    from damaskpier.traffic.balancer import base
+
+LOG = logging.getLogger(__name__)
+
+# Records are looked up again after this time even without an event.
+REFRESH_S = 1.0
+# Attempts of one request, refused ones included.
+MAX_TRIES = 4
+# Time that another attempt has to have left to be worth starting.
+MIN_REMAINING_S = 0.01
+# Part of the latency objective that a request may wait for a slot of the
+# first worker while others may have a free one.
+FIRST_PATIENCE = 0.25
+# Bytes of a request and its response that are assumed until responses of
+# the route have shown theirs.
+UNKNOWN_BYTES = 2000.0
+BYTES_WEIGHT = 0.1
+# Time after which a caller may come back where nothing tells more.
+RETURN_S = 0.1
+
+# Another worker may run what one has refused with these codes.
+_REFUSED_BY_WORKER = frozenset(
+    (
+        errors.CALL_OVERLOADED,
+        errors.CALL_DRAINING,
+        errors.CALL_CONNECT,
+        errors.CALL_NO_WORKER,
+        errors.CALL_UPSTREAM_REFUSED,
+        errors.CALL_DEADLINE,
+    )
+)
+
+
+class Outcome(NamedTuple):
+    """Result of a request."""
+
+    result: messages.Answer | errors.Refusal
+    version: str = ''
+    attempts: int = 0
+    worker: str = ''
+
+
+class _Workers:
+    def __init__(self, chooser: choice.Chooser) -> None:
+        self.chooser = chooser
+        self.refreshed = float('-inf')
+
+
+class Router(registry.Service):
+    """Routes requests by the configuration in force.
+
+    :param clock: returns the time in seconds
+    :param rng: source of all random choices
+    """
+
+    def __init__(
+        self,
+        app: application.Application,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._workers: dict[tuple[str, str], _Workers] = {}
+        self._budgets: dict[str, retry.FleetBudget] = {}
+        self._bytes: dict[str, float] = {}
+        app.events.connect('membership-changed', self._changed)
+
+    async def route(
+        self, route: model.Route, request: messages.Request
+    ) -> Outcome:
+        """Run a request on a worker of its route.
+
+        :param request: request with its service and version left empty
+        """
+        service = self._choose_part(route).service
+        choice_ = self._app.service('rollouts').pick(service)
+        chooser = self._chooser(service, choice_.version)
+        request = request._replace(service=service, version=choice_.version)
+        began = self._clock()
+        outcome, lost = await self._attempts(route, chooser, request)
+        self._record(route, service, choice_, outcome, lost, began)
+        return outcome
+
+    async def _attempts(
+        self,
+        route: model.Route,
+        chooser: choice.Chooser,
+        request: messages.Request,
+    ) -> tuple[Outcome, bool]:
+        budget = self._budget(request.service)
+        budget.called()
+        size = self._bytes.get(route.name, UNKNOWN_BYTES) + len(request.body)
+        tried: list[str] = []
+        ran = 0
+        lost = False
+        state = errors.RunState.NOT_RUN
+        failed: messages.Answer | None = None
+        refusal = errors.Refusal(
+            errors.CALL_NO_WORKER,
+            f'no worker of {request.service} {request.version} is ready',
+        )
+        while True:
+            worker = chooser.pick(size, tried)
+            if worker is None:
+                break
+            patient = request._replace(
+                patience_s=self._patience_s(route, chooser, tried)
+            )
+            tried.append(worker.key)
+            result = await self._attempt(chooser, worker, patient)
+            if isinstance(result, messages.Answer):
+                self._note_size(route, result)
+                if result.status < 500:
+                    return self._outcome(result, request, tried), lost
+                failed = result
+                lost = True
+                state = errors.RunState.RUN
+            else:
+                lost = lost or result.run is errors.RunState.UNKNOWN
+                state = retry.merged_run(state, result.run)
+                refusal = result._replace(run=state)
+            ran += _may_have_run(result)
+            remaining_s = request.deadline - self._clock()
+            if not self._may_repeat(
+                route, result, ran, len(tried), remaining_s
+            ):
+                break
+            if _reached_worker(result) and not budget.take():
+                break
+            self._app.service('metrics').count('retries')
+        if failed is not None:
+            return self._outcome(failed, request, tried), lost
+        return self._outcome(refusal, request, tried), lost
+
+    def _outcome(
+        self,
+        result: messages.Answer | errors.Refusal,
+        request: messages.Request,
+        tried: list[str],
+    ) -> Outcome:
+        return Outcome(
+            result, request.version, len(tried), tried[-1] if tried else ''
+        )
+
+    def _may_repeat(
+        self,
+        route: model.Route,
+        result: messages.Answer | errors.Refusal,
+        ran: int,
+        tries: int,
+        remaining_s: float,
+    ) -> bool:
+        if tries >= MAX_TRIES or remaining_s < MIN_REMAINING_S:
+            return False
+        if ran >= route.max_attempts:
+            return False
+        if _may_have_run(result):
+            return route.repeatable
+        return result.code in _REFUSED_BY_WORKER
+
+    def _patience_s(
+        self, route: model.Route, chooser: choice.Chooser, tried: list[str]
+    ) -> float:
+        """Return how long a request may wait for a slot of a worker."""
+        if len(tried) + 1 >= min(MAX_TRIES, len(chooser)):
+            return float('inf')
+        return FIRST_PATIENCE * route.objective_s
+
+    async def _attempt(
+        self,
+        chooser: choice.Chooser,
+        worker: base.Worker,
+        request: messages.Request,
+    ) -> messages.Answer | errors.Refusal:
+        chooser.started(worker)
+        began = self._clock()
+        reply = None
+        try:
+            reply = await self._app.service('peers').call(
+                worker.record, request
+            )
+        finally:
+            if reply is None:
+                chooser.abandoned(worker)
+        took_s = self._clock() - began
+        chooser.finished(worker, reply, took_s)
+        if _is_unreachable(reply.result):
+            self._app.service('exchange').suspect(worker.record)
+        if isinstance(reply.result, errors.Refusal):
+            LOG.info(
+                'router: %s try on %s for %s: %s; run %s; after %d ms, '
+                '%d ms left',
+                request.request_id,
+                worker.key,
+                request.route,
+                reply.result,
+                errors.RUN_STATE_NAMES[reply.result.run],
+                took_s * 1000,
+                (request.deadline - self._clock()) * 1000,
+            )
+        return reply.result
+
+    def _choose_part(self, route: model.Route) -> model.Part:
+        if len(route.parts) == 1:
+            return route.parts[0]
+        weights = [part.weight for part in route.parts]
+        return self._rng.choices(route.parts, weights)[0]
+
+    def _chooser(self, service: str, version: str) -> choice.Chooser:
+        entry = self._workers.get((service, version))
+        membership = self._app.service('membership')
+        if entry is None:
+            entry = self._workers[service, version] = _Workers(
+                choice.Chooser(membership.local, self._rng, self._clock)
+            )
+        now = self._clock()
+        if now - entry.refreshed >= REFRESH_S:
+            entry.refreshed = now
+            entry.chooser.update(
+                record
+                for record in membership.workers(service)
+                if not version or record.version == version
+            )
+        return entry.chooser
+
+    def _budget(self, service: str) -> retry.FleetBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            cfg = self._app.cfg
+            budget = self._budgets[service] = retry.FleetBudget(
+                retry.FleetLimit(
+                    cfg.number('fleet', 'retry_ratio'),
+                    cfg.number('fleet', 'retry_slack'),
+                    cfg.number('fleet', 'retry_window'),
+                ),
+                lambda: len(self._app.service('membership').nodes()),
+                self._clock,
+            )
+        return budget
+
+    def _note_size(self, route: model.Route, answer: messages.Answer) -> None:
+        if answer.status >= 300:
+            return
+        size = float(len(answer.body))
+        known = self._bytes.get(route.name, size)
+        self._bytes[route.name] = known + BYTES_WEIGHT * (size - known)
+
+    def _record(
+        self,
+        route: model.Route,
+        service: str,
+        choice_: rollout_model.Choice,
+        outcome: Outcome,
+        lost: bool,
+        began: float,
+    ) -> None:
+        if not 0 < choice_.share < 1:
+            return
+        result = outcome.result
+        if isinstance(result, messages.Answer):
+            failed = result.status >= 500
+        elif result.run is errors.RunState.NOT_RUN:
+            # A refusal tells of the load and not of the version.
+            return
+        else:
+            failed = True
+        self._app.service('rollouts').record(
+            service,
+            route.name,
+            outcome.version,
+            failed or lost,
+            (self._clock() - began) * 1000,
+            choice_.share,
+        )
+
+    def _changed(self, service: str) -> None:
+        for key, entry in self._workers.items():
+            if key[0] == service:
+                entry.refreshed = float('-inf')
+
+
+def _may_have_run(result: messages.Answer | errors.Refusal) -> bool:
+    return (
+        isinstance(result, messages.Answer)
+        or result.run is not errors.RunState.NOT_RUN
+    )
+
+
+def _reached_worker(result: messages.Answer | errors.Refusal) -> bool:
+    """Tell whether the attempt counts as a request of the worker."""
+    return _may_have_run(result) or result.code is errors.CALL_UPSTREAM_REFUSED
+
+
+def _is_unreachable(result: messages.Answer | errors.Refusal) -> bool:
+    return isinstance(result, errors.Refusal) and result.code in (
+        errors.CALL_CONNECT,
+        errors.CALL_UNKNOWN,
+    )
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``router``."""
+    app.add_service(
+        'router',
+        Router(app),
+        after=('metrics', 'membership', 'peers', 'rollouts', 'configuration'),
+    )
--- /dev/null
+++ b/damaskpier/fleet/worker.py
@@ -0,0 +1,341 @@
+"""The upstream beside the node: admission and calls; service ``worker``.
+
+Only this node connects to the upstream, so that it knows exactly what runs
+there: the upstream gets no more requests than it has slots, and none after
+it said that it is leaving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import time
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.fleet import dialect
+from damaskpier.fleet import model
+from damaskpier.http1 import client
+from damaskpier.http1 import messages as http_messages
+from damaskpier.mesh import model as mesh_model
+from damaskpier import registry
+from damaskpier.traffic import admission
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier import application
+
+LOG = logging.getLogger(__name__)
+
+# Announcements that may be missing before the upstream counts as gone.
+MISSED_ANNOUNCEMENTS = 3
+# Requests of other nodes that are under way when the upstream starts to
+# leave are still admitted for this long.
+LEAVING_ADMIT_S = 0.5
+# Waiting requests for each slot.
+QUEUE_PER_SLOT = 3
+# A request that must not be repeated does not use a connection that was
+# idle for longer, because a connection that the upstream closes at the same
+# moment leaves open whether the request ran.
+FRESH_IDLE_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+# Part of the remaining time that is kept back for the way to the caller.
+RETURN_MARGIN_S = 0.005
+# Failed connections after which the upstream counts as gone until it
+# announces itself again.
+MAX_CONNECT_FAILURES = 2
+
+
+class Worker(registry.Service):
+    """Runs requests on the local upstream."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        terms: dialect.Dialect,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.admission = admission.Admission(clock)
+        self.announcement: model.Announcement | None = None
+        self._app = app
+        self._terms = terms
+        self._clock = clock
+        self._pool: client.Pool | None = None
+        self._left: dict[str, int] = {}
+        self._expiry: asyncio.TimerHandle | None = None
+        self._refusal_timer: asyncio.TimerHandle | None = None
+        self._connect_failures = 0
+        self._node_draining = False
+        self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
+
+    async def start(self) -> None:
+        """Show the load in the metrics."""
+        book = self._app.service('metrics')
+        book.gauge('upstream_slots', lambda: self.admission.load.slots)
+        book.gauge('upstream_in_use', lambda: self.admission.load.in_use)
+        book.gauge('upstream_queued', lambda: self.admission.load.queued)
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._pool is not None:
+            self._pool.drop_idle()
+
+    def announced(self, announcement: model.Announcement) -> bool:
+        """Take what the upstream says about itself.
+
+        :returns: whether the announcement was newer than the known one
+        """
+        if self._is_late(announcement):
+            LOG.info(
+                'worker: ignored a late announcement of %s, sequence %d',
+                announcement.instance,
+                announcement.sequence,
+            )
+            return False
+        known = self.announcement
+        self.announcement = announcement
+        self._connect_failures = 0
+        self._restart_expiry()
+        if known is None or known.instance != announcement.instance:
+            self._met(announcement)
+        if announcement.draining:
+            self._leaving(announcement, 'draining')
+        self._publish()
+        return True
+
+    def left(self, instance: str) -> None:
+        """Take the upstream's word that it is leaving for good."""
+        known = self.announcement
+        started_ms = 0
+        if known is not None and known.instance == instance:
+            started_ms = known.started_ms
+            self.announcement = known._replace(draining=True)
+            self._leaving(known, 'left')
+            self._publish()
+        self._left[instance] = started_ms
+
+    def drain_node(self) -> None:
+        """Tell the other nodes that this one takes no more requests."""
+        self._node_draining = True
+        self._publish()
+
+    async def call(self, request: messages.Request) -> messages.Reply:
+        """Run a request on the upstream, or refuse it."""
+        result = await self._admit(request)
+        return messages.Reply(result, self.admission.load)
+
+    def _is_late(self, announcement: model.Announcement) -> bool:
+        left_ms = self._left.get(announcement.instance)
+        if left_ms is not None and announcement.started_ms <= left_ms:
+            return True
+        known = self.announcement
+        if known is None:
+            return False
+        if announcement.started_ms != known.started_ms:
+            return announcement.started_ms < known.started_ms
+        return (
+            announcement.instance == known.instance
+            and announcement.sequence <= known.sequence
+        )
+
+    def _met(self, announcement: model.Announcement) -> None:
+        LOG.info(
+            'worker: %s of %s %s announced itself with %d slots',
+            announcement.instance,
+            announcement.service,
+            announcement.version,
+            announcement.slots,
+        )
+        if self._refusal_timer is not None:
+            self._refusal_timer.cancel()
+            self._refusal_timer = None
+        if self._pool is not None:
+            self._pool.drop_idle()
+        self._pool = client.Pool(
+            announcement.host,
+            announcement.port,
+            max_idle=max(4, announcement.slots),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        self.admission.draining = False
+        self.admission.configure(
+            announcement.slots, QUEUE_PER_SLOT * announcement.slots
+        )
+
+    def _leaving(self, announcement: model.Announcement, how: str) -> None:
+        if self.admission.draining or self._refusal_timer is not None:
+            return
+        LOG.info('worker: %s is leaving (%s)', announcement.instance, how)
+        self._refusal_timer = asyncio.get_running_loop().call_later(
+            LEAVING_ADMIT_S, self._refuse_work
+        )
+
+    def _refuse_work(self) -> None:
+        self._refusal_timer = None
+        self.admission.draining = True
+        self.admission.refuse_queued(_draining())
+
+    def _restart_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._expiry = asyncio.get_running_loop().call_later(
+            MISSED_ANNOUNCEMENTS * self._heartbeat_s, self._lost, 'is silent'
+        )
+
+    def _lost(self, reason: str) -> None:
+        known = self.announcement
+        if known is None:
+            return
+        LOG.warning('worker: %s %s; out of routing', known.instance, reason)
+        self.announcement = None
+        self.admission.refuse_queued(_missing())
+        self._publish()
+
+    def _publish(self) -> None:
+        known = self.announcement
+        membership = self._app.service('membership')
+        if known is None:
+            membership.announce(None)
+            return
+        membership.announce(
+            mesh_model.Announcement(
+                service=known.service,
+                version=known.version,
+                address=known.host,
+                port=known.port,
+                slots=known.slots,
+                draining=known.draining or self._node_draining,
+                instance=known.instance,
+            )
+        )
+
+    async def _admit(
+        self, request: messages.Request
+    ) -> messages.Answer | errors.Refusal:
+        refusal = self._unavailable(request)
+        if refusal is not None:
+            return refusal
+        began = self._clock()
+        ticket = await admission.acquire(
+            self.admission,
+            request.deadline,
+            request.deadline - began,
+            request.route,
+            priority=request.priority,
+            patience_s=request.patience_s,
+        )
+        book = self._app.service('metrics')
+        book.observe('queue_wait', self._clock() - began)
+        if isinstance(ticket, errors.Refusal):
+            return ticket
+        finished = False
+        try:
+            result = await self._send(request)
+            finished = (
+                isinstance(result, messages.Answer)
+                or result.code is errors.CALL_DEADLINE
+            )
+        finally:
+            self.admission.release(ticket, finished=finished)
+        return result
+
+    def _unavailable(self, request: messages.Request) -> errors.Refusal | None:
+        known = self.announcement
+        if known is None or self._pool is None:
+            return _missing()
+        if self.admission.draining:
+            return _draining()
+        if known.service != request.service or (
+            request.version and known.version != request.version
+        ):
+            return errors.Refusal(
+                errors.CALL_NO_WORKER,
+                f'the upstream is {known.service} {known.version}',
+            )
+        return None
+
+    async def _send(
+        self, request: messages.Request
+    ) -> messages.Answer | errors.Refusal:
+        # The upstream may have changed while the request waited.
+        refusal = self._unavailable(request)
+        if refusal is not None:
+            return refusal
+        known = self.announcement
+        began = self._clock()
+        remaining_s = request.deadline - began - RETURN_MARGIN_S
+        if remaining_s < 0.001:
+            return errors.Refusal(
+                errors.CALL_DEADLINE, 'the deadline passed in the queue'
+            )
+        fields = self._terms.upstream_headers(
+            request.headers,
+            dialect.UpstreamTerms(known.instance, request.caller, remaining_s),
+        )
+        outcome = await self._pool.request(
+            http_messages.encode_request(
+                request.method, request.target, fields, request.body
+            ),
+            client.Options(
+                deadline=asyncio.get_running_loop().time() + remaining_s,
+                is_head=request.method == 'HEAD',
+                max_idle_s=math.inf if request.repeatable else FRESH_IDLE_S,
+                id_header=self._terms.id_header,
+                request_id=request.request_id,
+            ),
+        )
+        took_s = self._clock() - began
+        self._app.service('metrics').observe('upstream_call', took_s)
+        if isinstance(outcome, http_messages.Failure):
+            return self._failed(outcome)
+        self._connect_failures = 0
+        if self._terms.is_other_instance(outcome):
+            self._lost('was replaced at its address')
+            return _missing()
+        if self._terms.is_not_run(outcome):
+            return errors.Refusal(
+                errors.CALL_UPSTREAM_REFUSED,
+                f'the upstream answered {outcome.status} without running it',
+            )
+        if not self._terms.is_genuine(outcome):
+            return errors.Refusal(
+                errors.CALL_UNKNOWN,
+                f'not an answer of the upstream: status {outcome.status}',
+                errors.RunState.UNKNOWN,
+            )
+        return messages.Answer(
+            outcome.status, outcome.headers, outcome.body, took_s
+        )
+
+    def _failed(self, failure: http_messages.Failure) -> errors.Refusal:
+        if not failure.sent:
+            self._connect_failures += 1
+            if self._connect_failures >= MAX_CONNECT_FAILURES:
+                self._lost(f'can not be reached: {failure.reason}')
+            return errors.Refusal(errors.CALL_CONNECT, failure.reason)
+        code = errors.CALL_UNKNOWN
+        if failure.timed_out:
+            code = errors.CALL_DEADLINE
+        return errors.Refusal(code, failure.reason, errors.RunState.UNKNOWN)
+
+
+def _draining() -> errors.Refusal:
+    return errors.Refusal(errors.CALL_DRAINING, 'the upstream is leaving')
+
+
+def _missing() -> errors.Refusal:
+    return errors.Refusal(
+        errors.CALL_NO_WORKER, 'no upstream has announced itself'
+    )
+
+
+def setup(app: application.Application, terms: dialect.Dialect) -> None:
+    """Register the service ``worker``."""
+    app.add_service(
+        'worker', Worker(app, terms), after=('metrics', 'membership')
+    )
--- a/damaskpier/mesh/membership.py
+++ b/damaskpier/mesh/membership.py
@@ -86,6 +86,10 @@
             record for record in self._records.values() if not record.gone
         )
 
+    def known(self) -> tuple[model.NodeRecord, ...]:
+        """Return all records, tombstones included."""
+        return tuple(self._records.values())
+
     def get(self, node_id: str) -> model.NodeRecord | None:
         """Return the record of a node, gone or not."""
         return self._records.get(node_id)
@@ -190,6 +194,7 @@
             slots=announcement.slots,
             ready=announcement.ready,
             draining=announcement.draining or self._draining,
+            instance=announcement.instance,
         )
 
     def set_draining(self) -> None:
--- a/damaskpier/mesh/model.py
+++ b/damaskpier/mesh/model.py
@@ -9,7 +9,8 @@
     """What other nodes know of a node and of the worker beside it.
 
     Records of one node are ordered by ``(incarnation, seq)``. ``service``
-    is empty where no upstream has announced itself.
+    is empty where no upstream has announced itself; ``instance`` names one
+    run of the worker where the upstream tells it.
     """
 
     node_id: str
@@ -26,6 +27,7 @@
     slots: int = 0
     ready: bool = False
     draining: bool = False
+    instance: str = ''
 
     @property
     def order(self) -> tuple[int, int]:
@@ -51,3 +53,4 @@
     connections: int = 0
     ready: bool = True
     draining: bool = False
+    instance: str = ''
--- a/damaskpier/mesh/reader.py
+++ b/damaskpier/mesh/reader.py
@@ -13,14 +13,14 @@
 from damaskpier.bundle import model as bundle_model
 from damaskpier import errors
 from damaskpier.mesh import placement
-from damaskpier.platform import moves
-from damaskpier.platform import objects
-from damaskpier.platform import signoff
+from damaskpier.store import moves
+from damaskpier.store import objects
+from damaskpier.store import signoff
 
 if TYPE_CHECKING:
     from damaskpier import application
     from damaskpier.mesh import tree as tree_module
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 LOG = logging.getLogger(__name__)
 
--- a/damaskpier/mesh/wire.py
+++ b/damaskpier/mesh/wire.py
@@ -41,6 +41,7 @@
         msg.slots,
         msg.ready,
         msg.draining,
+        msg.instance,
     )
 
 
--- a/damaskpier/operator/admin.py
+++ b/damaskpier/operator/admin.py
@@ -12,10 +12,10 @@
 from tornado import httpclient
 
 from damaskpier import errors
-from damaskpier.platform import objects
+from damaskpier.store import objects
 
 if TYPE_CHECKING:
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 PAGE_TIMEOUT_S = 2.0
 FLEET_LEASE = 'fleet'
--- a/damaskpier/operator/audit.py
+++ b/damaskpier/operator/audit.py
@@ -11,10 +11,10 @@
 from damaskpier.operator import exits
 from damaskpier.operator import output
 from damaskpier.operator import times
-from damaskpier.platform import audit
+from damaskpier.store import audit
 
 if TYPE_CHECKING:
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 DEFAULT_LIMIT = 50
 # Left out of the table; JSON output has them.
--- a/damaskpier/operator/bundle.py
+++ b/damaskpier/operator/bundle.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from damaskpier.bundle import model
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 GROUPS = ('services', 'routes')
 BOOL_FIELDS = frozenset({'repeatable'})
--- a/damaskpier/operator/command.py
+++ b/damaskpier/operator/command.py
@@ -20,8 +20,8 @@
 from damaskpier.operator import exits
 from damaskpier.operator import output
 from damaskpier.operator import times
-from damaskpier.platform import base
-from damaskpier.platform import signoff
+from damaskpier.store import base
+from damaskpier.store import signoff
 
 if TYPE_CHECKING:
     from damaskpier.bundle import model as bundle_model
--- a/damaskpier/operator/follow.py
+++ b/damaskpier/operator/follow.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
     from damaskpier.operator import command
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 POLL_INTERVAL_S = 0.5
 # A decider that finishes exactly at the stated time still has to write.
--- a/damaskpier/operator/signoff.py
+++ b/damaskpier/operator/signoff.py
@@ -18,12 +18,12 @@
 from damaskpier.operator import status
 from damaskpier.operator import times
 from damaskpier.operator import versions
-from damaskpier.platform import audit as trail
-from damaskpier.platform import signoff
+from damaskpier.store import audit as trail
+from damaskpier.store import signoff
 
 if TYPE_CHECKING:
     from damaskpier.bundle import model
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 
 class SignOff(command.PlatformCommand):
--- a/damaskpier/operator/status.py
+++ b/damaskpier/operator/status.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from damaskpier.bundle import model as bundle_model
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 WAIT_OPTIONS = (
     helpers.option('wait', None, 'Follow the rollout and print each change.'),
--- a/damaskpier/operator/versions.py
+++ b/damaskpier/operator/versions.py
@@ -7,11 +7,11 @@
 
 from damaskpier import errors
 from damaskpier.operator import command
-from damaskpier.platform import signoff
+from damaskpier.store import signoff
 
 if TYPE_CHECKING:
     from damaskpier.bundle import model
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 
 class VersionedBundle(NamedTuple):
--- a/damaskpier/operator/view.py
+++ b/damaskpier/operator/view.py
@@ -9,13 +9,13 @@
 
 from damaskpier import errors
 from damaskpier.operator import admin
-from damaskpier.platform import objects
 from damaskpier.rollout import model
+from damaskpier.store import objects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 # Words for the phases in the output; a running move has no verdict yet.
 VERDICTS = {
--- /dev/null
+++ b/damaskpier/platform/headers.py
@@ -0,0 +1,67 @@
+"""Headers of the platform's callers and upstreams."""
+
+from __future__ import annotations
+
+from damaskpier.fleet import dialect
+from damaskpier.http1 import messages
+
+REQUEST_ID = 'X-Request-Id'
+DEADLINE_MS = 'X-Deadline-Ms'
+# Names the run of the worker that is meant; others refuse the request.
+EXPECTED_INSTANCE = 'X-Expect-Instance'
+# Service of the instance on which the request began.
+CALLER = 'X-Caller'
+# Proof that the worker's program made the response.
+SIGNATURE = 'X-Server-Stamp'
+NOT_RUN = 'X-Not-Run'
+RETRY_AFTER = 'Retry-After'
+
+OTHER_INSTANCE_STATUS = 421
+
+_SET_HERE = frozenset(
+    name.lower() for name in (DEADLINE_MS, EXPECTED_INSTANCE, CALLER)
+)
+
+
+class PlatformDialect(dialect.Dialect):
+    """Headers as the platform's callers and upstreams use them."""
+
+    id_header = REQUEST_ID.lower()
+
+    def read_caller(self, request: messages.Request) -> dialect.CallerTerms:
+        """Return what a caller says of its request."""
+        raw = request.header(DEADLINE_MS.lower())
+        deadline_s = None
+        if raw.isascii() and raw.isdigit() and len(raw) <= 9:
+            deadline_s = int(raw) / 1000
+        return dialect.CallerTerms(request.header(self.id_header), deadline_s)
+
+    def upstream_headers(
+        self, headers: messages.Fields, terms: dialect.UpstreamTerms
+    ) -> messages.Fields:
+        """Return the headers for an upstream."""
+        kept = tuple(
+            field for field in headers if field[0].lower() not in _SET_HERE
+        )
+        return (
+            *kept,
+            (DEADLINE_MS, str(int(terms.remaining_s * 1000))),
+            (EXPECTED_INSTANCE, terms.instance),
+            (CALLER, terms.caller),
+        )
+
+    def is_not_run(self, response: messages.Response) -> bool:
+        """Tell whether an upstream says that it did not run a request."""
+        return bool(response.header(NOT_RUN.lower()))
+
+    def is_other_instance(self, response: messages.Response) -> bool:
+        """Tell whether another upstream than the expected one answered."""
+        return response.status == OTHER_INSTANCE_STATUS
+
+    def is_genuine(self, response: messages.Response) -> bool:
+        """Tell whether a response comes from the upstream's program."""
+        return bool(response.header(SIGNATURE.lower()))
+
+    def retry_after(self, delay_s: float) -> messages.Fields:
+        """Return the headers that tell a caller when to come back."""
+        return ((RETRY_AFTER, f'{delay_s:.2f}'),)
--- /dev/null
+++ b/damaskpier/platform/node.py
@@ -0,0 +1,86 @@
+"""Entry point of a node on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import os
+import pathlib
+import sys
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier import errors
+from damaskpier.fleet import configuration
+from damaskpier.fleet import exchange
+from damaskpier.fleet import hop
+from damaskpier.fleet import ingress
+from damaskpier.fleet import rollouts
+from damaskpier.fleet import router
+from damaskpier.fleet import worker
+from damaskpier import logs
+from damaskpier.mesh import membership
+from damaskpier.mesh import timing
+from damaskpier import metrics
+from damaskpier.platform import control
+from damaskpier.platform import headers
+from damaskpier.platform import settings
+from damaskpier.platform import store
+
+LOG = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+
+
+def make_node(cfg: config.Settings) -> application.Application:
+    """Return the application of a node; it has not started yet."""
+    terms = headers.PlatformDialect()
+    # The worker service ends silent announcements by itself.
+    times = timing.Timing(announce_expiry_s=1e9)
+    return application.make_application(
+        cfg,
+        (
+            metrics.setup,
+            store.setup,
+            functools.partial(membership.setup, timing=times),
+            configuration.setup,
+            rollouts.setup,
+            functools.partial(worker.setup, terms=terms),
+            hop.setup,
+            exchange.setup,
+            router.setup,
+            control.setup,
+            functools.partial(ingress.setup, terms=terms),
+        ),
+    )
+
+
+def main() -> int:
+    """Run a node until it is told to stop."""
+    path = pathlib.Path(os.environ.get(settings.PATH_VARIABLE, ''))
+    try:
+        cfg = settings.load(path)
+    except errors.SettingsError as exc:
+        print(f'{exc}\n{exc.code.action}', file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logs.set_up(cfg)
+    app = make_node(cfg)
+    app.events.connect(
+        'reload-requested', functools.partial(_reload, app, path)
+    )
+    asyncio.run(app.run())
+    return 0
+
+
+def _reload(app: application.Application, path: pathlib.Path) -> None:
+    try:
+        app.cfg = settings.load(path)
+    except errors.SettingsError as exc:
+        LOG.error('kernel: the settings stay as they are: %s', exc)
+        return
+    LOG.info('kernel: settings are loaded again')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -1,25 +1,134 @@
-"""Keys of the system's objects in the platform."""
+"""Objects of the platform's store as types of the fleet."""
 
 from __future__ import annotations
 
-CONFIG_HEAD = 'config/head'
-BUNDLE_PREFIX = 'bundles/'
-ROLLOUT_PREFIX = 'rollouts/'
-AUDIT_PREFIX = 'audit/'
-LEASE_PREFIX = 'leases/'
-STATUS_PREFIX = 'status/'
+from typing import Any
+import zlib
 
+from damaskpier.fleet import model
+from damaskpier.platform import values
 
-def bundle_key(digest: str) -> str:
-    """Return the key of a bundle's content."""
-    return BUNDLE_PREFIX + digest
+CONFIG_KIND = 'config'
+CONFIG_NAME = 'main'
+ORDER_KIND = 'rollouts'
+NODE_KIND = 'nodes'
 
+# Words that operators read in the status of an order.
+PHASE_WORDS = {
+    model.Phase.RUNNING: 'running',
+    model.Phase.DONE: 'completed',
+    model.Phase.TAKEN_BACK: 'rolled_back',
+}
+_PHASES = {word: phase for phase, word in PHASE_WORDS.items()}
 
-def rollout_key(move: str) -> str:
-    """Return the key of a move's state."""
-    return ROLLOUT_PREFIX + move
+Object = dict[str, Any]
 
 
-def lease_key(name: str) -> str:
-    """Return the key of a lease."""
-    return LEASE_PREFIX + name
+def name_of(obj: Object) -> str:
+    """Return an object's name."""
+    return obj['metadata']['name']
+
+
+def read_configuration(obj: Object) -> model.Configuration:
+    """Return the configuration that the operator wrote.
+
+    :raises KeyError, TypeError, ValueError: if it can not be read
+    """
+    spec = obj['spec']
+    limits = spec['limits']
+    return model.Configuration(
+        values.version_number(spec['version']),
+        tuple(
+            _read_route(listener['host'], rule)
+            for listener in spec['listeners']
+            for rule in listener['routeRules']
+        ),
+        {
+            cluster['name']: model.ServiceSpec(
+                cluster['name'], int(cluster.get('maxConns', 0))
+            )
+            for cluster in spec['clusters']
+        },
+        model.CallerLimits(
+            int(limits['maxHeaderBytes']),
+            int(limits['maxBodyBytes']),
+            values.seconds(limits['headerTimeout']),
+            values.seconds(limits['idleTimeout']),
+        ),
+    )
+
+
+def read_order(obj: Object) -> model.Order:
+    """Return an operator's order with its state.
+
+    :raises KeyError, TypeError, ValueError: if it can not be read
+    """
+    spec = obj['spec']
+    status = obj.get('status') or {}
+    version = spec['targetVersion']
+    phase = model.Phase.RUNNING
+    # A status of an earlier order names another version.
+    if status.get('targetVersion') == version:
+        phase = _PHASES.get(status.get('state'), model.Phase.RUNNING)
+    meta = obj['metadata']
+    # The revision of creation tells an order from a later one of the same
+    # version after the object was deleted.
+    order_id = zlib.crc32(f'{version}/{meta["createRevision"]}'.encode())
+    return model.Order(
+        spec['service'],
+        order_id,
+        version,
+        values.seconds(spec['duration']),
+        phase,
+        int(meta['rev']),
+    )
+
+
+def order_status(order: model.Order, phase: model.Phase) -> Object:
+    """Return the status that tells an order's state."""
+    return {'state': PHASE_WORDS[phase], 'targetVersion': order.version}
+
+
+def node_spec(node: model.NodeAddress) -> Object:
+    """Return what the directory holds of a node."""
+    return {
+        'host': node.host,
+        'port': node.port,
+        'region': node.region,
+        'failure_domain': node.failure_domain,
+    }
+
+
+def read_node(obj: Object) -> model.NodeAddress:
+    """Return a node of the directory.
+
+    :raises KeyError, TypeError, ValueError: if it can not be read
+    """
+    spec = obj['spec']
+    return model.NodeAddress(
+        name_of(obj),
+        spec['host'],
+        int(spec['port']),
+        spec['region'],
+        spec['failure_domain'],
+    )
+
+
+def _read_route(host: str, rule: Object) -> model.Route:
+    action = rule['action']
+    # A single destination stands in place of a list with weights.
+    split = action.get('split') or [{'service': action['service']}]
+    return model.Route(
+        rule['name'],
+        host.lower(),
+        rule['match']['pathPrefix'],
+        model.Kind(rule['routeKind']),
+        tuple(
+            model.Part(part['service'], float(part.get('weight', 1)))
+            for part in split
+        ),
+        values.seconds(action['timeout']),
+        values.seconds(rule['latencySlo']),
+        int(action.get('maxAttempts', 1)),
+        int(rule.get('priority', 0)),
+    )
--- /dev/null
+++ b/damaskpier/platform/settings.py
@@ -0,0 +1,79 @@
+"""Settings of a process from the platform's settings file."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import Any
+
+from damaskpier import config
+from damaskpier import errors
+from damaskpier.platform import values
+
+PATH_VARIABLE = 'DAMASKPIER_BOOT'
+
+
+def load(path: pathlib.Path) -> config.Settings:
+    """Return the settings that the platform wrote for this process.
+
+    :raises SettingsError: if the file can not be used
+    """
+    try:
+        boot = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise errors.SettingsError(
+            errors.SETTINGS_UNREADABLE, f'{path}: {exc}'
+        ) from exc
+    try:
+        text = _render(_sections(boot))
+    except (KeyError, TypeError, ValueError) as exc:
+        raise errors.SettingsError(
+            errors.SETTINGS_INVALID, f'{path}: {exc!r}'
+        ) from exc
+    return config.loads(text, str(path))
+
+
+def _sections(boot: dict[str, Any]) -> dict[str, dict[str, object]]:
+    listen = boot['listen']
+    bounds = boot['bounds']
+    return {
+        'node': {
+            'id': boot['node'],
+            'region': boot['region'],
+            'failure_domain': boot['zone'],
+            'service': boot['service'],
+            'host': boot['ip'],
+            # Callers on this instance; the platform calls it outbound.
+            'http_port': _port(listen['outbound']),
+            # Other nodes; the platform calls it inbound.
+            'rpc_port': _port(listen['inbound']),
+            # Heartbeats of the local upstream.
+            'admin_port': _port(listen['control']),
+            'health_port': _port(listen['ready']),
+            # The last of the ports that are free for the system's own use.
+            'metrics_port': boot['internalPorts'][1],
+        },
+        'platform': {'address': boot['platform']['address']},
+        'upstream': {'address': boot['appAddr']},
+        'fleet': {
+            'heartbeat': values.seconds(boot['heartbeat']),
+            'grace': values.seconds(bounds['grace']),
+            'apply': values.seconds(bounds['apply']),
+            'retry_ratio': bounds['retryRatio'],
+            'retry_slack': bounds['retrySlack'],
+            'retry_window': values.seconds(bounds['retryWindow']),
+        },
+        'log': {'format': 'json'},
+    }
+
+
+def _port(address: str) -> int:
+    return config.parse_address(address).port
+
+
+def _render(sections: dict[str, dict[str, object]]) -> str:
+    lines = []
+    for section, entries in sections.items():
+        lines.append(f'[{section}]')
+        lines += [f'{name} = {value}' for name, value in entries.items()]
+    return '\n'.join(lines) + '\n'
--- /dev/null
+++ b/damaskpier/platform/store.py
@@ -0,0 +1,284 @@
+"""Client of the platform's store; service ``source``."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import logging
+import random
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+from urllib import parse
+
+import msgspec
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier.fleet import source
+from damaskpier.http1 import client
+from damaskpier.http1 import messages
+from damaskpier.platform import objects
+
+if TYPE_CHECKING:
+    from damaskpier import application
+
+LOG = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 1.5
+# Longest wait that the store accepts for a watch.
+WATCH_WAIT_MS = 30_000
+WATCH_MARGIN_S = 2.0
+# Part of the time by which a configuration has to be in force that may
+# pass between two calls of a watch, so that changes in quick succession
+# share a call.
+WATCH_PAUSE_PART = 0.4
+BACKOFF_FIRST_S = 0.2
+BACKOFF_MAX_S = 2.0
+
+_NOT_DONE = {
+    429: errors.PLATFORM_LIMITED,
+    503: errors.PLATFORM_UNAVAILABLE,
+}
+
+
+class _Answer(NamedTuple):
+    status: int
+    body: dict[str, Any]
+
+
+class PlatformSource(source.Source):
+    """Reads and writes the objects of the platform's store."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        rng: random.Random | None = None,
+    ) -> None:
+        address = app.cfg.address('platform', 'address')
+        self._app = app
+        self._rng = rng or random.Random()
+        self._host = str(address)
+        self._pool = client.Pool(address.host, address.port, max_idle=2)
+        self._pause_s = WATCH_PAUSE_PART * app.cfg.number('fleet', 'apply')
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        self._pool.drop_idle()
+
+    async def configurations(
+        self,
+    ) -> AsyncIterator[model.Configuration | errors.Refusal]:
+        """Yield the configuration and each later one that is seen."""
+        async for found in self._follow(objects.CONFIG_KIND):
+            if isinstance(found, errors.Refusal):
+                yield found
+                continue
+            for obj in found:
+                if objects.name_of(obj) == objects.CONFIG_NAME:
+                    read = _read(objects.read_configuration, obj)
+                    if read is not None:
+                        yield read
+
+    async def orders(
+        self,
+    ) -> AsyncIterator[list[model.Order] | errors.Refusal]:
+        """Yield the orders that are new or have changed."""
+        async for found in self._follow(objects.ORDER_KIND):
+            if isinstance(found, errors.Refusal):
+                yield found
+                continue
+            orders = [_read(objects.read_order, obj) for obj in found]
+            yield [order for order in orders if order is not None]
+
+    async def conclude(
+        self, order: model.Order, phase: model.Phase
+    ) -> model.Order | errors.Refusal:
+        """Write the state of an order unless it changed in the meantime."""
+        answer = await self._call(
+            'PUT',
+            f'{_path(objects.ORDER_KIND, order.service)}/status',
+            {
+                'metadata': {'name': order.service, 'rev': order.revision},
+                'status': objects.order_status(order, phase),
+            },
+        )
+        if isinstance(answer, errors.Refusal):
+            return answer
+        if answer.status not in (200, 409):
+            return _unexpected(answer)
+        read = _read(objects.read_order, _object_of(answer))
+        if read is None:
+            return _unexpected(answer)
+        return read
+
+    async def register(self, node: model.NodeAddress) -> errors.Refusal | None:
+        """Enter a node into the directory, replacing its earlier entry."""
+        spec = objects.node_spec(node)
+        answer = await self._call(
+            'POST',
+            _path(objects.NODE_KIND),
+            {'metadata': {'name': node.node_id}, 'spec': spec},
+        )
+        if isinstance(answer, errors.Refusal):
+            return answer
+        if answer.status == 409:
+            if _object_of(answer).get('spec') == spec:
+                return None
+            answer = await self._call(
+                'PUT',
+                _path(objects.NODE_KIND, node.node_id),
+                {'metadata': {'name': node.node_id}, 'spec': spec},
+            )
+            if isinstance(answer, errors.Refusal):
+                return answer
+        if answer.status not in (200, 201):
+            return _unexpected(answer)
+        return None
+
+    async def directory(self) -> list[model.NodeAddress] | errors.Refusal:
+        """Return all nodes that are registered."""
+        found = await self._list(objects.NODE_KIND)
+        if isinstance(found, errors.Refusal):
+            return found
+        nodes = [_read(objects.read_node, obj) for obj in found[0]]
+        return [node for node in nodes if node is not None]
+
+    async def _follow(
+        self, kind: str
+    ) -> AsyncIterator[list[objects.Object] | errors.Refusal]:
+        """Yield the objects of a kind, and then those that change."""
+        loop = asyncio.get_running_loop()
+        revision: int | None = None
+        backoff_s = BACKOFF_FIRST_S
+        while True:
+            began = loop.time()
+            if revision is None:
+                found = await self._list(kind)
+            else:
+                found = await self._watch(kind, revision)
+            if isinstance(found, errors.Refusal):
+                if found.code is errors.PLATFORM_HISTORY_LOST:
+                    revision = None
+                    continue
+                yield found
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
+                continue
+            backoff_s = BACKOFF_FIRST_S
+            items, revision = found
+            if items:
+                yield items
+                spent_s = loop.time() - began
+                await asyncio.sleep(max(0.0, self._pause_s - spent_s))
+
+    async def _list(
+        self, kind: str
+    ) -> tuple[list[objects.Object], int] | errors.Refusal:
+        items: list[objects.Object] = []
+        after = ''
+        while True:
+            query = '?' + parse.urlencode({'after': after}) if after else ''
+            answer = await self._call('GET', _path(kind) + query)
+            if isinstance(answer, errors.Refusal):
+                return answer
+            if answer.status != 200:
+                return _unexpected(answer)
+            page = answer.body.get('items') or []
+            items += page
+            if not answer.body.get('hasMore') or not page:
+                return items, int(answer.body['currentRev'])
+            after = objects.name_of(page[-1])
+
+    async def _watch(
+        self, kind: str, revision: int
+    ) -> tuple[list[objects.Object], int] | errors.Refusal:
+        query = parse.urlencode({'watch': revision, 'waitMs': WATCH_WAIT_MS})
+        answer = await self._call(
+            'GET',
+            f'{_path(kind)}?{query}',
+            timeout_s=WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S,
+        )
+        if isinstance(answer, errors.Refusal):
+            return answer
+        if answer.status == 410:
+            return errors.Refusal(
+                errors.PLATFORM_HISTORY_LOST,
+                f'no history of {kind} since revision {revision}',
+            )
+        if answer.status != 200:
+            return _unexpected(answer)
+        changed = [
+            event['object']
+            for event in answer.body.get('events') or []
+            if not event.get('deleted')
+        ]
+        return changed, int(answer.body['currentRev'])
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        content: objects.Object | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _Answer | errors.Refusal:
+        fields: messages.Fields = (('Host', self._host),)
+        body = b''
+        if content is not None:
+            body = msgspec.json.encode(content)
+            fields += (('Content-Type', 'application/json'),)
+        self._app.service('metrics').count('store_calls', method=method)
+        now = asyncio.get_running_loop().time()
+        outcome = await self._pool.request(
+            messages.encode_request(method, target, fields, body),
+            client.Options(deadline=now + timeout_s, max_idle_s=5.0),
+        )
+        if isinstance(outcome, messages.Failure):
+            code = errors.PLATFORM_UNAVAILABLE
+            if outcome.sent and method != 'GET':
+                code = errors.PLATFORM_UNKNOWN
+            return errors.Refusal(code, f'{method} {target}: {outcome.reason}')
+        if outcome.status in _NOT_DONE:
+            return errors.Refusal(
+                _NOT_DONE[outcome.status], f'{method} {target}'
+            )
+        try:
+            decoded = msgspec.json.decode(outcome.body or b'{}')
+        except msgspec.DecodeError as exc:
+            return errors.Refusal(
+                errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
+            )
+        return _Answer(outcome.status, decoded)
+
+
+def _path(kind: str, name: str = '') -> str:
+    path = f'/objects/{kind}'
+    return f'{path}/{parse.quote(name, safe="")}' if name else path
+
+
+def _object_of(answer: _Answer) -> objects.Object:
+    """Return the object of an answer, which may be wrapped."""
+    return answer.body.get('object') or answer.body
+
+
+def _read(
+    decode: Callable[[objects.Object], Any], obj: objects.Object
+) -> Any | None:
+    try:
+        return decode(obj)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        LOG.error('platform: an object can not be read: %r; %.200r', exc, obj)
+        return None
+
+
+def _unexpected(answer: _Answer) -> errors.Refusal:
+    return errors.Refusal(
+        errors.PLATFORM_UNKNOWN,
+        f'unexpected status {answer.status}: {str(answer.body)[:200]}',
+    )
+
+
+def setup(app: application.Application) -> None:
+    """Register the service ``source``."""
+    app.add_service('source', PlatformSource(app), after=('metrics',))
--- a/damaskpier/platform/values.py
+++ b/damaskpier/platform/values.py
@@ -1,52 +1,29 @@
-"""Values of the system's objects: JSON objects that carry a ``write_id``.
-
-An answer of the platform can be lost after the write took effect. The
-writer then reads the object and compares the ``write_id``, so every write
-of an object uses a new one. Objects whose key is the digest of their content
-are never rewritten with other content and need none.
-"""
+"""Notations of the platform for times and configuration versions."""
 
 from __future__ import annotations
 
-from typing import Any
-import uuid
-
-import msgspec
+import re
 
+_TIME = re.compile(r'(\d+(?:\.\d+)?)(ms|s)\Z')
 
-def new_write_id() -> str:
-    """Return an identifier that no other write has."""
-    return uuid.uuid4().hex
 
+def seconds(text: object) -> float:
+    """Return a time such as ``1500ms`` or ``2.5s`` in seconds.
 
-def encode(value: dict[str, Any]) -> bytes:
-    """Return canonical JSON: sorted keys, no spaces, UTF-8."""
-    return msgspec.json.encode(value, order='sorted')
+    :raises ValueError: if the text is no time
+    """
+    found = _TIME.match(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f'{text!r} is not a time')
+    number = float(found[1])
+    return number / 1000 if found[2] == 'ms' else number
 
 
-def decode(data: bytes) -> dict[str, Any]:
-    """Return the JSON object that a value holds.
+def version_number(text: object) -> int:
+    """Return a configuration version, which is written in hexadecimal.
 
-    :raises ValueError: if the value is something else
+    :raises ValueError: if the text is no version
     """
-    value = msgspec.json.decode(data)
-    if not isinstance(value, dict):
-        raise ValueError('the value is not a JSON object')
-    return value
-
-
-def write_id_of(data: bytes) -> str | None:
-    """Return the ``write_id`` of a value, None if it carries none."""
-    try:
-        write_id = decode(data).get('write_id')
-    except ValueError:
-        return None
-    return write_id if isinstance(write_id, str) else None
-
-
-def is_same_write(stored: bytes, written: bytes) -> bool:
-    """Tell whether a stored value comes from a certain write."""
-    if stored == written:
-        return True
-    write_id = write_id_of(written)
-    return write_id is not None and write_id == write_id_of(stored)
+    if not isinstance(text, str):
+        raise ValueError(f'{text!r} is not a version')
+    return int(text, 16)
--- a/damaskpier/rollout/decider.py
+++ b/damaskpier/rollout/decider.py
@@ -8,13 +8,13 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
-from damaskpier.platform import audit
-from damaskpier.platform import moves
-from damaskpier.platform import signoff
 from damaskpier import registry
 from damaskpier.rollout import controller
 from damaskpier.rollout import model
 from damaskpier.rollout import options
+from damaskpier.store import audit
+from damaskpier.store import moves
+from damaskpier.store import signoff
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- /dev/null
+++ b/damaskpier/store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the object API of the platform."""
--- a/damaskpier/platform/audit.py
+++ b/damaskpier/store/audit.py
@@ -18,10 +18,10 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
-from damaskpier.platform import base
-from damaskpier.platform import objects
-from damaskpier.platform import values
 from damaskpier import registry
+from damaskpier.store import base
+from damaskpier.store import objects
+from damaskpier.store import values
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/damaskpier/platform/http.py
+++ b/damaskpier/store/http.py
@@ -20,9 +20,9 @@
 from tornado import httpclient
 
 from damaskpier import errors
-from damaskpier.platform import base
-from damaskpier.platform import memory
-from damaskpier.platform import values
+from damaskpier.store import base
+from damaskpier.store import memory
+from damaskpier.store import values
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -152,7 +152,7 @@
     ) -> base.StoredObject | errors.Refusal:
         """Write an object if it still has a version.
 
-        See :meth:`damaskpier.platform.base.ObjectStore.put`. A refusal with
+        See :meth:`damaskpier.store.base.ObjectStore.put`. A refusal with
         ``PLATFORM_CONFLICT`` after a lost answer has the run state
         ``UNKNOWN``: the value may have been in force for a while before the
         write that is there now.
--- a/damaskpier/platform/lease.py
+++ b/damaskpier/store/lease.py
@@ -21,10 +21,10 @@
 import uuid
 
 from damaskpier import errors
-from damaskpier.platform import base
-from damaskpier.platform import objects
-from damaskpier.platform import values
 from damaskpier import registry
+from damaskpier.store import base
+from damaskpier.store import objects
+from damaskpier.store import values
 
 if TYPE_CHECKING:
     from damaskpier import application
--- a/damaskpier/platform/memory.py
+++ b/damaskpier/store/memory.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
-from damaskpier.platform import base
-from damaskpier.platform import values
+from damaskpier.store import base
+from damaskpier.store import values
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/damaskpier/platform/moves.py
+++ b/damaskpier/store/moves.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
-from damaskpier.platform import objects
-from damaskpier.platform import values
 from damaskpier.rollout import model
+from damaskpier.store import objects
+from damaskpier.store import values
 
 if TYPE_CHECKING:
-    from damaskpier.platform import base
+    from damaskpier.store import base
 
 WRITE_ATTEMPTS = 8
 
--- a/damaskpier/platform/signoff.py
+++ b/damaskpier/store/signoff.py
@@ -17,12 +17,12 @@
 from damaskpier.bundle import codec
 from damaskpier.bundle import model
 from damaskpier import errors
-from damaskpier.platform import base
-from damaskpier.platform import memory
-from damaskpier.platform import moves
-from damaskpier.platform import objects
-from damaskpier.platform import values
 from damaskpier.rollout import model as rollout_model
+from damaskpier.store import base
+from damaskpier.store import memory
+from damaskpier.store import moves
+from damaskpier.store import objects
+from damaskpier.store import values
 
 LOG = logging.getLogger(__name__)
 
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -41,15 +41,24 @@
         refusal
     """
 
-    __slots__ = ('deadline', 'done', 'route', 'granted_at', 'closed')
+    __slots__ = (
+        'deadline',
+        'done',
+        'route',
+        'priority',
+        'granted_at',
+        'closed',
+    )
 
     def __init__(
         self,
         deadline: float,
         done: Callable[[errors.Refusal | None], None],
         route: str,
+        priority: int = 0,
     ) -> None:
         self.deadline = deadline
+        self.priority = priority
         self.done = done
         self.route = route
         self.granted_at: float | None = None
@@ -86,7 +95,9 @@
 
 
 class Admission:
-    """Grants the slots of one worker; the queue is ordered by deadline.
+    """Grants the slots of one worker.
+
+    The queue is ordered by priority and by deadline within a priority.
 
     The class does no input or output, so that it can be driven by a virtual
     clock.
@@ -103,7 +114,7 @@
         self._slots = 0
         self._queue_limit = 0
         self._adaptive = AdaptiveLimit()
-        self._queue: list[tuple[float, int, Ticket]] = []
+        self._queue: list[tuple[int, float, int, Ticket]] = []
         self._queued = 0
         self._order = itertools.count()
 
@@ -128,6 +139,8 @@
         deadline: float,
         done: Callable[[errors.Refusal | None], None],
         route: str = '',
+        priority: int = 0,
+        patience_s: float = math.inf,
     ) -> Ticket:
         """Ask for a slot; the outcome is given to ``done``.
 
@@ -135,19 +148,23 @@
 
         :param route: name of the request's route, which tells how long it is
             likely to take
+        :param priority: 0 for the most urgent requests
+        :param patience_s: longest wait for a slot; a request that is
+            likely to wait longer is refused at once
         """
         now = self._clock()
-        ticket = Ticket(deadline, done, route)
-        refusal = self._refusal(ticket, now)
+        ticket = Ticket(deadline, done, route, priority)
+        refusal = self._refusal(ticket, now, patience_s)
         if refusal is not None:
             ticket.closed = True
             done(refusal)
         elif self.in_use < self.slots:
             self._start(ticket, now)
         else:
-            entry = (deadline, next(self._order), ticket)
+            entry = (priority, deadline, next(self._order), ticket)
             heapq.heappush(self._queue, entry)
             self._queued += 1
+            self._refuse_hopeless(now)
         return ticket
 
     def release(self, ticket: Ticket, *, finished: bool = True) -> None:
@@ -178,9 +195,16 @@
         self._close(ticket, self._too_late())
         self._drop_closed()
 
+    def refuse_impatient(self, ticket: Ticket) -> None:
+        """Refuse a request that has waited as long as it may."""
+        if ticket.closed or ticket.granted_at is not None:
+            return
+        self._close(ticket, self._too_busy())
+        self._drop_closed()
+
     def refuse_queued(self, refusal: errors.Refusal) -> None:
         """Refuse every request that waits."""
-        waiting = [entry[2] for entry in self._queue]
+        waiting = [entry[-1] for entry in self._queue]
         self._queue.clear()
         for ticket in waiting:
             if not ticket.closed:
@@ -198,7 +222,9 @@
     def _expected_s(self, route: str) -> float:
         return self._route_s.get(route, self.service_s)
 
-    def _refusal(self, ticket: Ticket, now: float) -> errors.Refusal | None:
+    def _refusal(
+        self, ticket: Ticket, now: float, patience_s: float
+    ) -> errors.Refusal | None:
         deadline = ticket.deadline
         expected_s = self._expected_s(ticket.route)
         if self.draining:
@@ -216,20 +242,43 @@
                 return self._too_late()
             return None
         if self._queued >= self._queue_limit:
-            return errors.Refusal(
-                errors.CALL_OVERLOADED,
-                f'{self.in_use} requests run and {self._queued} wait',
-            )
+            return self._too_busy()
+        place = (ticket.priority, deadline)
         ahead = sum(
             1
             for entry in self._queue
-            if entry[0] <= deadline and not entry[2].closed
+            if entry[:2] <= place and not entry[-1].closed
         )
-        wait_s = (ahead + 1) * self.service_s / self.slots
+        wait_s = self._wait_s(ahead)
+        if wait_s > patience_s:
+            return self._too_busy()
         if now + wait_s + expected_s > deadline:
             return self._too_late()
         return None
 
+    def _wait_s(self, ahead: int) -> float:
+        return (ahead + 1) * self.service_s / self.slots
+
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse requests that others went ahead of for too long."""
+        ahead = 0
+        for entry in sorted(self._queue):
+            ticket = entry[-1]
+            if ticket.closed:
+                continue
+            finish = now + self._wait_s(ahead) + self._expected_s(ticket.route)
+            if finish > ticket.deadline:
+                self._close(ticket, self._too_late())
+            else:
+                ahead += 1
+        self._drop_closed()
+
+    def _too_busy(self) -> errors.Refusal:
+        return errors.Refusal(
+            errors.CALL_OVERLOADED,
+            f'{self.in_use} requests run and {self._queued} wait',
+        )
+
     def _too_late(self) -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_DEADLINE,
@@ -247,17 +296,17 @@
         ticket.done(refusal)
 
     def _drop_closed(self) -> None:
-        while self._queue and self._queue[0][2].closed:
+        while self._queue and self._queue[0][-1].closed:
             heapq.heappop(self._queue)
         # Cancelled entries deeper in the heap are removed when they are
         # most of it, which keeps its size bounded.
         if len(self._queue) > 2 * self._queued + 8:
-            self._queue = [e for e in self._queue if not e[2].closed]
+            self._queue = [e for e in self._queue if not e[-1].closed]
             heapq.heapify(self._queue)
 
     def _grant(self) -> None:
         while self._queue and self.in_use < self.slots:
-            ticket = heapq.heappop(self._queue)[2]
+            ticket = heapq.heappop(self._queue)[-1]
             if ticket.closed:
                 continue
             now = self._clock()
@@ -269,7 +318,12 @@
 
 
 async def acquire(
-    admission: Admission, deadline: float, remaining_s: float, route: str
+    admission: Admission,
+    deadline: float,
+    remaining_s: float,
+    route: str,
+    priority: int = 0,
+    patience_s: float = math.inf,
 ) -> Ticket | errors.Refusal:
     """Wait for a slot.
 
@@ -284,13 +338,16 @@
         if fut is not None and not fut.done():
             fut.set_result(refusal)
 
-    ticket = admission.submit(deadline, done, route)
+    ticket = admission.submit(deadline, done, route, priority, patience_s)
     if not outcome:
         loop = asyncio.get_running_loop()
         fut = loop.create_future()
         # The queue looks at deadlines only when a slot becomes free, which
         # never happens while an upstream is frozen.
-        timer = loop.call_later(remaining_s, admission.refuse_late, ticket)
+        refuse = admission.refuse_late
+        if patience_s < remaining_s:
+            refuse = admission.refuse_impatient
+        timer = loop.call_later(min(remaining_s, patience_s), refuse, ticket)
         try:
             await fut
         except asyncio.CancelledError:
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -15,6 +15,8 @@
     """Request of a caller on its way to a worker.
 
     ``deadline`` is a time of the node's monotonic clock in seconds.
+    ``priority`` 0 is the most urgent. ``caller`` names the service whose
+    instance the request began on. ``patience_s`` bounds the wait for a slot.
     """
 
     request_id: str
@@ -28,6 +30,9 @@
     deadline: float
     depth: int
     repeatable: bool
+    priority: int = 0
+    caller: str = ''
+    patience_s: float = float('inf')
 
 
 class Answer(NamedTuple):
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import time
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -16,6 +18,9 @@
 MAX_ATTEMPTS = 3
 # Time that another attempt has to have left to be worth starting.
 MIN_REMAINING_S = 0.005
+# Part of a bound of the whole fleet that its nodes use; the rest is for
+# nodes that count each other wrongly for a while.
+SAFE_PART = 0.8
 
 # Another worker may accept what one has refused with these codes.
 _REFUSED_BY_WORKER = frozenset(
@@ -64,6 +69,66 @@
         return entry
 
 
+class FleetLimit(NamedTuple):
+    """Bound on the retries of a service over all nodes together.
+
+    In each window of ``window_s`` the retries may be ``ratio`` of the
+    requests and ``slack`` more.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+class FleetBudget:
+    """This node's part of a bound that all nodes share.
+
+    The ratio holds for the requests of each node by itself, and the slack
+    is divided among the nodes, so that no node has to ask another.
+
+    :param nodes: returns the number of nodes
+    :param clock: returns the time in seconds
+    """
+
+    def __init__(
+        self,
+        limit: FleetLimit,
+        nodes: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limit = limit
+        self._nodes = nodes
+        self._clock = clock
+        self._calls: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def called(self) -> None:
+        """Count a request's first attempt."""
+        now = self._clock()
+        self._calls.append(now)
+        self._forget(now)
+
+    def take(self) -> bool:
+        """Count a retry if the budget allows one."""
+        now = self._clock()
+        self._forget(now)
+        allowed = SAFE_PART * (
+            self._limit.ratio * len(self._calls)
+            + self._limit.slack / max(1, self._nodes())
+        )
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        oldest = now - self._limit.window_s
+        for times in (self._calls, self._retries):
+            while times and times[0] < oldest:
+                times.popleft()
+
+
 def may_retry(
     refusal: errors.Refusal,
     *,
--- /dev/null
+++ b/tests/test_fleet/conftest.py
@@ -0,0 +1,348 @@
+"""Whole nodes in one process, with a store and upstreams of the tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import functools
+from typing import NamedTuple
+
+import pytest
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier import errors
+from damaskpier.fleet import configuration
+from damaskpier.fleet import exchange
+from damaskpier.fleet import hop
+from damaskpier.fleet import ingress
+from damaskpier.fleet import model
+from damaskpier.fleet import rollouts
+from damaskpier.fleet import router
+from damaskpier.fleet import source
+from damaskpier.fleet import worker
+from damaskpier.http1 import client
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+from damaskpier.mesh import membership
+from damaskpier.mesh import timing
+from damaskpier import metrics
+from damaskpier.platform import headers
+
+HOST = '127.0.0.1'
+LONG_S = 20.0
+
+
+class Store:
+    """What the sources of all nodes read and write."""
+
+    def __init__(self) -> None:
+        self.configuration: model.Configuration | None = None
+        self.orders: dict[str, model.Order] = {}
+        self.nodes: dict[str, model.NodeAddress] = {}
+        self.is_down = False
+        self.changed = asyncio.Event()
+
+    def put(self, cfg: model.Configuration) -> None:
+        """Set the configuration."""
+        self.configuration = cfg
+        self._notify()
+
+    def order(self, order: model.Order) -> None:
+        """Set an order."""
+        self.orders[order.service] = order
+        self._notify()
+
+    def _notify(self) -> None:
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+class MemorySource(source.Source):
+    """Source of one node; ``is_cut`` takes only this node off the store."""
+
+    def __init__(self, store: Store) -> None:
+        self.is_cut = False
+        self._store = store
+
+    async def configurations(self):
+        """Yield the configuration whenever something changes."""
+        while True:
+            changed = self._store.changed
+            if self._is_down():
+                yield _down()
+            elif self._store.configuration is not None:
+                yield self._store.configuration
+            await changed.wait()
+
+    async def orders(self):
+        """Yield all orders whenever something changes."""
+        while True:
+            changed = self._store.changed
+            if self._is_down():
+                yield _down()
+            else:
+                yield list(self._store.orders.values())
+            await changed.wait()
+
+    async def conclude(self, order, phase):
+        """Write the state of an order unless it has changed."""
+        if self._is_down():
+            return _down()
+        stored = self._store.orders[order.service]
+        if stored.revision == order.revision:
+            stored = stored._replace(phase=phase, revision=order.revision + 1)
+            self._store.order(stored)
+        return stored
+
+    async def register(self, node):
+        """Enter a node."""
+        if self._is_down():
+            return _down()
+        self._store.nodes[node.node_id] = node
+        return None
+
+    async def directory(self):
+        """Return all nodes."""
+        if self._is_down():
+            return _down()
+        return list(self._store.nodes.values())
+
+    def _is_down(self) -> bool:
+        return self._store.is_down or self.is_cut
+
+
+class Upstream:
+    """Upstream that answers what a test sets; notes what has run.
+
+    ``answer`` may return a response or wait for whatever the test wants.
+    """
+
+    def __init__(self, instance: str, service: str, version: str) -> None:
+        self.instance = instance
+        self.service = service
+        self.version = version
+        self.ran: list[messages.Request] = []
+        self.cancelled = 0
+        self.slots = 4
+        self.sequence = 0
+        self.answer: Callable[
+            [messages.Request], Awaitable[messages.Response]
+        ] = self.ok
+        self.server = server.Server(self._handle)
+
+    async def ok(self, request: messages.Request) -> messages.Response:
+        """Return a signed answer with the name of this upstream."""
+        return self.signed(200, self.instance.encode())
+
+    def signed(self, status: int, body: bytes = b'') -> messages.Response:
+        """Return an answer that bears the upstream's signature."""
+        return messages.Response(status, ((headers.SIGNATURE, 's'),), body)
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        expected = request.header(headers.EXPECTED_INSTANCE.lower())
+        if expected != self.instance:
+            return messages.Response(421)
+        self.ran.append(request)
+        try:
+            response = await self.answer(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        echo = (
+            headers.REQUEST_ID,
+            request.header(headers.REQUEST_ID.lower()),
+        )
+        return response._replace(headers=(*response.headers, echo))
+
+
+class Node(NamedTuple):
+    """A running node with its store access and upstream."""
+
+    app: application.Application
+    source: MemorySource
+    upstream: Upstream
+
+    @property
+    def name(self) -> str:
+        """Return the node's name."""
+        return self.app.cfg.text('node', 'id')
+
+    def announce(self, *, draining: bool = False, started_ms: int = 1) -> bool:
+        """Send an announcement of the upstream to the node."""
+        up = self.upstream
+        up.sequence += 1
+        return self.app.service('worker').announced(
+            model.Announcement(
+                up.instance,
+                up.service,
+                up.version,
+                HOST,
+                up.server.port,
+                up.slots,
+                draining,
+                up.sequence,
+                started_ms,
+            )
+        )
+
+    async def request(
+        self,
+        target: str = '/read/1',
+        method: str = 'GET',
+        deadline_ms: int = 10_000,
+        request_id: str = 'r1',
+        body: bytes = b'',
+    ) -> messages.Response | messages.Failure:
+        """Send a request as a caller of this node."""
+        port = self.app.service('ingress').server.port
+        pool = client.Pool(HOST, port)
+        data = messages.encode_request(
+            method,
+            target,
+            (
+                ('Host', 'h.example'),
+                (headers.REQUEST_ID, request_id),
+                (headers.DEADLINE_MS, str(deadline_ms)),
+            ),
+            body,
+        )
+        now = asyncio.get_running_loop().time()
+        return await pool.request(data, client.Options(now + LONG_S))
+
+
+class Fleet:
+    """Starts and stops nodes on one store."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.nodes: list[Node] = []
+
+    async def add(
+        self, service: str = 'reads', version: str = 'v1', domain: str = 'a'
+    ) -> Node:
+        """Start a node with an upstream, which announces itself."""
+        name = f'node-{len(self.nodes)}'
+        upstream = Upstream(f'i-{len(self.nodes)}', service, version)
+        await upstream.server.listen(HOST, 0)
+        cfg = config.loads(
+            f'[node]\nid = {name}\nregion = r\nfailure_domain = {domain}\n'
+            f'service = {service}\n[platform]\naddress = 127.0.0.1:1\n'
+            '[fleet]\ngrace = 0.5\nheartbeat = 60\n'
+        )
+        memory = MemorySource(self.store)
+        terms = headers.PlatformDialect()
+        app = application.make_application(
+            cfg,
+            (
+                metrics.setup,
+                lambda app: app.add_service('source', memory),
+                functools.partial(
+                    membership.setup,
+                    timing=timing.Timing(announce_expiry_s=1e9),
+                ),
+                configuration.setup,
+                rollouts.setup,
+                functools.partial(worker.setup, terms=terms),
+                hop.setup,
+                exchange.setup,
+                router.setup,
+                functools.partial(ingress.setup, terms=terms),
+            ),
+        )
+        await app.start()
+        node = Node(app, memory, upstream)
+        self.nodes.append(node)
+        node.announce()
+        return node
+
+    async def settled(self) -> None:
+        """Wait until every node knows every worker and the configuration."""
+        workers = {
+            node.upstream.instance
+            for node in self.nodes
+            if node.app.service('worker').announcement is not None
+        }
+        await until(
+            lambda: all(
+                workers <= _known(node)
+                and node.app.service('configuration').current()
+                is self.store.configuration
+                for node in self.nodes
+            )
+        )
+
+    async def stop(self) -> None:
+        """Stop everything that still runs."""
+        for node in self.nodes:
+            node.app.service('ingress')._grace_s = 0.0
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(node.app.stop(), 2.0)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(node.upstream.server.stop(), 0.01)
+
+
+def _known(node: Node) -> set[str]:
+    return {
+        record.instance for record in node.app.service('membership').known()
+    }
+
+
+def _down() -> errors.Refusal:
+    return errors.Refusal(errors.PLATFORM_UNAVAILABLE, 'the store is down')
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(LONG_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def make_route(
+    name: str = 'read',
+    service: str = 'reads',
+    kind: model.Kind = model.Kind.IDEMPOTENT,
+    **fields,
+) -> model.Route:
+    """Return a route whose prefix is its name."""
+    given = {
+        'host': 'h.example',
+        'prefix': f'/{name}/',
+        'parts': (model.Part(service, 1.0),),
+        'timeout_s': 10.0,
+        'objective_s': 1.0,
+        'max_attempts': 3,
+        **fields,
+    }
+    return model.Route(name, kind=kind, **given)
+
+
+def make_configuration(
+    version: int = 1, routes: tuple[model.Route, ...] | None = None
+) -> model.Configuration:
+    """Return a configuration with a readable and a writable route."""
+    if routes is None:
+        routes = (
+            make_route(),
+            make_route('write', kind=model.Kind.NON_IDEMPOTENT),
+        )
+    names = {part.service for route in routes for part in route.parts}
+    return model.Configuration(
+        version,
+        routes,
+        {name: model.ServiceSpec(name) for name in names},
+        model.CallerLimits(),
+    )
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    """Return a fleet without nodes, with a configuration in its store."""
+    made = Fleet()
+    made.store.put(make_configuration())
+    yield made
+    await made.stop()
--- /dev/null
+++ b/tests/test_fleet/test_distribution.py
@@ -0,0 +1,94 @@
+"""Configuration and membership reach every node and never go back."""
+
+from __future__ import annotations
+
+from damaskpier.fleet import exchange
+from damaskpier.fleet import model
+
+from tests.test_fleet import conftest
+
+
+async def test_older_configuration_is_not_applied(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+    applied = node.app.service('configuration')
+    assert applied.offer(conftest.make_configuration(5))
+    assert not applied.offer(conftest.make_configuration(4))
+    assert not applied.offer(conftest.make_configuration(5))
+    assert applied.version() == 5
+
+
+async def test_configuration_with_an_unknown_service_is_refused_whole(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+    cfg = conftest.make_configuration(5)
+    broken = cfg._replace(
+        routes=(*cfg.routes, conftest.make_route('x', 'nowhere'))
+    )
+    assert not node.app.service('configuration').offer(broken)
+    assert node.app.service('configuration').version() == 1
+
+
+async def test_node_that_is_cut_off_the_store_gets_the_configuration(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(exchange, 'CONFIG_AFTER_S', 0.0)
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 0.02)
+    first = await fleet.add()
+    await fleet.add()
+    await fleet.settled()
+    first.source.is_cut = True
+    fleet.store.put(conftest.make_configuration(2))
+    await conftest.until(
+        lambda: first.app.service('configuration').version() == 2
+    )
+
+
+async def test_node_that_starts_without_the_store_joins_later(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(exchange, 'REGISTER_FIRST_S', 0.01)
+    first = await fleet.add()
+    fleet.store.is_down = True
+    second = await fleet.add()
+    assert not second.app.service('exchange').registered
+    fleet.store.is_down = False
+    fleet.store.put(conftest.make_configuration(2))
+    await fleet.settled()
+    await conftest.until(lambda: second.app.service('exchange').registered)
+    assert first.name in fleet.store.nodes
+
+
+async def test_restarted_node_with_an_earlier_clock_is_taken_in(fleet):
+    # The time of day may step back, and the incarnation comes from it.
+    first = await fleet.add()
+    await fleet.add()
+    await fleet.settled()
+    other = first.app.service('membership')
+    local = fleet.nodes[1].app.service('membership')
+    record = local.local()
+    other.merge([record._replace(incarnation=record.incarnation + 9, seq=7)])
+    await fleet.nodes[1].app.service('exchange')._compare(other.local())
+    await conftest.until(
+        lambda: (
+            other.get(record.node_id).order > record.order
+            and other.get(record.node_id).order == local.local().order
+        )
+    )
+
+
+async def test_node_wrongly_marked_as_gone_comes_back(fleet, monkeypatch):
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 0.02)
+    first = await fleet.add()
+    second = await fleet.add()
+    await fleet.settled()
+    membership = first.app.service('membership')
+    membership.mark_gone([second.name])
+    await conftest.until(lambda: not membership.get(second.name).gone)
+
+
+def test_configuration_survives_its_encoding():
+    cfg = conftest.make_configuration()
+    text = exchange._CONFIG_ENCODER.encode(cfg)
+    assert exchange._CONFIG_DECODER.decode(text) == cfg
+    assert isinstance(cfg.routes[0].kind, model.Kind)
--- /dev/null
+++ b/tests/test_fleet/test_leaving.py
@@ -0,0 +1,124 @@
+"""Workers and nodes that leave get no new work and cut no request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskpier.fleet import worker
+
+from tests.test_fleet import conftest
+
+
+async def test_draining_worker_gets_no_request_after_the_notice(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(worker, 'LEAVING_ADMIT_S', 0.01)
+    first = await fleet.add(domain='a')
+    second = await fleet.add(domain='b')
+    await fleet.settled()
+    first.announce(draining=True)
+    await conftest.until(
+        lambda: first.app.service('worker').admission.draining
+    )
+    for _ in range(20):
+        assert (await first.request()).body == b'i-1'
+    assert not first.upstream.ran
+    assert len(second.upstream.ran) == 20
+
+
+async def test_other_nodes_learn_of_a_draining_worker_at_once(fleet):
+    first = await fleet.add()
+    second = await fleet.add()
+    await fleet.settled()
+    first.announce(draining=True)
+    await conftest.until(
+        lambda: (
+            [
+                record.instance
+                for record in second.app.service('membership').workers('reads')
+            ]
+            == ['i-1']
+        )
+    )
+
+
+async def test_worker_that_left_is_not_brought_back_by_a_late_heartbeat(
+    fleet,
+):
+    node = await fleet.add()
+    service = node.app.service('worker')
+    service.left('i-0')
+    assert not node.announce()
+    assert service.announcement.draining
+    # The same name with a later start is a new run of the worker.
+    assert node.announce(started_ms=2)
+    assert not service.announcement.draining
+
+
+async def test_late_heartbeat_of_an_earlier_worker_is_ignored(fleet):
+    node = await fleet.add()
+    node.announce(started_ms=50)
+    node.upstream.instance = 'earlier'
+    assert not node.announce(started_ms=40)
+    known = node.app.service('worker').announcement
+    assert known.instance == 'i-0'
+
+
+async def test_worker_at_a_reused_address_runs_nothing(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+    node.upstream.instance = 'other'
+    response = await node.request('/write/1', 'POST')
+    assert response.status == 503
+    assert not node.upstream.ran
+    assert node.app.service('worker').announcement is None
+
+
+async def test_crashed_worker_is_out_of_routing(fleet):
+    first = await fleet.add(domain='a')
+    await fleet.add(domain='b')
+    await fleet.settled()
+    await first.upstream.server.stop()
+    for _ in range(5):
+        assert (await first.request('/write/1', 'POST')).body == b'i-1'
+    assert first.app.service('worker').announcement is None
+
+
+async def test_stop_of_a_node_finishes_its_requests(fleet):
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.settled()
+    running = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def wait(request):
+        running.set()
+        await go_on.wait()
+        return await other.upstream.ok(request)
+
+    other.upstream.answer = wait
+    task = asyncio.create_task(caller.request())
+    await running.wait()
+    ingress = caller.app.service('ingress')
+    stopping = asyncio.create_task(ingress.stop())
+    await asyncio.sleep(0)
+    go_on.set()
+    assert (await task).body == b'i-1'
+    await stopping
+
+
+async def test_lost_node_is_taken_out_of_routing_by_the_others(fleet):
+    caller = await fleet.add('pages')
+    lost = await fleet.add('reads')
+    kept = await fleet.add('reads')
+    await fleet.settled()
+    lost.app.service('ingress')._grace_s = 0.0
+    for name in ('exchange', 'peer-server'):
+        await asyncio.wait_for(lost.app.service(name).stop(), 2.0)
+    for number in range(10):
+        response = await caller.request(request_id=f'r{number}')
+        assert response.body == b'i-2'
+    await conftest.until(
+        lambda: caller.app.service('membership').get(lost.name).gone
+    )
+    assert kept.upstream.ran
--- /dev/null
+++ b/tests/test_fleet/test_path.py
@@ -0,0 +1,176 @@
+"""Requests reach a worker and bring back its whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpier.fleet import model
+from damaskpier.http1 import messages
+from damaskpier.platform import headers
+
+from tests.test_fleet import conftest
+
+
+async def test_request_reaches_a_worker_of_another_node(fleet):
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.settled()
+    response = await caller.request('/read/7?x=1', request_id='abc')
+    assert (response.status, response.body) == (200, b'i-1')
+    assert response.header(headers.SIGNATURE.lower()) == 's'
+    ran = other.upstream.ran[0]
+    assert (ran.method, ran.target) == ('GET', '/read/7?x=1')
+    assert ran.header('host') == 'h.example'
+    assert ran.header(headers.REQUEST_ID.lower()) == 'abc'
+    assert ran.header(headers.CALLER.lower()) == 'pages'
+    assert 0 < int(ran.header(headers.DEADLINE_MS.lower())) <= 10_000
+    assert not [
+        name for name, _ in ran.headers if name.startswith('Damaskpier')
+    ]
+
+
+async def test_caller_header_of_a_client_is_replaced(fleet):
+    # A client must not be able to name another service as the origin.
+    node = await fleet.add()
+    await fleet.settled()
+    dialect = headers.PlatformDialect()
+    fields = ((headers.CALLER, 'forged'), (headers.DEADLINE_MS, '1'))
+    terms = conftest.worker.dialect.UpstreamTerms('i', 'reads', 2.0)
+    sent = dialect.upstream_headers(fields, terms)
+    assert (headers.CALLER, 'reads') in sent
+    assert (headers.CALLER, 'forged') not in sent
+    assert (headers.DEADLINE_MS, '2000') in sent
+    assert node.upstream.ran == []
+
+
+async def test_path_without_route_is_not_found(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+    response = await node.request('/unknown/1')
+    assert response.status == 404
+
+
+async def test_node_without_configuration_refuses_as_not_run(fleet):
+    fleet.store.is_down = True
+    node = await fleet.add()
+    response = await node.request()
+    assert response.status == 503
+    assert float(response.header('retry-after')) > 0
+
+
+async def test_longest_prefix_of_the_host_wins(fleet):
+    fleet.store.put(
+        conftest.make_configuration(
+            2,
+            (
+                conftest.make_route('a', prefix='/a/'),
+                conftest.make_route('ab', 'others', prefix='/a/b/'),
+            ),
+        )
+    )
+    reads = await fleet.add('reads')
+    others = await fleet.add('others')
+    await fleet.settled()
+    assert (await reads.request('/a/x')).body == b'i-0'
+    assert (await reads.request('/a/b/x')).body == b'i-1'
+    assert (await reads.request('/a/bc')).body == b'i-0'
+    assert len(others.upstream.ran) == 1
+
+
+async def test_split_follows_the_weights(fleet):
+    parts = (model.Part('reads', 90.0), model.Part('others', 10.0))
+    fleet.store.put(
+        conftest.make_configuration(
+            2, (conftest.make_route('read', parts=parts),)
+        )
+    )
+    reads = await fleet.add('reads')
+    others = await fleet.add('others')
+    await fleet.settled()
+    await asyncio.gather(*(reads.request() for _ in range(3)))
+    for _ in range(297):
+        await reads.request()
+    share = len(others.upstream.ran) / 300
+    assert 0.04 <= share <= 0.18
+    assert len(reads.upstream.ran) + len(others.upstream.ran) == 300
+
+
+async def test_failed_answer_of_a_worker_is_passed_on_unchanged(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+
+    async def fail(request):
+        return node.upstream.signed(500, b'broken')
+
+    node.upstream.answer = fail
+    response = await node.request('/write/1', 'POST', body=b'x')
+    assert (response.status, response.body) == (500, b'broken')
+    assert response.header(headers.SIGNATURE.lower()) == 's'
+    assert len(node.upstream.ran) == 1
+
+
+async def test_answer_without_signature_is_not_passed_on(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+
+    async def unsigned(request):
+        return messages.Response(200, (), b'not of the worker')
+
+    node.upstream.answer = unsigned
+    response = await node.request('/write/1', 'POST')
+    assert response.status == 502
+    assert b'not of the worker' not in response.body
+
+
+@pytest.mark.parametrize('status', [429, 503])
+async def test_request_that_a_worker_did_not_run_goes_to_another(
+    fleet, status
+):
+    first = await fleet.add(domain='a')
+    second = await fleet.add(domain='b')
+    await fleet.settled()
+
+    async def shed(request):
+        return messages.Response(status, ((headers.NOT_RUN, '1'),))
+
+    first.upstream.answer = shed
+    response = await first.request('/write/1', 'POST')
+    assert response.body == b'i-1'
+    assert len(second.upstream.ran) == 1
+
+
+async def test_client_that_leaves_cancels_the_run(fleet):
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.settled()
+    running = asyncio.Event()
+
+    async def hang(request):
+        running.set()
+        await asyncio.Event().wait()
+
+    other.upstream.answer = hang
+    task = asyncio.create_task(caller.request())
+    await running.wait()
+    task.cancel()
+    await conftest.until(lambda: other.upstream.cancelled == 1)
+    assert len(other.upstream.ran) == 1
+
+
+async def test_request_ends_at_the_timeout_of_its_route(fleet):
+    fleet.store.put(
+        conftest.make_configuration(
+            2, (conftest.make_route('read', timeout_s=0.1),)
+        )
+    )
+    node = await fleet.add()
+    await fleet.settled()
+
+    async def hang(request):
+        await asyncio.Event().wait()
+
+    node.upstream.answer = hang
+    response = await node.request()
+    assert response.status == 504
--- /dev/null
+++ b/tests/test_fleet/test_repeats.py
@@ -0,0 +1,186 @@
+"""What may run twice follows the route's kind; repeats are bounded."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier.http1 import messages
+from damaskpier.traffic import admission
+from damaskpier.traffic import retry
+
+from tests.test_fleet import conftest
+
+
+async def _reset(request: messages.Request) -> messages.Response:
+    raise ConnectionError('the worker broke off')
+
+
+def _break_connections(node: conftest.Node) -> None:
+    """Make the upstream run requests and lose the answers."""
+
+    async def lose(request):
+        for conn in list(node.upstream.server._connections):
+            conn._transport.abort()
+        return messages.Response(200)
+
+    node.upstream.answer = lose
+
+
+async def test_idempotent_request_with_a_lost_answer_runs_again(fleet):
+    first = await fleet.add(domain='a')
+    second = await fleet.add(domain='b')
+    await fleet.settled()
+    _break_connections(first)
+    response = await first.request()
+    assert response.body == b'i-1'
+    assert len(first.upstream.ran) == len(second.upstream.ran) == 1
+
+
+async def test_other_request_with_a_lost_answer_is_not_called_not_run(fleet):
+    first = await fleet.add(domain='a')
+    second = await fleet.add(domain='b')
+    await fleet.settled()
+    _break_connections(first)
+    response = await first.request('/write/1', 'POST', body=b'x')
+    assert response.status == 502
+    assert len(first.upstream.ran) == 1
+    assert not second.upstream.ran
+
+
+async def test_request_runs_on_no_more_workers_than_its_route_allows(fleet):
+    fleet.store.put(
+        conftest.make_configuration(
+            2, (conftest.make_route('read', max_attempts=2),)
+        )
+    )
+    nodes = [await fleet.add(domain=name) for name in 'abc']
+    await fleet.settled()
+    for node in nodes:
+        _break_connections(node)
+    response = await nodes[0].request()
+    assert response.status == 502
+    assert sum(len(node.upstream.ran) for node in nodes) == 2
+
+
+async def test_answer_is_not_dropped_when_the_repeat_finds_no_worker(fleet):
+    node = await fleet.add()
+    await fleet.settled()
+
+    async def fail(request):
+        return node.upstream.signed(500, b'first')
+
+    node.upstream.answer = fail
+    response = await node.request()
+    assert (response.status, response.body) == (500, b'first')
+
+
+def test_budget_of_all_nodes_stays_below_the_bound_of_the_fleet():
+    # 24 nodes that each see a 24th of 600 requests/s and would repeat all.
+    now = [0.0]
+    limit = retry.FleetLimit(0.2, 58.0, 10.0)
+    budgets = [
+        retry.FleetBudget(limit, lambda: 24, lambda: now[0]) for _ in range(24)
+    ]
+    taken = []
+    for tick in range(2000):
+        now[0] = tick * 0.01
+        for budget in budgets:
+            if tick % 4 == 0:
+                budget.called()
+                if budget.take():
+                    taken.append(now[0])
+    for start in range(10):
+        within = sum(start <= at < start + 10 for at in taken)
+        assert within <= 0.2 * 6000 + 58
+    assert len(taken) > 1000
+
+
+def test_urgent_request_passes_others_that_wait():
+    now = [0.0]
+    adm = admission.Admission(lambda: now[0])
+    adm.configure(1, 10)
+    order = []
+    running = adm.submit(9.0, lambda refusal: None, 'r')
+    for name, priority in (('low', 2), ('high', 0)):
+        adm.submit(
+            9.0,
+            lambda refusal, name=name: order.append((name, refusal)),
+            'r',
+            priority,
+        )
+    now[0] = 1.0
+    adm.release(running)
+    assert order == [('high', None)]
+
+
+def test_request_that_would_wait_beyond_its_patience_is_refused_at_once():
+    now = [0.0]
+    adm = admission.Admission(lambda: now[0])
+    adm.configure(1, 10)
+    ticket = adm.submit(9.0, lambda refusal: None, 'r')
+    now[0] = 1.0
+    adm.release(ticket)
+    adm.submit(9.0, lambda refusal: None, 'r')
+    outcome = []
+    adm.submit(9.0, outcome.append, 'r', 0, 0.5)
+    assert outcome[0].code is errors.CALL_OVERLOADED
+    assert outcome[0].run is errors.RunState.NOT_RUN
+
+
+def test_request_made_hopeless_by_more_urgent_ones_is_refused_at_once():
+    now = [0.0]
+    adm = admission.Admission(lambda: now[0])
+    adm.configure(1, 10)
+    ticket = adm.submit(99.0, lambda refusal: None, 'r')
+    now[0] = 1.0
+    adm.release(ticket)
+    adm.submit(99.0, lambda refusal: None, 'r')
+    low = []
+    adm.submit(4.5, low.append, 'r', 2)
+    assert not low
+    for _ in range(2):
+        adm.submit(99.0, lambda refusal: None, 'r', 0)
+    assert low[0].run is errors.RunState.NOT_RUN
+
+
+async def test_full_worker_passes_requests_on_and_then_refuses(fleet):
+    fleet.store.put(
+        conftest.make_configuration(
+            2,
+            (
+                conftest.make_route(
+                    'read',
+                    kind=model.Kind.NON_IDEMPOTENT,
+                    objective_s=0.2,
+                    timeout_s=1.0,
+                ),
+            ),
+        )
+    )
+    nodes = [await fleet.add(domain=name) for name in 'ab']
+    await fleet.settled()
+    go_on = asyncio.Event()
+
+    for node in nodes:
+        node.upstream.slots = 1
+        node.announce(started_ms=2)
+        node.upstream.instance += 'x'
+        node.announce(started_ms=3)
+
+        async def wait(request, node=node):
+            await go_on.wait()
+            return await node.upstream.ok(request)
+
+        node.upstream.answer = wait
+    tasks = [
+        asyncio.create_task(nodes[0].request(request_id=f'r{number}'))
+        for number in range(2)
+    ]
+    await conftest.until(
+        lambda: all(len(node.upstream.ran) == 1 for node in nodes)
+    )
+    go_on.set()
+    bodies = {(await task).body for task in tasks}
+    assert bodies == {b'i-0x', b'i-1x'}
--- /dev/null
+++ b/tests/test_http1/conftest.py
@@ -0,0 +1,116 @@
+"""Servers and raw connections for the tests of HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+
+import pytest
+
+from damaskpier.http1 import client
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+
+HOST = '127.0.0.1'
+LONG_S = 20.0
+
+Script = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+class Raw:
+    """Connection whose bytes the test writes and reads by itself."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, data: bytes) -> None:
+        """Send bytes."""
+        self.writer.write(data)
+
+    async def until(self, mark: bytes) -> bytes:
+        """Return what comes up to a mark."""
+        async with asyncio.timeout(LONG_S):
+            return await self.reader.readuntil(mark)
+
+    async def rest(self) -> bytes:
+        """Return what comes until the server closes."""
+        async with asyncio.timeout(LONG_S):
+            return await self.reader.read()
+
+
+@pytest.fixture
+async def serve() -> AsyncIterator[Callable[..., Awaitable[server.Server]]]:
+    """Return a function that starts a server with a handler."""
+    servers = []
+
+    async def start(handler: server.Handler, **options) -> server.Server:
+        started = server.Server(handler, **options)
+        await started.listen(HOST, 0)
+        servers.append(started)
+        return started
+
+    yield start
+    for started in servers:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(started.stop(), 0.01)
+
+
+@pytest.fixture
+async def connect() -> AsyncIterator[Callable[[int], Awaitable[Raw]]]:
+    """Return a function that opens a raw connection to a port."""
+    opened = []
+
+    async def open_(port: int) -> Raw:
+        raw = Raw(*await asyncio.open_connection(HOST, port))
+        opened.append(raw)
+        return raw
+
+    yield open_
+    for raw in opened:
+        raw.writer.close()
+
+
+@pytest.fixture
+async def scripted() -> AsyncIterator[
+    Callable[[Script], Awaitable[client.Pool]]
+]:
+    """Return a function that starts a scripted server, with a pool to it."""
+    servers = []
+
+    async def start(script: Script) -> client.Pool:
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError):
+                await script(reader, writer)
+            writer.close()
+
+        started = await asyncio.start_server(run, HOST, 0)
+        servers.append(started)
+        return client.Pool(HOST, started.sockets[0].getsockname()[1])
+
+    yield start
+    for started in servers:
+        started.close()
+
+
+@pytest.fixture
+def options() -> Callable[..., client.Options]:
+    """Return a function that makes options with a distant deadline."""
+
+    def make(**fields) -> client.Options:
+        deadline = asyncio.get_running_loop().time() + LONG_S
+        return client.Options(**{'deadline': deadline, **fields})
+
+    return make
+
+
+GET = messages.encode_request('GET', '/', (('Host', 'a'),), b'')
--- /dev/null
+++ b/tests/test_http1/test_client.py
@@ -0,0 +1,230 @@
+"""The client delivers whole responses of its own requests only."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+from damaskpier.http1 import messages
+
+from tests.test_http1 import conftest
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+async def _read_request(reader: asyncio.StreamReader) -> None:
+    await reader.readuntil(b'\r\n\r\n')
+
+
+async def test_connection_is_used_again(scripted, options):
+    async def script(reader, writer):
+        while True:
+            await _read_request(reader)
+            writer.write(OK)
+
+    pool = await scripted(script)
+    for _ in range(3):
+        response = await pool.request(conftest.GET, options())
+        assert response.body == b'ok'
+    assert pool.opened == 1
+
+
+async def test_connection_idle_for_too_long_is_passed_over(scripted, options):
+    async def script(reader, writer):
+        while True:
+            await _read_request(reader)
+            writer.write(OK)
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    await pool.request(conftest.GET, options(max_idle_s=-1.0))
+    assert pool.opened == 2
+
+
+async def test_request_is_not_sent_twice_when_a_kept_connection_is_lost(
+    scripted, options
+):
+    arrived = []
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        arrived.append(1)
+        writer.write(OK)
+        await _read_request(reader)
+        arrived.append(2)
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+    assert outcome.sent
+    assert arrived == [1, 2]
+
+
+async def test_truncated_response_is_a_failure(scripted, options):
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf')
+        await writer.drain()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+    assert outcome.sent
+
+
+async def test_response_without_length_ends_with_the_connection(
+    scripted, options
+):
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nto the end')
+        await writer.drain()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert outcome.body == b'to the end'
+
+
+async def test_response_without_length_is_incomplete_after_a_reset(
+    scripted, options
+):
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+        await writer.drain()
+        sock = writer.transport.get_extra_info('socket')
+        # Without lingering, the close is a reset.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+
+
+async def test_second_response_is_not_taken_for_the_next_request(
+    scripted, options
+):
+    # A faulty upstream answers a request twice; the second answer arrives
+    # when the next request is under way.
+    next_sent = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(_named(b'one', b'1'))
+        await _read_request(reader)
+        writer.write(_named(b'one', b'again'))
+        next_sent.set()
+        writer.write(_named(b'two', b'2'))
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    first = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='one')
+    )
+    second = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='two')
+    )
+    assert (first.body, second.body) == (b'1', b'2')
+
+
+async def test_bytes_behind_a_response_end_the_connection(scripted, options):
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(OK + OK)
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    for _ in range(2):
+        response = await pool.request(conftest.GET, options())
+        assert response.body == b'ok'
+    assert pool.opened == 2
+
+
+async def test_bytes_that_are_no_response_are_a_failure(scripted, options):
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(b'what is this\r\n\r\n')
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+
+
+async def test_silent_connection_is_given_up_and_its_siblings_dropped(
+    scripted, options
+):
+    asked = []
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        asked.append(1)
+        if len(asked) == 1:
+            writer.write(OK)
+        await reader.read()
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    outcome = await pool.request(conftest.GET, options(silence_s=0.02))
+    assert outcome.silent
+    assert outcome.sent
+    assert not pool._idle
+
+
+async def test_interim_responses_keep_a_request_alive(scripted, options):
+    async def script(reader, writer):
+        await _read_request(reader)
+        for _ in range(4):
+            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            await asyncio.sleep(0.05)
+        writer.write(OK)
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options(silence_s=0.15))
+    assert outcome.body == b'ok'
+
+
+async def test_cancelled_request_closes_its_connection(scripted, options):
+    arrived = asyncio.Event()
+    closed = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        arrived.set()
+        await reader.read()
+        closed.set()
+
+    pool = await scripted(script)
+    task = asyncio.create_task(pool.request(conftest.GET, options()))
+    await arrived.wait()
+    task.cancel()
+    async with asyncio.timeout(conftest.LONG_S):
+        await closed.wait()
+
+
+async def test_refused_connection_was_not_sent(options, scripted):
+    async def script(reader, writer):
+        pass
+
+    pool = await scripted(script)
+    pool.address = (conftest.HOST, 1)
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+    assert not outcome.sent
+
+
+def _named(request_id: bytes, body: bytes) -> bytes:
+    return b'HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s' % (
+        request_id,
+        len(body),
+        body,
+    )
--- /dev/null
+++ b/tests/test_http1/test_server.py
@@ -0,0 +1,179 @@
+"""The server answers each client with the responses to its requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+
+GET_A = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+GET_B = b'GET /b HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+async def _echo(request: messages.Request) -> messages.Response:
+    return messages.Response(200, (), request.target.encode() + request.body)
+
+
+async def test_pipelined_requests_run_together_and_answer_in_order(
+    serve, connect
+):
+    both = asyncio.Barrier(2)
+
+    async def handler(request):
+        await both.wait()
+        if request.target == '/a':
+            await asyncio.sleep(0.01)
+        return messages.Response(200, (), request.target.encode())
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(GET_A + GET_B)
+    assert (await raw.until(b'/a')).startswith(b'HTTP/1.1 200')
+    assert (await raw.until(b'/b')).startswith(b'HTTP/1.1 200')
+
+
+async def test_client_that_closes_cancels_its_request(serve, connect):
+    running = asyncio.Event()
+    cancelled = asyncio.Event()
+
+    async def handler(request):
+        running.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            cancelled.set()
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    await running.wait()
+    raw.writer.close()
+    async with asyncio.timeout(20):
+        await cancelled.wait()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na',
+        b'GET / HTTP/1.1\r\nHost : a\r\n\r\n',
+    ],
+    ids=['length-and-chunked', 'two-lengths', 'space-before-colon'],
+)
+async def test_ambiguous_request_is_refused_and_not_run(serve, connect, data):
+    ran = []
+
+    async def handler(request):
+        ran.append(request)
+        return messages.Response(200)
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(data)
+    assert (await raw.rest()).startswith(b'HTTP/1.1 400')
+    assert not ran
+
+
+@pytest.mark.parametrize(
+    ('data', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nA: ' + b'x' * 300, b'431'),
+        (b'POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n', b'413'),
+        (
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'65\r\n' + b'x' * 101 + b'\r\n0\r\n\r\n',
+            b'413',
+        ),
+    ],
+    ids=['headers', 'length', 'chunks'],
+)
+async def test_request_over_the_limits_is_refused(
+    serve, connect, data, status
+):
+    started = await serve(_echo, limits=lambda: server.Limits(200, 100))
+    raw = await connect(started.port)
+    raw.send(data)
+    assert (await raw.rest()).startswith(b'HTTP/1.1 ' + status)
+
+
+async def test_chunked_body_arrives_whole(serve, connect):
+    started = await serve(_echo)
+    raw = await connect(started.port)
+    raw.send(
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    )
+    assert (await raw.until(b'abcde')).startswith(b'HTTP/1.1 200')
+
+
+async def test_answer_of_a_leaving_server_closes_the_connection(
+    serve, connect
+):
+    started = await serve(_echo)
+    raw = await connect(started.port)
+    started.leave()
+    raw.send(GET_A)
+    answer = await raw.rest()
+    assert b'Connection: close' in answer
+    assert answer.endswith(b'/a')
+
+
+async def test_stop_waits_for_the_running_request(serve, connect):
+    go_on = asyncio.Event()
+    running = asyncio.Event()
+
+    async def handler(request):
+        running.set()
+        await go_on.wait()
+        return messages.Response(200, (), b'whole')
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    await running.wait()
+    stopping = asyncio.create_task(started.stop())
+    await asyncio.sleep(0)
+    go_on.set()
+    assert (await raw.rest()).endswith(b'whole')
+    await stopping
+
+
+async def test_idle_connection_closes_and_late_headers_are_refused(
+    serve, connect
+):
+    now = [0.0]
+    limits = server.Limits(header_timeout_s=3.0, idle_timeout_s=10.0)
+    started = await serve(_echo, limits=lambda: limits, clock=lambda: now[0])
+    idle = await connect(started.port)
+    slow = await connect(started.port)
+    idle.send(GET_A)
+    await idle.until(b'/a')
+    slow.send(b'GET / HTTP/1.1\r\n')
+    while len(started._connections) < 2:
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.05)
+    now[0] = 4.0
+    assert (await slow.rest()).startswith(b'HTTP/1.1 408')
+    now[0] = 11.0
+    assert await idle.rest() == b''
+
+
+async def test_progress_shows_while_a_request_runs(serve, connect):
+    go_on = asyncio.Event()
+
+    async def handler(request):
+        await go_on.wait()
+        return messages.Response(200)
+
+    started = await serve(handler, progress=server.Progress(0.01, 0.01))
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    await raw.until(b'102 Processing\r\n\r\n')
+    await raw.until(b'102 Processing\r\n\r\n')
+    go_on.set()
+    await raw.until(b'200 OK\r\n')
--- a/tests/test_mesh/conftest.py
+++ b/tests/test_mesh/conftest.py
@@ -19,10 +19,10 @@
 from damaskpier.mesh import model as mesh_model
 from damaskpier.mesh import timing as timing_module
 from damaskpier.mesh import tree
-from damaskpier.platform import lease
-from damaskpier.platform import memory
-from damaskpier.platform import signoff
 from damaskpier.rpc import server
+from damaskpier.store import lease
+from damaskpier.store import memory
+from damaskpier.store import signoff
 
 # Only ends a test that hangs; nothing is measured against it.
 HANG_S = 60.0
--- a/tests/test_mesh/test_tree.py
+++ b/tests/test_mesh/test_tree.py
@@ -6,10 +6,10 @@
 
 from damaskpier.mesh import parent as parent_module
 from damaskpier.mesh import timing as timing_module
-from damaskpier.platform import objects
-from damaskpier.platform import values
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rpc import mesh_pb2
+from damaskpier.store import objects
+from damaskpier.store import values
 from tests.test_mesh import conftest
 
 
--- a/tests/test_operator/conftest.py
+++ b/tests/test_operator/conftest.py
@@ -13,7 +13,7 @@
 
 from damaskpier.cmd import cli
 from damaskpier.operator import command
-from damaskpier.platform import memory
+from damaskpier.store import memory
 
 START = 1_900_000_000.0
 
--- a/tests/test_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of damaskpier.platform."""
--- a/tests/test_rollout/test_decider.py
+++ b/tests/test_rollout/test_decider.py
@@ -11,11 +11,11 @@
 from damaskpier import config
 from damaskpier import errors
 from damaskpier.mesh import model as mesh_model
-from damaskpier.platform import memory
 from damaskpier import registry
 from damaskpier.rollout import decider
 from damaskpier.rollout import model
 from damaskpier.rollout import service
+from damaskpier.store import memory
 from tests.test_rollout import test_service
 
 MOVE = bundle_model.Move('m1', 'ledger', 'v1', 'v2', 1000.0, 1100.0)
--- /dev/null
+++ b/tests/test_store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of damaskpier.store."""
--- a/tests/test_platform/conftest.py
+++ b/tests/test_store/conftest.py
@@ -9,9 +9,9 @@
 from damaskpier.bundle import loader
 from damaskpier import config
 from damaskpier.fakes import platform as fake
-from damaskpier.platform import http
-from damaskpier.platform import memory
-from tests.test_platform import stepped
+from damaskpier.store import http
+from damaskpier.store import memory
+from tests.test_store import stepped
 
 BUNDLE = """\
 services:
--- a/tests/test_platform/stepped.py
+++ b/tests/test_store/stepped.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from damaskpier.platform import memory
+from damaskpier.store import memory
 
 
 class Call:
--- a/tests/test_platform/test_audit.py
+++ b/tests/test_store/test_audit.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from damaskpier import errors
-from damaskpier.platform import audit
-from damaskpier.platform import objects
+from damaskpier.store import audit
+from damaskpier.store import objects
 
 
 def entry(number, **kwargs):
--- a/tests/test_platform/test_http.py
+++ b/tests/test_store/test_http.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from damaskpier import errors
-from damaskpier.platform import base
+from damaskpier.store import base
 
 
 async def test_objects_have_versions_and_conditional_updates(store):
--- a/tests/test_platform/test_http_faults.py
+++ b/tests/test_store/test_http_faults.py
@@ -11,8 +11,8 @@
 from damaskpier import config
 from damaskpier import errors
 from damaskpier.fakes import platform as fake
-from damaskpier.platform import http
-from damaskpier.platform import signoff
+from damaskpier.store import http
+from damaskpier.store import signoff
 
 # Ends a test that hangs; no test depends on it otherwise.
 LIMIT_S = 60
--- a/tests/test_platform/test_lease.py
+++ b/tests/test_store/test_lease.py
@@ -6,8 +6,8 @@
 
 from damaskpier import errors
 from damaskpier import events
-from damaskpier.platform import lease
-from damaskpier.platform import memory
+from damaskpier.store import lease
+from damaskpier.store import memory
 
 NAME = 'fleet'
 HOLDER = {'node_id': 'n1', 'rpc_port': 7000}
--- a/tests/test_platform/test_lease_machine.py
+++ b/tests/test_store/test_lease_machine.py
@@ -8,8 +8,8 @@
 
 from damaskpier import errors
 from damaskpier import events
-from damaskpier.platform import lease
-from tests.test_platform import stepped
+from damaskpier.store import lease
+from tests.test_store import stepped
 
 NAME = 'fleet'
 NODES = 3
--- a/tests/test_platform/test_signoff.py
+++ b/tests/test_store/test_signoff.py
@@ -5,10 +5,10 @@
 import pytest
 
 from damaskpier import errors
-from damaskpier.platform import moves
-from damaskpier.platform import objects
-from damaskpier.platform import signoff
 from damaskpier.rollout import model
+from damaskpier.store import moves
+from damaskpier.store import objects
+from damaskpier.store import signoff
 
 
 def moved(bundle, version, service='ledger'):
--- a/tests/test_platform/test_signoff_machine.py
+++ b/tests/test_store/test_signoff_machine.py
@@ -12,12 +12,12 @@
 from damaskpier.bundle import codec
 from damaskpier.bundle import model
 from damaskpier import errors
-from damaskpier.platform import audit
-from damaskpier.platform import moves
-from damaskpier.platform import objects
-from damaskpier.platform import signoff
 from damaskpier.rollout import model as rollout_model
-from tests.test_platform import stepped
+from damaskpier.store import audit
+from damaskpier.store import moves
+from damaskpier.store import objects
+from damaskpier.store import signoff
+from tests.test_store import stepped
 
 # More than the patched KEPT_BUNDLES.
 CHURN = 4
--- a/tools/capacity/runs.py
+++ b/tools/capacity/runs.py
@@ -11,8 +11,8 @@
 
 from damaskpier.bundle import model
 from damaskpier import config
-from damaskpier.platform import http
-from damaskpier.platform import signoff
+from damaskpier.store import http
+from damaskpier.store import signoff
 from tools.capacity import deployment
 
 # The smallest size has one node in each process.
