Notice a silent store within seconds and stop within the grace time

Change: keep-alive probes on all connections of the client; after a failure the objects are read by one short call before the next watch. A stop bounds the wait of each server, as processes were killed at the end of the grace time.

--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -44,6 +44,9 @@
 RETURN_MARGIN_S = 0.02
 MAX_IDLE = 24
 IDLE_CLOSE_S = 60.0
+# The callers of this node are served by now; requests of other nodes that
+# still run get this long.
+STOP_TIMEOUT_S = 0.2
 
 
 class Peers(registry.Service):
@@ -135,7 +138,7 @@
 
     async def stop(self) -> None:
         """Finish the requests that run, and close."""
-        await self.server.stop()
+        await self.server.stop(STOP_TIMEOUT_S)
 
     async def _handle(
         self, request: http_messages.Request
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -28,7 +28,7 @@
 # has, because callers notice only by then that it is not ready.
 SERVE_PART = 0.5
 # Part of the time that it has within which the requests have to end.
-FINISH_PART = 0.9
+FINISH_PART = 0.87
 # Time that a caller waits where neither it nor the route tells.
 DEFAULT_DEADLINE_S = 5.0
 
@@ -74,9 +74,7 @@
         self.server.leave()
         await asyncio.sleep(SERVE_PART * self._grace_s)
         left_s = FINISH_PART * self._grace_s - (self._clock() - began)
-        try:
-            await asyncio.wait_for(self.server.stop(), left_s)
-        except TimeoutError:
+        if not await self.server.stop(left_s):
             LOG.warning(
                 'ingress: %d requests were still running', self.server.running
             )
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -20,8 +20,12 @@
 LOG = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.4
-# The kernel gives a connection up when sent bytes stay unacknowledged.
+# The kernel gives a connection up when sent bytes stay unacknowledged, or
+# when probes of an idle one do: a peer without power answers nothing.
 TCP_USER_TIMEOUT_MS = 2000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 8.0
 # Part of the idle time that the server states in which a kept connection
 # is used again.
@@ -177,11 +181,7 @@
         self.is_open = True
         sock = transport.get_extra_info('socket')
         if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
-            )
+            set_options(sock)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request unless its response ends with the connection."""
@@ -360,3 +360,15 @@
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._ends_with_connection = False
+
+
+def set_options(sock: socket.socket) -> None:
+    """Make the kernel notice a peer that no longer answers."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -27,6 +27,7 @@
 BACKLOG = 1024
 # Connections are looked over for timeouts this often.
 SWEEP_INTERVAL_S = 0.5
+STOP_POLL_S = 0.01
 PROGRESS = b'HTTP/1.1 102 Processing\r\n\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -88,22 +89,24 @@
         """Close each connection behind its next response."""
         self.leaving = True
 
-    async def stop(self) -> None:
+    async def stop(self, timeout_s: float) -> bool:
         """Stop accepting, finish what runs and close all connections.
 
-        Cancelling it closes the connections at once.
+        :param timeout_s: longest wait for running requests
+        :returns: whether all of them ended in time
         """
         self.leaving = True
         if self._server is not None:
             self._server.close()
-        try:
-            while self.running:
-                await asyncio.sleep(0.01)
-        finally:
-            for conn in list(self._connections):
-                conn.close()
-            if self._sweeper is not None:
-                self._sweeper.cancel()
+        until = self.clock() + timeout_s
+        while self.running and self.clock() < until:
+            await asyncio.sleep(STOP_POLL_S)
+        finished = not self.running
+        for conn in list(self._connections):
+            conn.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        return finished
 
     def opened(self, conn: Connection) -> None:
         """Count a connection in."""
--- a/damaskpier/platform/control.py
+++ b/damaskpier/platform/control.py
@@ -24,6 +24,14 @@
 LEAVE = 'instances.leave'
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
+# What reading a message of another writer may raise.
+UNREADABLE = (
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    msgspec.MsgspecError,
+)
 _STATES = {'ready': False, 'draining': True}
 
 
@@ -52,7 +60,7 @@
     async def stop(self) -> None:
         """Stop listening."""
         for part in (self._heartbeats, self._health, self._metrics):
-            await part.stop()
+            await part.stop(0.0)
 
     def _drains(self) -> None:
         self._draining = True
@@ -91,12 +99,7 @@
             return messages.Response(404)
         try:
             announcement = read_heartbeat(instance, request.body)
-        except (
-            KeyError,
-            TypeError,
-            ValueError,
-            msgspec.MsgspecError,
-        ) as exc:
+        except UNREADABLE as exc:
             LOG.warning(
                 'platform: a heartbeat of %s can not be read: %r',
                 instance,
@@ -112,8 +115,7 @@
 def read_heartbeat(instance: str, body: bytes) -> model.Announcement:
     """Return the announcement in a heartbeat.
 
-    :raises KeyError, TypeError, ValueError, MsgspecError: if it can not be
-        read
+    :raises: one of :data:`UNREADABLE` if it can not be read
     """
     beat: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
     info = beat['info']
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -159,8 +159,10 @@
             else:
                 found = await self._watch(kind, revision)
             if isinstance(found, errors.Refusal):
+                # Reading the objects takes one short call; a watch could
+                # wait for long on a store that does not answer.
+                revision = None
                 if found.code is errors.PLATFORM_HISTORY_LOST:
-                    revision = None
                     continue
                 yield found
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -281,8 +281,7 @@
             node.app.service('ingress')._grace_s = 0.0
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(node.app.stop(), 2.0)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(node.upstream.server.stop(), 0.01)
+            await node.upstream.server.stop(0.0)
 
 
 def _known(node: Node) -> set[str]:
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -78,7 +78,7 @@
     first = await fleet.add(domain='a')
     await fleet.add(domain='b')
     await fleet.settled()
-    await first.upstream.server.stop()
+    await first.upstream.server.stop(0.0)
     for _ in range(5):
         assert (await first.request('/write/1', 'POST')).body == b'i-1'
     assert first.app.service('worker').announcement is None
--- a/tests/test_http1/conftest.py
+++ b/tests/test_http1/conftest.py
@@ -59,8 +59,7 @@
 
     yield start
     for started in servers:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(started.stop(), 0.01)
+        await started.stop(0.0)
 
 
 @pytest.fixture
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -136,7 +136,7 @@
     raw = await connect(started.port)
     raw.send(GET_A)
     await running.wait()
-    stopping = asyncio.create_task(started.stop())
+    stopping = asyncio.create_task(started.stop(20.0))
     await asyncio.sleep(0)
     go_on.set()
     assert (await raw.rest()).endswith(b'whole')
--- /dev/null
+++ b/tests/test_platform/conftest.py
@@ -0,0 +1,208 @@
+"""A store that speaks the platform's protocol, with faults on command."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from urllib import parse
+
+import msgspec
+import pytest
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+from damaskpier import metrics
+from damaskpier.platform import store
+
+HOST = '127.0.0.1'
+LONG_S = 20.0
+
+
+class FakeStore:
+    """Objects by kind and name, with revisions and watches."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.events: list[tuple[int, str, dict]] = []
+        self.calls: list[tuple[str, str]] = []
+        # Calls whose answer is lost after they took effect.
+        self.lost = 0
+        self.refusals: list[int] = []
+        self.silent = False
+        self.first_kept = 0
+        self.page = 500
+        self.server = server.Server(self._handle)
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: object, **fields) -> dict:
+        """Write an object as the operator does."""
+        self.revision += 1
+        old = self.objects.setdefault(kind, {}).get(name)
+        made = old['metadata']['createRevision'] if old else self.revision
+        obj = {
+            'metadata': {
+                'name': name,
+                'rev': self.revision,
+                'createRevision': made,
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': spec,
+            'status': old['status'] if old else None,
+            **fields,
+        }
+        self.objects[kind][name] = obj
+        self.events.append((self.revision, kind, obj))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        return obj
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        self.calls.append((request.method, request.target))
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.refusals:
+            return messages.Response(self.refusals.pop(0))
+        response = await self._answer(request)
+        if self.lost and request.method != 'GET':
+            self.lost -= 1
+            await asyncio.Event().wait()
+        return response
+
+    async def _answer(self, request: messages.Request) -> messages.Response:
+        path, _, query = request.target.partition('?')
+        _, _, kind, *rest = path.split('/')
+        fields = dict(parse.parse_qsl(query))
+        if request.method == 'GET' and 'watch' in fields:
+            return await self._watch(kind, int(fields['watch']))
+        if request.method == 'GET':
+            return self._list(kind, fields.get('after', ''))
+        content = msgspec.json.decode(request.body)
+        known = self.objects.get(kind, {})
+        if request.method == 'POST':
+            name = content['metadata']['name']
+            if name in known:
+                return _json(409, known[name])
+            return _json(200, self.put(kind, name, content['spec']))
+        name = parse.unquote(rest[0])
+        if name not in known:
+            return messages.Response(404)
+        expected = content.get('metadata', {}).get('rev')
+        if expected not in (None, known[name]['metadata']['rev']):
+            return _json(409, known[name])
+        if rest[1:] == ['status']:
+            spec = known[name]['spec']
+            status = content['status']
+            return _json(200, self.put(kind, name, spec, status=status))
+        return _json(200, self.put(kind, name, content['spec']))
+
+    def _list(self, kind: str, after: str) -> messages.Response:
+        known = self.objects.get(kind, {})
+        names = sorted(name for name in known if name > after)
+        return _json(
+            200,
+            {
+                'items': [known[name] for name in names[: self.page]],
+                'hasMore': len(names) > self.page,
+                'currentRev': self.revision,
+            },
+        )
+
+    async def _watch(self, kind: str, revision: int) -> messages.Response:
+        if revision < self.first_kept:
+            return messages.Response(410)
+        while True:
+            found = [
+                {'object': obj, 'deleted': False}
+                for at, of, obj in self.events
+                if at > revision and of == kind
+            ]
+            if found:
+                answer = {'events': found, 'currentRev': self.revision}
+                return _json(200, answer)
+            await self._changed.wait()
+
+
+def _json(status: int, content: object) -> messages.Response:
+    return messages.Response(status, (), msgspec.json.encode(content))
+
+
+@pytest.fixture
+async def fake() -> AsyncIterator[FakeStore]:
+    """Return a running store."""
+    made = FakeStore()
+    await made.server.listen(HOST, 0)
+    yield made
+    await made.server.stop(0.0)
+
+
+@pytest.fixture
+def source(fake: FakeStore) -> store.PlatformSource:
+    """Return a client of the store."""
+    cfg = config.loads(
+        '[node]\nid = n\nregion = r\nfailure_domain = d\n'
+        f'[platform]\naddress = {HOST}:{fake.server.port}\n'
+        '[fleet]\napply = 0.1\n'
+    )
+    app = application.make_application(cfg, (metrics.setup, store.setup))
+    return app.service('source')
+
+
+@pytest.fixture
+def operator_config() -> Callable[..., dict]:
+    """Return a function that makes a configuration as operators write it."""
+
+    def make(version: str = '0000000c') -> dict:
+        return {
+            'version': version,
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 1000,
+                'headerTimeout': '3000ms',
+                'idleTimeout': '15s',
+            },
+            'listeners': [
+                {
+                    'host': 'H.example',
+                    'routeRules': [
+                        {
+                            'name': 'r-1',
+                            'routeKind': 'non_idempotent',
+                            'latencySlo': '600ms',
+                            'priority': 1,
+                            'match': {'pathPrefix': '/a/'},
+                            'action': {
+                                'service': 's1',
+                                'timeout': '2000ms',
+                                'maxAttempts': 2,
+                            },
+                        },
+                        {
+                            'name': 'r-2',
+                            'routeKind': 'download',
+                            'latencySlo': '1s',
+                            'priority': 2,
+                            'match': {'pathPrefix': '/b/'},
+                            'action': {
+                                'split': [
+                                    {'service': 's1', 'weight': 90},
+                                    {'service': 's2', 'weight': 10},
+                                ],
+                                'timeout': '1500ms',
+                                'maxAttempts': 3,
+                            },
+                        },
+                    ],
+                }
+            ],
+            'clusters': [
+                {'name': 's1', 'healthPath': '/healthz', 'maxConns': 110},
+                {'name': 's2', 'healthPath': '/healthz', 'maxConns': 110},
+            ],
+        }
+
+    return make
--- /dev/null
+++ b/tests/test_platform/test_translation.py
@@ -0,0 +1,127 @@
+"""The platform's messages and settings become types of the project."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+import pytest
+
+from damaskpier import errors
+from damaskpier.fleet import model
+from damaskpier.platform import control
+from damaskpier.platform import settings
+from damaskpier.platform import values
+
+BOOT = """
+node = "side-a-1"
+role = "node"
+ip = "127.0.0.9"
+zone = "a"
+region = "r"
+internalPorts = [7620, 7635]
+heartbeat = "1500ms"
+appAddr = "127.0.0.9:8301"
+service = "reads"
+unknown = "ignored"
+[listen]
+inbound = "127.0.0.9:8300"
+outbound = "127.0.0.9:8304"
+ready = "127.0.0.9:8302"
+control = "127.0.0.9:8306"
+[bounds]
+grace = "6s"
+apply = "2000ms"
+retryRatio = 0.2
+retrySlack = 58
+retryWindow = "10s"
+[platform]
+address = "127.0.0.1:8309"
+"""
+
+
+def _beat(**changes) -> bytes:
+    beat = {
+        'address': '10.0.0.1:8301',
+        'born': 1700000000123,
+        'info': {
+            'service': 'reads',
+            'version': 'v1',
+            'zone': 'a',
+            'slots': 6,
+        },
+        'status': {'state': 'ready', 'sequence': 4, 'coldLeft': '500ms'},
+    }
+    return msgspec.json.encode({**beat, **changes})
+
+
+def test_settings_are_translated(tmp_path: pathlib.Path):
+    path = tmp_path / 'boot.toml'
+    path.write_text(BOOT)
+    cfg = settings.load(path)
+    assert cfg.text('node', 'id') == 'side-a-1'
+    assert cfg.text('node', 'failure_domain') == 'a'
+    assert cfg.integer('node', 'http_port') == 8304
+    assert cfg.integer('node', 'rpc_port') == 8300
+    assert cfg.integer('node', 'admin_port') == 8306
+    assert cfg.integer('node', 'health_port') == 8302
+    assert cfg.number('fleet', 'heartbeat') == 1.5
+    assert cfg.number('fleet', 'retry_slack') == 58
+
+
+@pytest.mark.parametrize(
+    'text', ['', 'not toml', BOOT.replace('"6s"', '"soon"')]
+)
+def test_unusable_settings_are_an_error(tmp_path: pathlib.Path, text: str):
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    with pytest.raises(errors.SettingsError):
+        settings.load(path)
+
+
+def test_heartbeat_is_translated():
+    assert control.read_heartbeat('i-1', _beat()) == model.Announcement(
+        'i-1',
+        'reads',
+        'v1',
+        '10.0.0.1',
+        8301,
+        6,
+        False,
+        4,
+        1700000000123,
+        0.5,
+    )
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        _beat(info={'service': 'reads'}),
+        _beat(info={'service': 7, 'version': 'v1', 'slots': 6}),
+        _beat(status={'state': 'sleeping', 'sequence': 1}),
+        _beat(status={'state': 'ready', 'sequence': 'one'}),
+        _beat(status={'state': ['ready'], 'sequence': 1}),
+        _beat(address=7),
+        _beat(born=1.5),
+    ],
+)
+def test_heartbeat_of_another_writer_names_no_worker(body: bytes):
+    with pytest.raises(control.UNREADABLE):
+        control.read_heartbeat('i-1', body)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'), [('1500ms', 1.5), ('2.5s', 2.5), ('0ms', 0.0)]
+)
+def test_times(text: str, expected: float):
+    assert values.seconds(text) == expected
+
+
+@pytest.mark.parametrize('text', ['', '5', '-1s', '1m', None, 5, '1s '])
+def test_text_that_is_no_time(text: object):
+    with pytest.raises(ValueError):
+        values.seconds(text)
