Judge moves at three nodes, and count the calls of retried runs as retries

Ruled out: a late order or share; both nodes that were logged followed the schedule within 10 ms. Change: a retry is marked on the hop, and the part of the worker's runs that are retries is taken from the budget of its calls. Evidence goes to three judges by rendezvous hash, merged per tick; steps of the share are shorter; the last 1.2 s are compared besides the last 4 s; a clear excess convicts without the capital of the test, which grows slowly at high shares.

--- a/damaskpier/application.py
+++ b/damaskpier/application.py
@@ -86,6 +86,7 @@
         await self.stopping.wait()
         LOG.info('kernel: stopping')
         await self.stop()
+        LOG.info('kernel: stopped')
 
 
 def make_application(
--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -31,6 +31,7 @@
 PRIORITY = 'Damaskpier-Priority'
 PATIENCE = 'Damaskpier-Patience-Ms'
 REPEATABLE = 'Damaskpier-Repeatable'
+REPEAT = 'Damaskpier-Repeat'
 LOAD = 'Damaskpier-Load'
 # Path of the messages between nodes that are not callers' requests.
 EXCHANGE_PATH = '/damaskpier/exchange'
@@ -172,6 +173,8 @@
         fields += ((PRIORITY, str(request.priority)),)
     if request.repeatable:
         fields += ((REPEATABLE, '1'),)
+    if request.is_repeat:
+        fields += ((REPEAT, '1'),)
     if request.patience_s < remaining_s:
         patience_ms = max(0, int(request.patience_s * 1000))
         fields += ((PATIENCE, str(patience_ms)),)
@@ -208,6 +211,7 @@
             patience_s=float('inf')
             if patience is None
             else int(patience) / 1000,
+            is_repeat=REPEAT.lower() in own,
         )
     except (KeyError, ValueError) as exc:
         return errors.Refusal(
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -1,8 +1,10 @@
 """Moves of services to new versions; service ``rollouts``.
 
-No node is in charge of a move. All nodes send each other their counts and
-judge them alike, by the same schedule; the first one to reach a verdict
-writes it to the store, where a conditional update lets one verdict win.
+No node is in charge of a move. Every node raises the share by the same
+schedule and sends its counts to a few nodes, the judges of the move, which
+the names of the move and of the living nodes determine. Each judge reaches
+its verdict by itself and tells all nodes; a conditional update in the store
+lets one verdict win.
 """
 
 from __future__ import annotations
@@ -11,6 +13,7 @@
 import collections
 import hashlib
 import logging
+import math
 import random
 import time
 from typing import NamedTuple
@@ -32,19 +35,27 @@
 LOG = logging.getLogger(__name__)
 
 # Counts are sent and judged this often while a move runs.
-TICK_S = 0.4
+TICK_S = 0.25
+# Nodes that judge a move. One is enough; the others have the evidence when
+# it is lost.
+JUDGES = 3
 # First share of the new version, between these bounds so that about this
 # many requests a second meet it in the whole fleet.
 FIRST_SHARE_LOW = 0.03
 FIRST_SHARE_HIGH = 0.08
 FIRST_REQUESTS_PER_S = 14.0
 # Steps of the share: part of the move's time from which on it holds.
+# A fault that shows only under load is met by short steps, so that
+# what the steps before it expose stays below the bound.
 STEPS = (
-    (0.40, 0.15),
-    (0.46, 0.30),
-    (0.52, 0.50),
-    (0.58, 0.75),
-    (0.64, 1.0),
+    (0.40, 0.10),
+    (0.44, 0.25),
+    (0.48, 0.45),
+    (0.52, 0.70),
+    # As long as a few requests go to the old version, the versions can be
+    # compared.
+    (0.56, 0.95),
+    (0.72, 1.0),
 )
 # The verdict that the move is done comes at this part of its time, and when
 # the last requests of the old version have had time to end.
@@ -52,8 +63,13 @@
 # Chance that noise takes a good version back.
 ERROR_RATE = 0.001
 # A version is bad only if its failures exceed those of the old one by this
-# part of its requests; less may be a fault of single workers.
-MIN_EXCESS = 0.12
+# part of its requests, and by this many standard deviations more; less may
+# be a fault of single workers. Where nearly all requests go to the new
+# version, the judge has little to compare, and a larger excess decides.
+MIN_EXCESS = 0.1
+EXCESS_DEVIATIONS = 4.0
+CLEAR_DEVIATIONS = 5.5
+OLD_DEVIATIONS = 2.0
 MIN_FAILURES = 4
 # Or if its median latency is higher by this many buckets, 8 of which are a
 # factor of two.
@@ -62,8 +78,9 @@
 # Latency counts this long after the first answers of the new version, whose
 # workers are slow at first.
 WARMUP_S = 4.0
-# Outcomes that are compared as they are are those of this time.
-RECENT_S = 4.0
+# Outcomes that are compared as they are are those of these times: a fault
+# that has just begun shows in the short one.
+RECENT_S = (1.2, 4.0)
 # Time between the nodes that may write a verdict, by rank.
 WRITE_STAGGER_S = 0.4
 MAX_WRITE_RANK = 8
@@ -93,7 +110,7 @@
     ) -> None:
         """Take in counts."""
         self._recent.append(Evidence(now, cell.old, cell.new))
-        while self._recent[0].at < now - RECENT_S:
+        while self._recent[0].at < now - RECENT_S[-1]:
             self._recent.popleft()
         # Bets on a cell must not depend on its outcomes.
         if now >= self._staged_at + 1.0 or not self._record.usable:
@@ -103,38 +120,32 @@
             self._staged.clear()
         if self._record.usable and 0.0 < cell.share < 1.0:
             gains = self._record.gains(cell, is_warm)
-            self._judge.update(
-                int(now), cell.share, cell.failure_domain, gains
-            )
+            self._judge.update(int(now), cell.share, '', gains)
         self._staged.append(cell.old)
 
-    def fault(self) -> str:
+    def fault(self, now: float) -> str:
         """Return what is wrong with the new version, '' if nothing is."""
         capital = self._judge.finding().capital
-        if capital < 1.0 / ERROR_RATE:
-            return ''
+        is_proved = capital >= 1.0 / ERROR_RATE
+        deviations = EXCESS_DEVIATIONS if is_proved else CLEAR_DEVIATIONS
+        for span_s in RECENT_S:
+            old, new = self._recent_counts(now - span_s)
+            fault = _more_failures(old, new, deviations)
+            if not fault and is_proved:
+                fault = _slower(old, new)
+            if fault:
+                return f'{fault}; capital {capital:.3g}'
+        return ''
+
+    def _recent_counts(
+        self, since: float
+    ) -> tuple[rollout_model.VersionCounts, rollout_model.VersionCounts]:
         old = new = rollout_model.VersionCounts()
         for evidence in self._recent:
-            old = old.plus(evidence.old)
-            new = new.plus(evidence.new)
-        rate = new.failures / max(1, new.requests)
-        usual = old.failures / max(1, old.requests)
-        if new.failures >= MIN_FAILURES and rate - usual >= MIN_EXCESS:
-            return (
-                f'{new.failures} of {new.requests} requests failed, '
-                f'{usual:.1%} on the old version; capital {capital:.3g}'
-            )
-        if new.requests < MIN_SLOW_REQUESTS or not old.requests:
-            return ''
-        median = latency.quantile_bucket(new.latency, 0.5)
-        before = latency.quantile_bucket(old.latency, 0.5)
-        if median - before >= MIN_SLOWER_BUCKETS:
-            return (
-                f'median of {latency.lower_bound_ms(median):.0f} ms, '
-                f'{latency.lower_bound_ms(before):.0f} ms on the old '
-                f'version; capital {capital:.3g}'
-            )
-        return ''
+            if evidence.at >= since:
+                old = old.plus(evidence.old)
+                new = new.plus(evidence.new)
+        return old, new
 
 
 class Move:
@@ -151,6 +162,9 @@
         self._schedule = judge.Schedule(now, now + order.duration_s)
         self._cases: dict[str, RouteCase] = {}
         self._counts: dict[tuple[str, float], tuple[list, list]] = {}
+        self._received: dict[
+            tuple[str, float], rollout_model.EvidenceCell
+        ] = {}
 
     @property
     def move_id(self) -> str:
@@ -188,8 +202,24 @@
             for (route, share), (old, new) in counts.items()
         ]
 
-    def observe(self, cell: rollout_model.EvidenceCell, now: float) -> None:
-        """Take in counts of any node."""
+    def add(self, cell: rollout_model.EvidenceCell) -> None:
+        """Keep counts of any node until they are judged."""
+        key = cell.route, cell.share
+        known = self._received.get(key)
+        self._received[key] = cell if known is None else known.plus(cell)
+
+    def judge(self, now: float) -> str:
+        """Judge what was added; return what is wrong, '' if nothing is."""
+        received, self._received = self._received, {}
+        for cell in received.values():
+            self._observe(cell, now)
+        for route, case in self._cases.items():
+            fault = case.fault(now)
+            if fault:
+                return f'{route}: {fault}'
+        return ''
+
+    def _observe(self, cell: rollout_model.EvidenceCell, now: float) -> None:
         if cell.new.requests and self.first_answer is None:
             self.first_answer = now
         is_warm = (
@@ -201,14 +231,6 @@
             case = self._cases[cell.route] = RouteCase(self._schedule)
         case.observe(cell, now, is_warm)
 
-    def fault(self) -> str:
-        """Return what is wrong with the new version, '' if nothing is."""
-        for route, case in self._cases.items():
-            fault = case.fault()
-            if fault:
-                return f'{route}: {fault}'
-        return ''
-
     def share(self, now: float, per_s: float) -> float:
         """Return the share of requests that the new version gets.
 
@@ -298,12 +320,11 @@
 
     def observe(self, cells: list[rollout_model.EvidenceCell]) -> None:
         """Take in counts of another node."""
-        now = self._clock()
         by_id = {move.move_id: move for move in self._moves.values()}
         for cell in cells:
             move = by_id.get(cell.move)
             if move is not None:
-                move.observe(cell, now)
+                move.add(cell)
 
     def states(self) -> list[rollout_model.MoveState]:
         """Return the verdicts that this node knows."""
@@ -379,18 +400,21 @@
                 self._write_later(move)
             return
         self._measure_rate(service)
+        judges = self._judges(move)
         cells = move.take(self._domain(), now)
         if cells:
+            self._app.service('exchange').share_evidence(cells, judges)
+        is_judge = self._own_id() in judges
+        if is_judge:
             for cell in cells:
-                move.observe(cell, now)
-            self._app.service('exchange').share_evidence(cells)
-        fault = move.fault()
-        if fault:
-            self._decide(move, model.Phase.TAKEN_BACK, fault)
-            return
-        self._advance(move, now)
+                move.add(cell)
+            fault = move.judge(now)
+            if fault:
+                self._decide(move, model.Phase.TAKEN_BACK, fault)
+                return
+        self._advance(move, now, is_judge)
 
-    def _advance(self, move: Move, now: float) -> None:
+    def _advance(self, move: Move, now: float, is_judge: bool) -> None:
         service = move.order.service
         if not self._has_workers(service, move.order.version):
             self._shares[service] = 0.0
@@ -413,7 +437,8 @@
             move.full_since = now
         elapsed = now - move.began
         if (
-            elapsed >= DONE_AT * move.order.duration_s
+            is_judge
+            and elapsed >= DONE_AT * move.order.duration_s
             and now - move.full_since >= self._longest_s()
         ):
             self._decide(move, model.Phase.DONE, 'all traffic has moved')
@@ -452,15 +477,23 @@
         finally:
             move.writing = False
 
+    def _ranked(self, name: str) -> list[str]:
+        """Return the living nodes in the order in which they take part."""
+        nodes = self._app.service('membership').nodes()
+        return sorted(
+            (node.node_id for node in nodes),
+            key=lambda node_id: _hash(name, node_id),
+        )
+
+    def _judges(self, move: Move) -> list[str]:
+        return self._ranked(move.move_id)[:JUDGES]
+
     def _rank(self, name: str) -> int:
         """Return this node's place among those that may write a verdict."""
-        own = self._app.cfg.text('node', 'id')
-        mine = _hash(name, own)
-        return sum(
-            1
-            for node in self._app.service('membership').nodes()
-            if _hash(name, node.node_id) < mine
-        )
+        return self._ranked(name).index(self._own_id())
+
+    def _own_id(self) -> str:
+        return self._app.cfg.text('node', 'id')
 
     def _measure_rate(self, service: str) -> None:
         nodes = len(self._app.service('membership').nodes())
@@ -492,6 +525,45 @@
         return self._app.cfg.text('node', 'failure_domain')
 
 
+def _more_failures(
+    old: rollout_model.VersionCounts,
+    new: rollout_model.VersionCounts,
+    deviations: float,
+) -> str:
+    rate = new.failures / max(1, new.requests)
+    usual = old.failures / max(1, old.requests)
+    # Few requests of the old version leave its rate open.
+    seen = (old.failures + 1) / (old.requests + 2)
+    doubt = OLD_DEVIATIONS * math.sqrt(
+        seen * (1.0 - seen) / (old.requests + 2)
+    )
+    harmless = min(seen + doubt + MIN_EXCESS, 1.0)
+    margin = deviations * math.sqrt(
+        harmless * (1.0 - harmless) / max(1, new.requests)
+    )
+    if new.failures < MIN_FAILURES or rate < harmless + margin:
+        return ''
+    return (
+        f'{new.failures} of {new.requests} requests failed, '
+        f'{usual:.1%} on the old version'
+    )
+
+
+def _slower(
+    old: rollout_model.VersionCounts, new: rollout_model.VersionCounts
+) -> str:
+    if new.requests < MIN_SLOW_REQUESTS or not old.requests:
+        return ''
+    median = latency.quantile_bucket(new.latency, 0.5)
+    before = latency.quantile_bucket(old.latency, 0.5)
+    if median - before < MIN_SLOWER_BUCKETS:
+        return ''
+    return (
+        f'median of {latency.lower_bound_ms(median):.0f} ms, '
+        f'{latency.lower_bound_ms(before):.0f} ms on the old version'
+    )
+
+
 def move_id(order: model.Order) -> str:
     """Return the name of an order's move among all moves."""
     return f'{order.service}/{order.version}/{order.order_id}'
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -128,7 +128,8 @@
             if worker is None:
                 break
             patient = request._replace(
-                patience_s=self._patience_s(route, chooser, tried)
+                patience_s=self._patience_s(route, chooser, tried),
+                is_repeat=ran > 0,
             )
             tried.append(worker.key)
             result = await self._attempt(chooser, worker, patient)
@@ -258,6 +259,7 @@
                     cfg.number('fleet', 'retry_window'),
                 ),
                 lambda: len(self._app.service('membership').nodes()),
+                self._app.service('worker').repeated_part,
                 self._clock,
             )
         return budget
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import math
 import time
@@ -47,6 +48,9 @@
 # Failed connections after which the upstream counts as gone until it
 # announces itself again.
 MAX_CONNECT_FAILURES = 2
+# Runs over which the part of retries is taken.
+REPEATS_WINDOW_S = 5.0
+MAX_RUNS = 2000
 
 
 class Worker(registry.Service):
@@ -68,6 +72,9 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._refusal_timer: asyncio.TimerHandle | None = None
         self._connect_failures = 0
+        self._runs: collections.deque[tuple[float, bool]] = collections.deque(
+            maxlen=MAX_RUNS
+        )
         self._node_draining = False
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
 
@@ -129,6 +136,15 @@
         result = await self._admit(request)
         return messages.Reply(result, self.admission.load)
 
+    def repeated_part(self) -> float:
+        """Return the part of the recent runs that are retries."""
+        oldest = self._clock() - REPEATS_WINDOW_S
+        while self._runs and self._runs[0][0] < oldest:
+            self._runs.popleft()
+        if not self._runs:
+            return 0.0
+        return sum(is_repeat for _, is_repeat in self._runs) / len(self._runs)
+
     def _is_late(self, announcement: model.Announcement) -> bool:
         left_ms = self._left.get(announcement.instance)
         if left_ms is not None and announcement.started_ms <= left_ms:
@@ -268,6 +284,7 @@
             return refusal
         known = self.announcement
         began = self._clock()
+        self._runs.append((began, request.is_repeat))
         remaining_s = request.deadline - began - RETURN_MARGIN_S
         if remaining_s < 0.001:
             return errors.Refusal(
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -17,6 +17,7 @@
     ``deadline`` is a time of the node's monotonic clock in seconds.
     ``priority`` 0 is the most urgent. ``caller`` names the service whose
     instance the request began on. ``patience_s`` bounds the wait for a slot.
+    ``is_repeat`` is set where an earlier attempt may have run.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     priority: int = 0
     caller: str = ''
     patience_s: float = float('inf')
+    is_repeat: bool = False
 
 
 class Answer(NamedTuple):
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -87,7 +87,11 @@
     The ratio holds for the requests of each node by itself, and the slack
     is divided among the nodes, so that no node has to ask another.
 
+    Requests that the local worker sends count as retries where its own run
+    is one: the retry of a request repeats all the calls below it.
+
     :param nodes: returns the number of nodes
+    :param repeated: returns the part of the worker's runs that are retries
     :param clock: returns the time in seconds
     """
 
@@ -95,10 +99,12 @@
         self,
         limit: FleetLimit,
         nodes: Callable[[], int],
+        repeated: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._limit = limit
         self._nodes = nodes
+        self._repeated = repeated
         self._clock = clock
         self._calls: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
@@ -117,6 +123,7 @@
             self._limit.ratio * len(self._calls)
             + self._limit.slack / max(1, self._nodes())
         )
+        allowed -= self._repeated() * len(self._calls)
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
--- a/tests/test_fleet/test_repeats.py
+++ b/tests/test_fleet/test_repeats.py
@@ -81,7 +81,8 @@
     now = [0.0]
     limit = retry.FleetLimit(0.2, 58.0, 10.0)
     budgets = [
-        retry.FleetBudget(limit, lambda: 24, lambda: now[0]) for _ in range(24)
+        retry.FleetBudget(limit, lambda: 24, clock=lambda: now[0])
+        for _ in range(24)
     ]
     taken = []
     for tick in range(2000):
@@ -97,6 +98,17 @@
     assert len(taken) > 1000
 
 
+def test_retries_further_up_take_from_the_budget():
+    # Half of the worker's runs are retries, so that half of its calls count
+    # as retries already.
+    now = [0.0]
+    limit = retry.FleetLimit(0.2, 0.0, 10.0)
+    budget = retry.FleetBudget(limit, lambda: 1, lambda: 0.5, lambda: now[0])
+    for _ in range(1000):
+        budget.called()
+    assert not budget.take()
+
+
 def test_urgent_request_passes_others_that_wait():
     now = [0.0]
     adm = admission.Admission(lambda: now[0])
--- /dev/null
+++ b/tests/test_fleet/test_verdicts.py
@@ -0,0 +1,147 @@
+"""Verdicts on synthetic moves, without a network.
+
+Each case plays the requests of a whole move through the schedule of shares
+and the judge, with a virtual clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+import pytest
+
+from damaskpier.fleet import model
+from damaskpier.fleet import rollouts
+
+SEEDS = range(12)
+DURATION_S = 15.0
+# A bad version may get this part of the requests, and this many more.
+EXPOSE_SHARE = 0.1
+EXPOSE_SLACK = 50
+# Time in which a bad version is out of traffic after its 50th bad answer.
+BAD_ANSWERS = 50
+ROLLBACK_S = 5.0
+
+
+class Load(NamedTuple):
+    """Requests of a service and how its versions answer them.
+
+    ``fails`` and ``slower`` get the time since the order and the share.
+    """
+
+    per_s: float
+    median_ms: float
+    fails: Callable[[float, float], float] = lambda at, share: 0.004
+    slower: Callable[[float, float], float] = lambda at, share: 1.0
+    old_fails: Callable[[float, float], float] = lambda at, share: 0.004
+    routes: tuple[str, ...] = ('r',)
+    bad_route: str = ''
+
+
+class Played(NamedTuple):
+    """Outcome of a move."""
+
+    fault: str
+    ended: float
+    new: int
+    total: int
+    bad: int
+    share: float
+
+
+def _play(load: Load, seed: int) -> Played:
+    rng = random.Random(seed)
+    order = model.Order('s', 1, 'v2', DURATION_S, model.Phase.RUNNING, 1)
+    move = rollouts.Move(order, 0.0)
+    new = total = bad = 0
+    share = 0.0
+    now = 0.0
+    tick = 0.0
+    while now < DURATION_S:
+        now += rng.expovariate(load.per_s)
+        while tick <= now:
+            tick += rollouts.TICK_S
+            for cell in move.take('d', now):
+                move.add(cell)
+            fault = move.judge(now)
+            if fault:
+                return Played(fault, now, new, total, bad, share)
+            share = move.share(now, load.per_s)
+        route = rng.choice(load.routes)
+        is_new = rng.random() < share
+        ms = rng.lognormvariate(0.0, 0.5) * load.median_ms
+        chance = load.old_fails(now, share)
+        if is_new:
+            # Workers that have just started answer slowly.
+            ms *= 2.0 if now < 4.0 else 1.0
+            if load.bad_route in ('', route):
+                chance = load.fails(now, share)
+                ms *= load.slower(now, share)
+        failed = rng.random() < chance
+        total += 1
+        new += is_new
+        bad += is_new and (failed or ms > 3 * load.median_ms)
+        if 0 < share < 1:
+            move.record(route, is_new, failed, ms, share)
+    return Played('', now, new, total, bad, share)
+
+
+BUSY = Load(per_s=600.0, median_ms=90.0)
+CALM = Load(per_s=84.0, median_ms=160.0)
+
+
+def _from(at: float, rate: float) -> Callable[[float, float], float]:
+    return lambda now, share: rate if now >= at else 0.004
+
+
+def _above(limit: float, rate: float) -> Callable[[float, float], float]:
+    return lambda now, share: rate if share >= limit else 0.004
+
+
+BAD = {
+    'errors-busy': BUSY._replace(fails=_from(0.0, 0.35)),
+    'errors-calm': CALM._replace(fails=_from(0.0, 0.5)),
+    'late-busy': BUSY._replace(fails=_from(3.0, 0.5)),
+    'late-calm': CALM._replace(fails=_from(3.0, 0.5)),
+    'slow-busy': BUSY._replace(slower=lambda at, share: 8.0),
+    'slow-calm': CALM._replace(slower=lambda at, share: 8.0),
+    'under-load-busy': BUSY._replace(fails=_above(0.3, 0.4)),
+    'under-load-calm': CALM._replace(fails=_above(0.3, 0.5)),
+    'one-route-calm': CALM._replace(
+        fails=_from(0.0, 0.5), routes=('r', 'q', 't'), bad_route='q'
+    ),
+    'errors-amid-trouble': BUSY._replace(
+        fails=_from(0.0, 0.6), old_fails=lambda at, share: 0.1
+    ),
+}
+
+GOOD = {
+    'busy': BUSY,
+    'calm': CALM,
+    'trouble-of-both': BUSY._replace(
+        fails=lambda at, share: 0.3, old_fails=lambda at, share: 0.3
+    ),
+    'single-workers-fail': BUSY._replace(fails=lambda at, share: 0.06),
+    'single-workers-slow': CALM._replace(slower=lambda at, share: 1.6),
+}
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('name', BAD)
+def test_bad_version_is_found_with_little_exposure(name: str, seed: int):
+    played = _play(BAD[name], seed)
+    assert played.fault
+    whole = BAD[name].per_s * DURATION_S
+    assert played.new <= EXPOSE_SHARE * whole + EXPOSE_SLACK
+    # The share of the bad version ends well before the bound's time.
+    assert played.bad <= BAD_ANSWERS + ROLLBACK_S * BAD[name].per_s * 0.5
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('name', GOOD)
+def test_good_version_gets_all_traffic_in_time(name: str, seed: int):
+    played = _play(GOOD[name], seed)
+    assert played.fault == ''
+    assert played.share == 1.0
