Keep judging after an error, and let nodes learn of orders from each other

The tests of the judge did not run the service. Besides, found by reading: a node that restarts during a move began its schedule of shares anew, and one that the store does not reach sent requests to any version. Both follow the other nodes now. A leaving server closed connections with pipelined requests that it had read; it answers them first. Limits of callers are read again while connections are open.

--- a/damaskpier/fleet/configuration.py
+++ b/damaskpier/fleet/configuration.py
@@ -9,6 +9,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier import registry
+from damaskpier.util import tasks
 
 if TYPE_CHECKING:
     from damaskpier import application
@@ -60,7 +61,7 @@
 
     async def start(self) -> None:
         """Follow the store."""
-        self._task = asyncio.create_task(self._follow())
+        self._task = tasks.keep_running('configuration', self._follow)
         self._app.service('metrics').gauge('config_version', self.version)
 
     async def stop(self) -> None:
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -26,6 +26,7 @@
 from damaskpier import registry
 from damaskpier.rollout import wire as rollout_wire
 from damaskpier.rpc import mesh_pb2
+from damaskpier.util import tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,7 @@
         self._rng = rng or random.Random()
         self._node_id = app.cfg.text('node', 'id')
         self._tasks: set[asyncio.Task[object]] = set()
+        self._comparing: asyncio.Task[None] | None = None
         self._batch: asyncio.TimerHandle | None = None
         self._checking: set[str] = set()
         self._config_at = 0.0
@@ -86,12 +88,13 @@
     async def start(self) -> None:
         """Enter the directory and begin to compare views."""
         self._spawn(self._join())
-        self._spawn(self._compare_forever())
+        self._comparing = tasks.keep_running('exchange', self._compare_forever)
 
     async def stop(self) -> None:
         """Stop all messages."""
-        for task in list(self._tasks):
-            task.cancel()
+        for task in (*self._tasks, self._comparing):
+            if task is not None:
+                task.cancel()
 
     def received(self, body: bytes) -> bytes:
         """Take in a message of another node and return the answer."""
@@ -105,11 +108,17 @@
             return b''
         return self._answer(gossip).SerializeToString()
 
-    def share_evidence(self, cells: list[rollout_model.EvidenceCell]) -> None:
-        """Send counts of requests during a move to all nodes."""
+    def share_evidence(
+        self, cells: list[rollout_model.EvidenceCell], judges: Iterable[str]
+    ) -> None:
+        """Send counts of requests during a move to its judges."""
         gossip = mesh_pb2.Gossip()
         gossip.evidence.CopyFrom(rollout_wire.delta_to_message(cells))
-        self._send_to_all(gossip)
+        membership = self._app.service('membership')
+        for node_id in judges:
+            record = membership.get(node_id)
+            if record is not None and node_id != self._node_id:
+                self._spawn(self._send(record, gossip))
 
     def share_state(self, state: rollout_model.MoveState) -> None:
         """Send the state of a move to all nodes."""
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -137,6 +137,8 @@
         metrics.observe('request', took_s)
         if isinstance(result, messages.Answer):
             metrics.count('requests', code='answered')
+            if result.status >= 500 or (route and took_s > route.objective_s):
+                self._log_answer(terms, route, outcome, result, took_s)
             return http_messages.Response(
                 result.status, headers.end_to_end(result.headers), result.body
             )
@@ -158,6 +160,27 @@
         body = f'{result}\n'.encode()
         return http_messages.Response(status, fields, body)
 
+    def _log_answer(
+        self,
+        terms: dialect.CallerTerms,
+        route: model.Route | None,
+        outcome: router.Outcome,
+        answer: messages.Answer,
+        took_s: float,
+    ) -> None:
+        LOG.info(
+            'ingress: %s of %s answered with %d by %s, version %s, after %d '
+            'ms; %d tries, config %d',
+            terms.request_id,
+            route.name if route else '-',
+            answer.status,
+            outcome.worker,
+            outcome.version or 'any',
+            took_s * 1000,
+            outcome.attempts,
+            self._app.service('configuration').version(),
+        )
+
     def _refusal(
         self, result: errors.Refusal
     ) -> tuple[int, http_messages.Fields]:
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -26,6 +26,7 @@
 from damaskpier.rollout import latency
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rollout import record
+from damaskpier.util import tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -85,6 +86,11 @@
 WRITE_STAGGER_S = 0.4
 MAX_WRITE_RANK = 8
 NO_VERSION = 'none'
+# Revision of an order that is known from other nodes only: until the store
+# tells its time, this node sends nothing to the new version.
+NO_REVISION = 0
+# Difference between the starts of a move on two nodes that is left alone.
+CLOCK_SLACK_S = 0.3
 
 
 class Evidence(NamedTuple):
@@ -269,8 +275,8 @@
     async def start(self) -> None:
         """Follow the orders in the store."""
         self._tasks = [
-            asyncio.create_task(self._follow()),
-            asyncio.create_task(self._tick_forever()),
+            tasks.keep_running('orders', self._follow),
+            tasks.keep_running('moves', self._tick_forever),
         ]
 
     async def stop(self) -> None:
@@ -327,28 +333,36 @@
                 move.add(cell)
 
     def states(self) -> list[rollout_model.MoveState]:
-        """Return the verdicts that this node knows."""
-        return [
-            _state_of(move)
-            for move in self._moves.values()
-            if move.phase is not model.Phase.RUNNING
-        ]
+        """Return the moves as this node knows them."""
+        now = self._clock()
+        return [_state_of(move, now) for move in self._moves.values()]
 
     def merge(self, state: rollout_model.MoveState) -> None:
-        """Take over a verdict of another node."""
-        for move in self._moves.values():
-            if move.move_id == state.move and (
-                move.phase is model.Phase.RUNNING
-                and state.phase is not rollout_model.Phase.RUNNING
-            ):
-                move.reason = state.reason
-                move.phase = model.Phase(state.phase.value)
-                LOG.info(
-                    'rollout: %s is %s by the word of another node: %s',
-                    state.move,
-                    state.phase.value,
-                    state.reason,
-                )
+        """Take over what another node knows of a move.
+
+        A node that has just started goes on where the others are, and one
+        that the store does not reach learns of the order.
+        """
+        order = _order_of(state)
+        if order is None:
+            return
+        now = self._clock()
+        move = self._moves.get(order.service)
+        if move is None:
+            LOG.info('rollout: %s is known from another node', state.move)
+            move = self._moves[order.service] = Move(order, now)
+        if move.move_id != state.move:
+            return
+        if move.phase is not model.Phase.RUNNING:
+            return
+        if order.phase is not model.Phase.RUNNING:
+            self._conclude(
+                move, order.phase, f'another node says so: {state.reason}'
+            )
+            return
+        began = now - state.seq / 1000
+        if began < move.began - CLOCK_SLACK_S:
+            move.began = began
 
     async def _follow(self) -> None:
         is_lost = False
@@ -364,7 +378,7 @@
 
     def _take_order(self, order: model.Order) -> None:
         known = self._moves.get(order.service)
-        if known is not None and known.order.order_id == order.order_id:
+        if known is not None and known.move_id == move_id(order):
             known.order = order
             if order.phase is not model.Phase.RUNNING:
                 self._conclude(known, order.phase, 'the store says so')
@@ -390,11 +404,17 @@
         while True:
             await asyncio.sleep(TICK_S)
             for move in list(self._moves.values()):
-                self._tick(move)
+                try:
+                    self._tick(move)
+                except Exception:
+                    # One move must not end the judgement of all of them.
+                    LOG.exception('rollout: %s is not judged', move.move_id)
 
     def _tick(self, move: Move) -> None:
         now = self._clock()
         service = move.order.service
+        if move.order.revision == NO_REVISION:
+            return
         if move.phase is not model.Phase.RUNNING:
             if move.order.phase is model.Phase.RUNNING:
                 self._write_later(move)
@@ -445,7 +465,9 @@
 
     def _decide(self, move: Move, phase: model.Phase, reason: str) -> None:
         self._conclude(move, phase, reason)
-        self._app.service('exchange').share_state(_state_of(move))
+        self._app.service('exchange').share_state(
+            _state_of(move, self._clock())
+        )
         self._write_later(move)
 
     def _write_later(self, move: Move) -> None:
@@ -569,11 +591,28 @@
     return f'{order.service}/{order.version}/{order.order_id}'
 
 
-def _state_of(move: Move) -> rollout_model.MoveState:
+def _order_of(state: rollout_model.MoveState) -> model.Order | None:
+    service, _, rest = state.move.partition('/')
+    version, _, order_id = rest.rpartition('/')
+    if not (service and version and order_id.isdigit()):
+        LOG.warning('rollout: %r is not the name of a move', state.move)
+        return None
+    return model.Order(
+        service,
+        int(order_id),
+        version,
+        math.inf,
+        model.Phase(state.phase.value),
+        NO_REVISION,
+    )
+
+
+def _state_of(move: Move, now: float) -> rollout_model.MoveState:
+    # The sequence number is the time since the order in milliseconds.
     return rollout_model.MoveState(
         move.move_id,
         0,
-        0,
+        max(0, int((now - move.began) * 1000)),
         rollout_model.Phase(move.phase.value),
         {},
         move.reason,
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -212,19 +212,37 @@
         if _is_unreachable(reply.result):
             self._app.service('exchange').suspect(worker.record)
         if isinstance(reply.result, errors.Refusal):
-            LOG.info(
-                'router: %s try on %s for %s: %s; run %s; after %d ms, '
-                '%d ms left',
-                request.request_id,
-                worker.key,
-                request.route,
-                reply.result,
-                errors.RUN_STATE_NAMES[reply.result.run],
-                took_s * 1000,
-                (request.deadline - self._clock()) * 1000,
-            )
+            self._log_refusal(request, worker, reply.result, began)
         return reply.result
 
+    def _log_refusal(
+        self,
+        request: messages.Request,
+        worker: base.Worker,
+        refusal: errors.Refusal,
+        began: float,
+    ) -> None:
+        now = self._clock()
+        load = worker.load
+        LOG.info(
+            'router: %s of %s: %s on %s failed: %s; run %s; after %d ms, %d '
+            'ms left; worker tier %d, %d own requests there, load %s',
+            request.request_id,
+            request.route,
+            'repeat' if request.is_repeat else 'try',
+            worker.key,
+            refusal,
+            errors.RUN_STATE_NAMES[refusal.run],
+            (now - began) * 1000,
+            (request.deadline - now) * 1000,
+            worker.tier,
+            worker.outstanding,
+            'unknown'
+            if load is None
+            else f'{load.in_use}+{load.queued}/{load.slots}, '
+            f'{(now - worker.load_at) * 1000:.0f} ms old',
+        )
+
     def _choose_part(self, route: model.Route) -> model.Part:
         if len(route.parts) == 1:
             return route.parts[0]
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -134,7 +134,24 @@
     async def call(self, request: messages.Request) -> messages.Reply:
         """Run a request on the upstream, or refuse it."""
         result = await self._admit(request)
-        return messages.Reply(result, self.admission.load)
+        load = self.admission.load
+        if isinstance(result, errors.Refusal):
+            self._app.service('metrics').count(
+                'worker_refusals', code=str(result.code)
+            )
+            LOG.info(
+                'worker: %s of %s refused: %s; run %s; %d run, %d wait, %d '
+                'slots, service time %d ms',
+                request.request_id,
+                request.route,
+                result,
+                errors.RUN_STATE_NAMES[result.run],
+                load.in_use,
+                load.queued,
+                load.slots,
+                self.admission.service_s * 1000,
+            )
+        return messages.Reply(result, load)
 
     def repeated_part(self) -> float:
         """Return the part of the recent runs that are retries."""
--- a/damaskpier/http1/messages.py
+++ b/damaskpier/http1/messages.py
@@ -88,12 +88,10 @@
     lines = [f'HTTP/1.1 {response.status} {reason}']
     lines += [f'{name}: {value}' for name, value in response.headers]
     body = response.body
-    if response.status in BODILESS:
+    if is_head or response.status in BODILESS:
         body = b''
-    elif not (is_head and response.header('content-length')):
+    else:
         lines.append(f'Content-Length: {len(body)}')
-    if is_head:
-        body = b''
     if close:
         lines.append('Connection: close')
     return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -54,7 +54,7 @@
     A client that closes its connection cancels the handlers of its requests.
 
     :param handler: returns the response of a request
-    :param limits: read again for each connection, so that they may change
+    :param limits: read again while connections are open, as they may change
     :param progress: interim responses, None for none
     """
 
@@ -125,15 +125,15 @@
 
 
 class _Exchange:
-    """One request and, once it is there, the bytes of its response."""
+    """One request and, once it is there, its response."""
 
-    __slots__ = ('request', 'task', 'data', 'keep_alive', 'timer')
+    __slots__ = ('request', 'task', 'response', 'keep_alive', 'timer')
 
     def __init__(self, request: messages.Request, keep_alive: bool) -> None:
         self.request = request
         self.keep_alive = keep_alive
         self.task: asyncio.Task[None] | None = None
-        self.data: bytes | None = None
+        self.response: messages.Response | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -206,6 +206,7 @@
         if self._broken or self._exchanges:
             return
         waited_s = now - self._since
+        self._limits = self._server.limits()
         if self._in_message:
             if waited_s > self._limits.header_timeout_s:
                 self._reject(408, 'the request did not arrive in time')
@@ -303,11 +304,7 @@
         finally:
             if exchange.timer is not None:
                 exchange.timer.cancel()
-        close = not exchange.keep_alive or self._server.leaving
-        exchange.keep_alive = not close
-        exchange.data = messages.encode_response(
-            response, is_head=exchange.request.method == 'HEAD', close=close
-        )
+        exchange.response = response
         self._write_ready()
 
     def _ended(self, task: asyncio.Task[None]) -> None:
@@ -326,13 +323,23 @@
         )
 
     def _write_ready(self) -> None:
-        while self._exchanges and self._exchanges[0].data is not None:
+        while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
             if self._transport is None or self._transport.is_closing():
                 return
-            self._transport.write(exchange.data)
+            # A leaving server answers all requests that it has read.
+            close = not exchange.keep_alive or (
+                self._server.leaving and not self._exchanges
+            )
+            self._transport.write(
+                messages.encode_response(
+                    exchange.response,
+                    is_head=exchange.request.method == 'HEAD',
+                    close=close,
+                )
+            )
             self._since = self._server.clock()
-            if not exchange.keep_alive:
+            if close:
                 self._finish()
                 return
         if not self._is_reading and len(self._exchanges) < MAX_PIPELINED // 2:
@@ -353,9 +360,7 @@
             return
         self._stop_reading()
         exchange = _Exchange(messages.Request('GET', '/', (), b''), False)
-        exchange.data = messages.encode_response(
-            messages.Response(status, (), reason.encode()), close=True
-        )
+        exchange.response = messages.Response(status, (), reason.encode())
         self._exchanges.append(exchange)
         self._write_ready()
 
--- a/damaskpier/platform/control.py
+++ b/damaskpier/platform/control.py
@@ -68,10 +68,15 @@
     async def _ready(self, request: messages.Request) -> messages.Response:
         if request.path != READY_PATH:
             return messages.Response(404)
+        # A node that restarts while the store is away learns of the others
+        # by their messages.
         ready = (
             not self._draining
             and self._app.service('configuration').current() is not None
-            and self._app.service('exchange').registered
+            and (
+                self._app.service('exchange').registered
+                or len(self._app.service('membership').nodes()) > 1
+            )
         )
         return messages.Response(200 if ready else 503)
 
--- /dev/null
+++ b/tests/test_fleet/test_rollouts.py
@@ -0,0 +1,179 @@
+"""Moves are judged wherever their evidence comes from."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpier.fleet import exchange
+from damaskpier.fleet import model
+from damaskpier.fleet import rollouts
+from damaskpier.rollout import model as rollout_model
+
+from tests.test_fleet import conftest
+
+ORDER = model.Order('reads', 1, 'v2', 15.0, model.Phase.RUNNING, 1)
+
+
+@pytest.fixture
+def quick(monkeypatch):
+    """Shorten the intervals and give the new version a large share."""
+    monkeypatch.setattr(rollouts, 'TICK_S', 0.02)
+    monkeypatch.setattr(rollouts, 'WRITE_STAGGER_S', 0.02)
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 0.05)
+    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 0.5),))
+
+
+async def _load(node: conftest.Node, count: int) -> None:
+    for _ in range(count // 8):
+        await asyncio.gather(*(node.request() for _ in range(8)))
+
+
+def _fail(node: conftest.Node) -> None:
+    async def answer(request):
+        return node.upstream.signed(500)
+
+    node.upstream.answer = answer
+
+
+async def _fleet_with_two_versions(fleet: conftest.Fleet) -> None:
+    for version in ('v1', 'v1', 'v2', 'v2'):
+        await fleet.add(version=version)
+    await fleet.settled()
+
+
+def _phases(fleet: conftest.Fleet) -> set[model.Phase | None]:
+    return {
+        rollouts_.phase if rollouts_ is not None else None
+        for node in fleet.nodes
+        for rollouts_ in [node.app.service('rollouts')._moves.get('reads')]
+    }
+
+
+async def test_bad_version_is_taken_back_everywhere(fleet, quick):
+    await _fleet_with_two_versions(fleet)
+    for node in fleet.nodes[2:]:
+        _fail(node)
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    while _phases(fleet) != {model.Phase.TAKEN_BACK}:
+        await _load(fleet.nodes[0], 16)
+        await asyncio.sleep(0.02)
+    await conftest.until(
+        lambda: fleet.store.orders['reads'].phase is model.Phase.TAKEN_BACK
+    )
+    ran = sum(len(node.upstream.ran) for node in fleet.nodes[2:])
+    await _load(fleet.nodes[0], 40)
+    assert sum(len(node.upstream.ran) for node in fleet.nodes[2:]) == ran
+
+
+async def test_verdict_waits_for_the_store(fleet, quick):
+    await _fleet_with_two_versions(fleet)
+    for node in fleet.nodes[2:]:
+        _fail(node)
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    fleet.store.is_down = True
+    while _phases(fleet) != {model.Phase.TAKEN_BACK}:
+        await _load(fleet.nodes[0], 16)
+        await asyncio.sleep(0.02)
+    assert fleet.store.orders['reads'].phase is model.Phase.RUNNING
+    fleet.store.is_down = False
+    await conftest.until(
+        lambda: fleet.store.orders['reads'].phase is model.Phase.TAKEN_BACK
+    )
+
+
+async def test_good_version_is_completed(fleet, quick, monkeypatch):
+    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(rollouts, 'DONE_AT', 0.0)
+    fleet.store.put(
+        conftest.make_configuration(
+            2, (conftest.make_route('read', timeout_s=0.1),)
+        )
+    )
+    await _fleet_with_two_versions(fleet)
+    fleet.store.order(ORDER)
+    await conftest.until(
+        lambda: fleet.store.orders['reads'].phase is model.Phase.DONE
+    )
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.DONE})
+    old = sum(len(node.upstream.ran) for node in fleet.nodes[:2])
+    await _load(fleet.nodes[0], 40)
+    assert sum(len(node.upstream.ran) for node in fleet.nodes[:2]) == old
+
+
+async def test_move_without_workers_of_the_new_version_is_not_done(
+    fleet, quick, monkeypatch
+):
+    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(rollouts, 'DONE_AT', 0.0)
+    node = await fleet.add(version='v1')
+    await fleet.settled()
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    for _ in range(10):
+        assert (await node.request()).status == 200
+        await asyncio.sleep(0.02)
+    assert fleet.store.orders['reads'].phase is model.Phase.RUNNING
+
+
+async def test_node_cut_off_the_store_learns_of_an_order(fleet, quick):
+    # Without the order, it would spread its requests over both versions.
+    await _fleet_with_two_versions(fleet)
+    cut = fleet.nodes[0]
+    cut.source.is_cut = True
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    before = sum(len(node.upstream.ran) for node in fleet.nodes[2:])
+    await _load(cut, 80)
+    assert sum(len(node.upstream.ran) for node in fleet.nodes[2:]) == before
+
+
+async def test_node_that_starts_late_goes_on_with_the_share_of_the_others(
+    fleet, quick
+):
+    await fleet.add()
+    await fleet.settled()
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    move = fleet.nodes[0].app.service('rollouts')._moves['reads']
+    move.began -= 9.0
+    late = await fleet.add()
+    await conftest.until(
+        lambda: (
+            'reads' in late.app.service('rollouts')._moves
+            and late.app.service('rollouts')._moves['reads'].began
+            <= move.began + rollouts.CLOCK_SLACK_S
+        )
+    )
+
+
+async def test_verdict_is_not_replaced(fleet):
+    node = await fleet.add()
+    service = node.app.service('rollouts')
+    service._take_order(ORDER._replace(phase=model.Phase.TAKEN_BACK))
+    move = service._moves['reads']
+    service._conclude(move, model.Phase.TAKEN_BACK, 'test')
+    state = rollout_model.MoveState(
+        move.move_id, 0, 99, rollout_model.Phase.DONE, {}
+    )
+    service.merge(state)
+    assert move.phase is model.Phase.TAKEN_BACK
+
+
+async def test_judges_are_replaced_when_they_are_lost(fleet):
+    for _ in range(5):
+        await fleet.add()
+    await fleet.settled()
+    service = fleet.nodes[0].app.service('rollouts')
+    service._take_order(ORDER)
+    move = service._moves['reads']
+    judges = service._judges(move)
+    assert len(judges) == rollouts.JUDGES
+    lost = next(name for name in judges if name != fleet.nodes[0].name)
+    membership = fleet.nodes[0].app.service('membership')
+    membership.mark_gone([lost])
+    assert lost not in service._judges(move)
+    assert len(set(judges) & set(service._judges(move))) == 2
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -177,3 +177,52 @@
     await raw.until(b'102 Processing\r\n\r\n')
     go_on.set()
     await raw.until(b'200 OK\r\n')
+
+
+async def test_leaving_server_answers_all_requests_that_it_has_read(
+    serve, connect
+):
+    go_on = asyncio.Event()
+    running = asyncio.Barrier(3)
+
+    async def handler(request):
+        await running.wait()
+        await go_on.wait()
+        return messages.Response(200, (), request.target.encode())
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(GET_A + GET_B)
+    await running.wait()
+    started.leave()
+    go_on.set()
+    answers = await raw.rest()
+    assert answers.index(b'/a') < answers.index(b'Connection: close')
+    assert answers.endswith(b'/b')
+
+
+async def test_idle_timeout_follows_the_limits_while_connections_are_open(
+    serve, connect
+):
+    now = [0.0]
+    limits = [server.Limits(idle_timeout_s=1.0)]
+    started = await serve(
+        _echo, limits=lambda: limits[0], clock=lambda: now[0]
+    )
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    await raw.until(b'/a')
+    limits[0] = server.Limits(idle_timeout_s=100.0)
+    now[0] = 50.0
+    for conn in started._connections:
+        conn.check_timeouts(now[0])
+    raw.send(GET_B)
+    await raw.until(b'/b')
+
+
+async def test_head_gets_no_body(serve, connect):
+    started = await serve(_echo)
+    raw = await connect(started.port)
+    raw.send(b'HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n' + GET_B)
+    answers = await raw.until(b'/b')
+    assert b'/a' not in answers
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,42 @@
+"""Log lines are bounded under load and never block the process."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+from damaskpier import logs
+
+
+def _record(level: int = logging.INFO) -> logging.LogRecord:
+    return logging.LogRecord('part', level, '', 0, 'line %d', (1,), None)
+
+
+def test_lines_of_a_module_are_bounded_and_the_dropped_ones_counted():
+    now = [0.0]
+    bounded = logs.BoundedFilter(lambda: now[0])
+    passed = sum(bounded.filter(_record()) for _ in range(1000))
+    assert passed == logs.BURST_LINES
+    assert bounded.dropped['part'] == 1000 - passed
+    now[0] = 1.0
+    record = _record()
+    assert bounded.filter(record)
+    assert f'[{1000 - passed} lines' in record.getMessage()
+    more = sum(bounded.filter(_record()) for _ in range(1000))
+    assert more == logs.LINES_PER_S - 1
+
+
+def test_warnings_are_not_dropped():
+    bounded = logs.BoundedFilter(lambda: 0.0)
+    assert all(bounded.filter(_record(logging.WARNING)) for _ in range(999))
+
+
+def test_full_pipe_loses_lines_and_does_not_block():
+    reader, writer = os.pipe()
+    with os.fdopen(writer, 'w') as stream:
+        handler = logs.NonBlockingHandler(stream)
+        # A pipe holds 64 KiB; nobody reads it.
+        for _ in range(20_000):
+            handler.emit(_record())
+        assert handler.lost
+    os.close(reader)
