Bound retries on two levels together

The part of retried runs is known seconds after the retries of the calls have been spent. Change: retries take at most 55% of the bound, those of requests that may have run 35%, and 85% together with repeated calls. The new test plays two levels and exceeded the bound before.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -150,7 +150,9 @@
                 route, result, ran, len(tried), remaining_s
             ):
                 break
-            if _reached_worker(result) and not budget.take():
+            if _reached_worker(result) and not budget.take(
+                is_rerun=_may_have_run(result)
+            ):
                 break
             self._app.service('metrics').count('retries')
         if failed is not None:
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -18,9 +18,15 @@
 MAX_ATTEMPTS = 3
 # Time that another attempt has to have left to be worth starting.
 MIN_REMAINING_S = 0.005
-# Part of a bound of the whole fleet that its nodes use; the rest is for
-# nodes that count each other wrongly for a while.
-SAFE_PART = 0.8
+# Part of a bound of the whole fleet that its nodes use. The rest is for the
+# calls that retried runs of other services repeat here, and for nodes that
+# count each other wrongly for a while.
+SAFE_PART = 0.55
+# Part of the bound for retries of requests that may have run: each repeats
+# all the calls of its run, which count at the services called.
+RERUN_PART = 0.35
+# Part of the bound for retries and repeated calls together.
+TOTAL_PART = 0.85
 
 # Another worker may accept what one has refused with these codes.
 _REFUSED_BY_WORKER = frozenset(
@@ -108,6 +114,7 @@
         self._clock = clock
         self._calls: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        self._reruns: collections.deque[float] = collections.deque()
 
     def called(self) -> None:
         """Count a request's first attempt."""
@@ -115,23 +122,30 @@
         self._calls.append(now)
         self._forget(now)
 
-    def take(self) -> bool:
-        """Count a retry if the budget allows one."""
+    def take(self, is_rerun: bool = False) -> bool:
+        """Count a retry if the budget allows one.
+
+        :param is_rerun: whether an earlier attempt may have run
+        """
         now = self._clock()
         self._forget(now)
-        allowed = SAFE_PART * (
-            self._limit.ratio * len(self._calls)
-            + self._limit.slack / max(1, self._nodes())
+        bound = self._limit.ratio * len(self._calls) + self._limit.slack / max(
+            1, self._nodes()
         )
-        allowed -= self._repeated() * len(self._calls)
+        repeated = self._repeated() * len(self._calls)
+        allowed = min(SAFE_PART * bound, TOTAL_PART * bound - repeated)
         if len(self._retries) + 1 > allowed:
             return False
+        if is_rerun:
+            if len(self._reruns) + 1 > RERUN_PART * bound:
+                return False
+            self._reruns.append(now)
         self._retries.append(now)
         return True
 
     def _forget(self, now: float) -> None:
         oldest = now - self._limit.window_s
-        for times in (self._calls, self._retries):
+        for times in (self._calls, self._retries, self._reruns):
             while times and times[0] < oldest:
                 times.popleft()
 
--- a/tests/test_fleet/test_repeats.py
+++ b/tests/test_fleet/test_repeats.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import random
 
 from damaskpier import errors
 from damaskpier.fleet import model
@@ -98,6 +100,47 @@
     assert len(taken) > 1000
 
 
+def test_retries_on_two_levels_stay_below_the_bound_together():
+    # Each run of the upper service makes 1.4 calls, half of which are shed;
+    # a failed call fails the run, which is retried and repeats its calls.
+    rng = random.Random(7)
+    now = [0.0]
+    limit = retry.FleetLimit(0.2, 58.0, 10.0)
+    upper = retry.FleetBudget(limit, lambda: 1, clock=lambda: now[0])
+    runs = collections.deque(maxlen=900)
+    lower = retry.FleetBudget(
+        limit,
+        lambda: 1,
+        lambda: sum(runs) / len(runs) if runs else 0.0,
+        lambda: now[0],
+    )
+    requests, repeats = [], []
+
+    def run(is_repeat):
+        runs.append(is_repeat)
+        failed = False
+        for _ in range(1 + (rng.random() < 0.4)):
+            (repeats if is_repeat else requests).append(now[0])
+            lower.called()
+            while rng.random() < 0.5:
+                if not lower.take():
+                    failed = True
+                    break
+                repeats.append(now[0])
+        return not failed
+
+    for tick in range(30 * 180):
+        now[0] = tick / 180
+        upper.called()
+        ok = run(False)
+        while not ok and upper.take(is_rerun=True):
+            ok = run(True)
+    for start in range(20):
+        asked = sum(start <= at < start + 10 for at in requests)
+        again = sum(start <= at < start + 10 for at in repeats)
+        assert again <= 0.2 * asked + 58
+
+
 def test_retries_further_up_take_from_the_budget():
     # Half of the worker's runs are retries, so that half of its calls count
     # as retries already.
