Leave out routes that fail with both versions from clear verdicts

One request of the old version left its rate open up to 1, and a rate of 1 was over that bound. Change: where the bound reaches 1, nothing is clear. The first share is rounded, because counts are kept by share.

--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -243,7 +243,8 @@
         :param per_s: requests of the service a second in the whole fleet
         """
         share = FIRST_REQUESTS_PER_S / max(per_s, 1.0)
-        share = min(max(share, FIRST_SHARE_LOW), FIRST_SHARE_HIGH)
+        # Counts are kept by share, so that it takes few values.
+        share = round(min(max(share, FIRST_SHARE_LOW), FIRST_SHARE_HIGH), 2)
         passed = (now - self.began) / max(self.order.duration_s, 1.0)
         for since, step in STEPS:
             if passed >= since:
@@ -559,7 +560,10 @@
     doubt = OLD_DEVIATIONS * math.sqrt(
         seen * (1.0 - seen) / (old.requests + 2)
     )
-    harmless = min(seen + doubt + MIN_EXCESS, 1.0)
+    harmless = seen + doubt + MIN_EXCESS
+    if harmless >= 1.0:
+        # The old version fails as well, or has shown too little.
+        return ''
     margin = deviations * math.sqrt(
         harmless * (1.0 - harmless) / max(1, new.requests)
     )
--- a/tests/test_fleet/test_verdicts.py
+++ b/tests/test_fleet/test_verdicts.py
@@ -118,6 +118,14 @@
 }
 
 GOOD = {
+    # Found by incident inc-e02d of Cedarline: a route with few requests,
+    # all of which fail with both versions.
+    'rare-route-that-always-fails': Load(
+        per_s=3.0,
+        median_ms=160.0,
+        fails=lambda at, share: 1.0,
+        old_fails=lambda at, share: 1.0,
+    ),
     'busy': BUSY,
     'calm': CALM,
     'trouble-of-both': BUSY._replace(
