--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -231,7 +231,7 @@
         cfg = config.loads(
             f'[node]\nid = {name}\nregion = r\nfailure_domain = {domain}\n'
             f'service = {service}\n[platform]\naddress = 127.0.0.1:1\n'
-            '[fleet]\ngrace = 0.5\nheartbeat = 60\n'
+            '[fleet]\ngrace = 0.5\nheartbeat = 60\nretry_slack = 1000\n'
         )
         memory = MemorySource(self.store)
         terms = headers.PlatformDialect()
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -43,6 +43,13 @@
     await fleet.settled()
 
 
+async def _load_until_taken_back(fleet: conftest.Fleet) -> None:
+    async with asyncio.timeout(conftest.LONG_S):
+        while _phases(fleet) != {model.Phase.TAKEN_BACK}:
+            await _load(fleet.nodes[0], 16)
+            await asyncio.sleep(0.02)
+
+
 def _phases(fleet: conftest.Fleet) -> set[model.Phase | None]:
     return {
         rollouts_.phase if rollouts_ is not None else None
@@ -57,9 +64,7 @@
         _fail(node)
     fleet.store.order(ORDER)
     await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
-    while _phases(fleet) != {model.Phase.TAKEN_BACK}:
-        await _load(fleet.nodes[0], 16)
-        await asyncio.sleep(0.02)
+    await _load_until_taken_back(fleet)
     await conftest.until(
         lambda: fleet.store.orders['reads'].phase is model.Phase.TAKEN_BACK
     )
@@ -75,9 +80,7 @@
     fleet.store.order(ORDER)
     await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
     fleet.store.is_down = True
-    while _phases(fleet) != {model.Phase.TAKEN_BACK}:
-        await _load(fleet.nodes[0], 16)
-        await asyncio.sleep(0.02)
+    await _load_until_taken_back(fleet)
     assert fleet.store.orders['reads'].phase is model.Phase.RUNNING
     fleet.store.is_down = False
     await conftest.until(
