Notice a worker without power, and let refused callers come back apart

Cause, found by reading: a worker that loses power closes no connection, so that requests on kept connections waited out their deadline until three heartbeats were missing. The node shares the machine with its worker, so 500 ms without an acknowledgement show it. Callers that were refused at the same moment were all told to come back after 100 ms. Change: the kernel's limit for unacknowledged bytes is 500 ms towards the worker, which is then out of routing until its next heartbeat; Retry-After has a jitter and stays below the caller's remaining time.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,12 @@
 FINISH_PART = 0.87
 # Time that a caller waits where neither it nor the route tells.
 DEFAULT_DEADLINE_S = 5.0
+# Time after which a refused caller may come back: about as long as a slot of
+# a full worker is taken by one request.
+RETURN_S = 0.1
+JITTER = 0.5
+# Part of a caller's remaining time after which it would not come back.
+RETURN_PART = 0.3
 
 _STATUS = {
     errors.CALL_NO_ROUTE: 404,
@@ -48,8 +55,10 @@
         app: application.Application,
         terms: dialect.Dialect,
         clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
     ) -> None:
         self._app = app
+        self._rng = rng or random.Random()
         self._terms = terms
         self._clock = clock
         self.server = server.Server(self._handle, self._limits)
@@ -143,7 +152,8 @@
                 result.status, headers.end_to_end(result.headers), result.body
             )
         metrics.count('requests', code=str(result.code))
-        status, fields = self._refusal(result)
+        left_s = (terms.deadline_s or DEFAULT_DEADLINE_S) - took_s
+        status, fields = self._refusal(result, left_s)
         LOG.info(
             'ingress: %s of %s refused with %d: %s; run %s; %d tries, last '
             'on %s, after %d ms, config %d',
@@ -182,18 +192,28 @@
         )
 
     def _refusal(
-        self, result: errors.Refusal
+        self, result: errors.Refusal, left_s: float
     ) -> tuple[int, http_messages.Fields]:
         if result.run is errors.RunState.NOT_RUN:
             status = _STATUS.get(result.code, 503)
             if status in (503, 504):
                 # Nothing has run, so that any request may come back.
-                return 503, self._terms.retry_after(router.RETURN_S)
+                return 503, self._terms.retry_after(self._return_s(left_s))
             return status, ()
         if result.code is errors.CALL_DEADLINE:
             return 504, ()
         return 502, ()
 
+    def _return_s(self, left_s: float) -> float:
+        """Return when a refused caller may come back.
+
+        Callers that were refused together come back apart.
+
+        :param left_s: time that the caller goes on waiting
+        """
+        wanted = RETURN_S * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        return max(0.0, min(wanted, RETURN_PART * left_s))
+
 
 def _forwarded(request: http_messages.Request) -> http_messages.Fields:
     host = request.header('host')
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -37,8 +37,6 @@
 # the route have shown theirs.
 UNKNOWN_BYTES = 2000.0
 BYTES_WEIGHT = 0.1
-# Time after which a caller may come back where nothing tells more.
-RETURN_S = 0.1
 
 # Another worker may run what one has refused with these codes.
 _REFUSED_BY_WORKER = frozenset(
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -48,9 +48,11 @@
 # Failed connections after which the upstream counts as gone until it
 # announces itself again.
 MAX_CONNECT_FAILURES = 2
+# The upstream runs on the same machine, where an acknowledgement takes far
+# less than this unless the upstream is gone.
+USER_TIMEOUT_MS = 500
 # Runs over which the part of retries is taken.
 REPEATS_WINDOW_S = 5.0
-MAX_RUNS = 2000
 
 
 class Worker(registry.Service):
@@ -72,9 +74,8 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._refusal_timer: asyncio.TimerHandle | None = None
         self._connect_failures = 0
-        self._runs: collections.deque[tuple[float, bool]] = collections.deque(
-            maxlen=MAX_RUNS
-        )
+        self._runs: collections.deque[tuple[float, bool]] = collections.deque()
+        self._repeats = 0
         self._node_draining = False
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
 
@@ -157,10 +158,8 @@
         """Return the part of the recent runs that are retries."""
         oldest = self._clock() - REPEATS_WINDOW_S
         while self._runs and self._runs[0][0] < oldest:
-            self._runs.popleft()
-        if not self._runs:
-            return 0.0
-        return sum(is_repeat for _, is_repeat in self._runs) / len(self._runs)
+            self._repeats -= self._runs.popleft()[1]
+        return self._repeats / max(1, len(self._runs))
 
     def _is_late(self, announcement: model.Announcement) -> bool:
         left_ms = self._left.get(announcement.instance)
@@ -194,6 +193,7 @@
             announcement.port,
             max_idle=max(4, announcement.slots),
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            user_timeout_ms=USER_TIMEOUT_MS,
         )
         self.admission.draining = False
         self.admission.configure(
@@ -301,7 +301,9 @@
             return refusal
         known = self.announcement
         began = self._clock()
+        self.repeated_part()
         self._runs.append((began, request.is_repeat))
+        self._repeats += request.is_repeat
         remaining_s = request.deadline - began - RETURN_MARGIN_S
         if remaining_s < 0.001:
             return errors.Refusal(
@@ -352,6 +354,8 @@
             if self._connect_failures >= MAX_CONNECT_FAILURES:
                 self._lost(f'can not be reached: {failure.reason}')
             return errors.Refusal(errors.CALL_CONNECT, failure.reason)
+        if failure.unacknowledged:
+            self._lost('acknowledges nothing')
         code = errors.CALL_UNKNOWN
         if failure.timed_out:
             code = errors.CALL_DEADLINE
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -57,6 +57,8 @@
     """Connections to one server, the most recently used one first.
 
     :param max_idle: connections that are kept open without a request
+    :param user_timeout_ms: time after which sent bytes that the peer does not
+        acknowledge end a connection
     """
 
     def __init__(
@@ -65,7 +67,9 @@
         port: int,
         max_idle: int = 32,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
     ) -> None:
+        self.user_timeout_ms = user_timeout_ms
         self.address = (host, port)
         self.opened = 0
         self.in_use = 0
@@ -181,7 +185,7 @@
         self.is_open = True
         sock = transport.get_extra_info('socket')
         if sock is not None:
-            set_options(sock)
+            set_options(sock, self._pool.user_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request unless its response ends with the connection."""
@@ -192,7 +196,10 @@
         if exc is None and self._ends_with_connection:
             self._complete()
             return
-        self._fail(f'the connection was lost: {exc or "closed"}')
+        self._fail(
+            f'the connection was lost: {exc or "closed"}',
+            unacknowledged=isinstance(exc, TimeoutError),
+        )
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection."""
@@ -362,11 +369,11 @@
         self._ends_with_connection = False
 
 
-def set_options(sock: socket.socket) -> None:
+def set_options(sock: socket.socket, user_timeout_ms: int) -> None:
     """Make the kernel notice a peer that no longer answers."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
--- a/damaskpier/http1/messages.py
+++ b/damaskpier/http1/messages.py
@@ -57,12 +57,14 @@
 
     :param sent: whether bytes of the request may have reached the peer
     :param silent: whether the connection was open but brought nothing
+    :param unacknowledged: whether the peer's machine acknowledged nothing
     """
 
     reason: str
     sent: bool
     timed_out: bool = False
     silent: bool = False
+    unacknowledged: bool = False
 
 
 def encode_request(
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
+from damaskpier import errors
 from damaskpier.fleet import worker
+from damaskpier.http1 import messages
 
 from tests.test_fleet import conftest
 
@@ -84,6 +86,18 @@
     assert first.app.service('worker').announcement is None
 
 
+async def test_worker_that_acknowledges_nothing_is_out_of_routing(fleet):
+    # A worker without power closes no connection; the kernel notices.
+    node = await fleet.add()
+    service = node.app.service('worker')
+    refusal = service._failed(
+        messages.Failure('timed out', True, unacknowledged=True)
+    )
+    assert refusal.run is errors.RunState.UNKNOWN
+    assert service.announcement is None
+    assert node.announce()
+
+
 async def test_stop_of_a_node_finishes_its_requests(fleet):
     caller = await fleet.add('pages')
     other = await fleet.add('reads')
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -60,6 +60,17 @@
     assert float(response.header('retry-after')) > 0
 
 
+async def test_refused_callers_come_back_apart_and_in_time(fleet):
+    fleet.store.is_down = True
+    node = await fleet.add()
+    delays = [
+        float((await node.request(deadline_ms=300)).header('retry-after'))
+        for _ in range(20)
+    ]
+    assert len(set(delays)) > 1
+    assert all(0.0 < delay <= 0.1 for delay in delays)
+
+
 async def test_longest_prefix_of_the_host_wins(fleet):
     fleet.store.put(
         conftest.make_configuration(
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -193,6 +193,21 @@
     assert outcome.body == b'ok'
 
 
+async def test_kernel_watches_the_peer(scripted, options):
+    # A peer without power neither closes nor resets its connections.
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(OK)
+        await reader.read()
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    sock = pool._idle[0]._transport.get_extra_info('socket')
+    found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert found == pool.user_timeout_ms
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+
 async def test_cancelled_request_closes_its_connection(scripted, options):
     arrived = asyncio.Event()
     closed = asyncio.Event()
