Keep what the attempts of a request tell in one place

The loop of attempts was 50 lines with six variables, among them one called lost that also stood for failed answers.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -60,6 +60,51 @@
     worker: str = ''
 
 
+class _Course:
+    """Attempts of one request and what they together tell."""
+
+    def __init__(self, request: messages.Request) -> None:
+        self.request = request
+        self.tried: list[str] = []
+        # Attempts that may have run, and whether one of them failed.
+        self.runs = 0
+        self.has_failed = False
+        self._answer: messages.Answer | None = None
+        self._refusal = errors.Refusal(
+            errors.CALL_NO_WORKER,
+            f'no worker of {request.service} {request.version} is ready',
+        )
+        self._run = errors.RunState.NOT_RUN
+
+    def add(
+        self, worker: str, result: messages.Answer | errors.Refusal
+    ) -> None:
+        """Note the result of an attempt."""
+        self.tried.append(worker)
+        if isinstance(result, messages.Answer):
+            self._answer = result
+            self._run = errors.RunState.RUN
+            self.has_failed |= result.status >= 500
+        else:
+            self._run = retry.merged_run(self._run, result.run)
+            self._refusal = result._replace(run=self._run)
+            self.has_failed |= result.run is not errors.RunState.NOT_RUN
+        self.runs += _may_have_run(result)
+
+    def is_answered(self) -> bool:
+        """Tell whether there is an answer that no repeat would better."""
+        return self._answer is not None and self._answer.status < 500
+
+    def outcome(self) -> Outcome:
+        """Return what the caller gets; an answer goes before a refusal."""
+        return Outcome(
+            self._answer or self._refusal,
+            self.request.version,
+            len(self.tried),
+            self.tried[-1] if self.tried else '',
+        )
+
+
 class _Workers:
     def __init__(self, chooser: choice.Chooser) -> None:
         self.chooser = chooser
@@ -99,89 +144,40 @@
         chooser = self._chooser(service, choice_.version)
         request = request._replace(service=service, version=choice_.version)
         began = self._clock()
-        outcome, lost = await self._attempts(route, chooser, request)
-        self._record(route, service, choice_, outcome, lost, began)
+        course = _Course(request)
+        await self._attempts(route, chooser, course)
+        outcome = course.outcome()
+        self._record(route, service, choice_, course, began)
         return outcome
 
     async def _attempts(
-        self,
-        route: model.Route,
-        chooser: choice.Chooser,
-        request: messages.Request,
-    ) -> tuple[Outcome, bool]:
+        self, route: model.Route, chooser: choice.Chooser, course: _Course
+    ) -> None:
+        request = course.request
         budget = self._budget(request.service)
         budget.called()
         size = self._bytes.get(route.name, UNKNOWN_BYTES) + len(request.body)
-        tried: list[str] = []
-        ran = 0
-        lost = False
-        state = errors.RunState.NOT_RUN
-        failed: messages.Answer | None = None
-        refusal = errors.Refusal(
-            errors.CALL_NO_WORKER,
-            f'no worker of {request.service} {request.version} is ready',
-        )
         while True:
-            worker = chooser.pick(size, tried)
+            worker = chooser.pick(size, course.tried)
             if worker is None:
-                break
+                return
             patient = request._replace(
-                patience_s=self._patience_s(route, chooser, tried),
-                is_repeat=ran > 0,
+                patience_s=self._patience_s(route, chooser, course.tried),
+                is_repeat=course.runs > 0,
             )
-            tried.append(worker.key)
             result = await self._attempt(chooser, worker, patient)
-            if isinstance(result, messages.Answer):
+            course.add(worker.key, result)
+            if course.is_answered():
                 self._note_size(route, result)
-                if result.status < 500:
-                    return self._outcome(result, request, tried), lost
-                failed = result
-                lost = True
-                state = errors.RunState.RUN
-            else:
-                lost = lost or result.run is errors.RunState.UNKNOWN
-                state = retry.merged_run(state, result.run)
-                refusal = result._replace(run=state)
-            ran += _may_have_run(result)
+                return
             remaining_s = request.deadline - self._clock()
-            if not self._may_repeat(
-                route, result, ran, len(tried), remaining_s
-            ):
-                break
+            if not _may_repeat(route, course, result, remaining_s):
+                return
             if _reached_worker(result) and not budget.take(
                 is_rerun=_may_have_run(result)
             ):
-                break
+                return
             self._app.service('metrics').count('retries')
-        if failed is not None:
-            return self._outcome(failed, request, tried), lost
-        return self._outcome(refusal, request, tried), lost
-
-    def _outcome(
-        self,
-        result: messages.Answer | errors.Refusal,
-        request: messages.Request,
-        tried: list[str],
-    ) -> Outcome:
-        return Outcome(
-            result, request.version, len(tried), tried[-1] if tried else ''
-        )
-
-    def _may_repeat(
-        self,
-        route: model.Route,
-        result: messages.Answer | errors.Refusal,
-        ran: int,
-        tries: int,
-        remaining_s: float,
-    ) -> bool:
-        if tries >= MAX_TRIES or remaining_s < MIN_REMAINING_S:
-            return False
-        if ran >= route.max_attempts:
-            return False
-        if _may_have_run(result):
-            return route.repeatable
-        return result.code in _REFUSED_BY_WORKER
 
     def _patience_s(
         self, route: model.Route, chooser: choice.Chooser, tried: list[str]
@@ -294,25 +290,17 @@
         route: model.Route,
         service: str,
         choice_: rollout_model.Choice,
-        outcome: Outcome,
-        lost: bool,
+        course: _Course,
         began: float,
     ) -> None:
-        if not 0 < choice_.share < 1:
+        # A request that ran nowhere tells of the load and not of the version.
+        if not 0 < choice_.share < 1 or not course.runs:
             return
-        result = outcome.result
-        if isinstance(result, messages.Answer):
-            failed = result.status >= 500
-        elif result.run is errors.RunState.NOT_RUN:
-            # A refusal tells of the load and not of the version.
-            return
-        else:
-            failed = True
         self._app.service('rollouts').record(
             service,
             route.name,
-            outcome.version,
-            failed or lost,
+            choice_.version,
+            course.has_failed,
             (self._clock() - began) * 1000,
             choice_.share,
         )
@@ -323,6 +311,22 @@
                 entry.refreshed = float('-inf')
 
 
+def _may_repeat(
+    route: model.Route,
+    course: _Course,
+    result: messages.Answer | errors.Refusal,
+    remaining_s: float,
+) -> bool:
+    """Tell whether another attempt is allowed, the budget aside."""
+    if len(course.tried) >= MAX_TRIES or remaining_s < MIN_REMAINING_S:
+        return False
+    if course.runs >= route.max_attempts:
+        return False
+    if _may_have_run(result):
+        return route.repeatable
+    return result.code in _REFUSED_BY_WORKER
+
+
 def _may_have_run(result: messages.Answer | errors.Refusal) -> bool:
     return (
         isinstance(result, messages.Answer)
