--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -16,16 +16,13 @@
 import math
 import random
 import time
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
 from damaskpier.fleet import model
+from damaskpier.fleet import moves
 from damaskpier import registry
-from damaskpier.rollout import judge
-from damaskpier.rollout import latency
 from damaskpier.rollout import model as rollout_model
-from damaskpier.rollout import record
 from damaskpier.util import tasks
 
 if TYPE_CHECKING:
@@ -40,48 +37,9 @@
 # Nodes that judge a move. One is enough; the others have the evidence when
 # it is lost.
 JUDGES = 3
-# First share of the new version, between these bounds so that about this
-# many requests a second meet it in the whole fleet.
-FIRST_SHARE_LOW = 0.03
-FIRST_SHARE_HIGH = 0.08
-FIRST_REQUESTS_PER_S = 14.0
-# Steps of the share: part of the move's time from which on it holds.
-# A fault that shows only under load is met by short steps, so that
-# what the steps before it expose stays below the bound.
-STEPS = (
-    (0.40, 0.10),
-    (0.44, 0.25),
-    (0.48, 0.45),
-    (0.52, 0.70),
-    # As long as a few requests go to the old version, the versions can be
-    # compared.
-    (0.56, 0.95),
-    (0.72, 1.0),
-)
 # The verdict that the move is done comes at this part of its time, and when
 # the last requests of the old version have had time to end.
 DONE_AT = 0.86
-# Chance that noise takes a good version back.
-ERROR_RATE = 0.001
-# A version is bad only if its failures exceed those of the old one by this
-# part of its requests, and by this many standard deviations more; less may
-# be a fault of single workers. Where nearly all requests go to the new
-# version, the judge has little to compare, and a larger excess decides.
-MIN_EXCESS = 0.1
-EXCESS_DEVIATIONS = 4.0
-CLEAR_DEVIATIONS = 5.5
-OLD_DEVIATIONS = 2.0
-MIN_FAILURES = 4
-# Or if its median latency is higher by this many buckets, 8 of which are a
-# factor of two.
-MIN_SLOWER_BUCKETS = 11
-MIN_SLOW_REQUESTS = 12
-# Latency counts this long after the first answers of the new version, whose
-# workers are slow at first.
-WARMUP_S = 4.0
-# Outcomes that are compared as they are are those of these times: a fault
-# that has just begun shows in the short one.
-RECENT_S = (1.2, 4.0)
 # Time between the nodes that may write a verdict, by rank.
 WRITE_STAGGER_S = 0.4
 MAX_WRITE_RANK = 8
@@ -93,165 +51,6 @@
 CLOCK_SLACK_S = 0.3
 
 
-class Evidence(NamedTuple):
-    """Recent outcomes of both versions on a route."""
-
-    at: float
-    old: rollout_model.VersionCounts
-    new: rollout_model.VersionCounts
-
-
-class RouteCase:
-    """Evidence on one route of a move."""
-
-    def __init__(self, schedule: judge.Schedule) -> None:
-        self._record = record.Record()
-        self._judge = judge.RouteJudge(schedule)
-        self._staged: list[rollout_model.VersionCounts] = []
-        self._staged_at = 0.0
-        self._recent: collections.deque[Evidence] = collections.deque()
-
-    def observe(
-        self, cell: rollout_model.EvidenceCell, now: float, is_warm: bool
-    ) -> None:
-        """Take in counts."""
-        self._recent.append(Evidence(now, cell.old, cell.new))
-        while self._recent[0].at < now - RECENT_S[-1]:
-            self._recent.popleft()
-        # Bets on a cell must not depend on its outcomes.
-        if now >= self._staged_at + 1.0 or not self._record.usable:
-            self._staged_at = now
-            for counts in self._staged:
-                self._record.add(counts)
-            self._staged.clear()
-        if self._record.usable and 0.0 < cell.share < 1.0:
-            gains = self._record.gains(cell, is_warm)
-            self._judge.update(int(now), cell.share, '', gains)
-        self._staged.append(cell.old)
-
-    def fault(self, now: float) -> str:
-        """Return what is wrong with the new version, '' if nothing is."""
-        capital = self._judge.finding().capital
-        is_proved = capital >= 1.0 / ERROR_RATE
-        deviations = EXCESS_DEVIATIONS if is_proved else CLEAR_DEVIATIONS
-        for span_s in RECENT_S:
-            old, new = self._recent_counts(now - span_s)
-            fault = _more_failures(old, new, deviations)
-            if not fault and is_proved:
-                fault = _slower(old, new)
-            if fault:
-                return f'{fault}; capital {capital:.3g}'
-        return ''
-
-    def _recent_counts(
-        self, since: float
-    ) -> tuple[rollout_model.VersionCounts, rollout_model.VersionCounts]:
-        old = new = rollout_model.VersionCounts()
-        for evidence in self._recent:
-            if evidence.at >= since:
-                old = old.plus(evidence.old)
-                new = new.plus(evidence.new)
-        return old, new
-
-
-class Move:
-    """An order as this node follows it."""
-
-    def __init__(self, order: model.Order, now: float) -> None:
-        self.order = order
-        self.began = now
-        self.phase = order.phase
-        self.reason = ''
-        self.full_since: float | None = None
-        self.first_answer: float | None = None
-        self.writing = False
-        self._schedule = judge.Schedule(now, now + order.duration_s)
-        self._cases: dict[str, RouteCase] = {}
-        self._counts: dict[tuple[str, float], tuple[list, list]] = {}
-        self._received: dict[
-            tuple[str, float], rollout_model.EvidenceCell
-        ] = {}
-
-    @property
-    def move_id(self) -> str:
-        """Return the name of the move among all moves."""
-        return move_id(self.order)
-
-    def record(
-        self, route: str, is_new: bool, failed: bool, ms: float, share: float
-    ) -> None:
-        """Count an outcome of this node."""
-        cell = self._counts.setdefault(
-            (route, share), ([0, 0, {}], [0, 0, {}])
-        )
-        counts = cell[is_new]
-        counts[0] += 1
-        counts[1] += failed
-        bucket = latency.bucket_of(ms)
-        counts[2][bucket] = counts[2].get(bucket, 0) + 1
-
-    def take(
-        self, failure_domain: str, now: float
-    ) -> list[rollout_model.EvidenceCell]:
-        """Return and forget the counts of this node."""
-        counts, self._counts = self._counts, {}
-        return [
-            rollout_model.EvidenceCell(
-                self.move_id,
-                route,
-                failure_domain,
-                int(now),
-                rollout_model.VersionCounts(*old),
-                rollout_model.VersionCounts(*new),
-                share,
-            )
-            for (route, share), (old, new) in counts.items()
-        ]
-
-    def add(self, cell: rollout_model.EvidenceCell) -> None:
-        """Keep counts of any node until they are judged."""
-        key = cell.route, cell.share
-        known = self._received.get(key)
-        self._received[key] = cell if known is None else known.plus(cell)
-
-    def judge(self, now: float) -> str:
-        """Judge what was added; return what is wrong, '' if nothing is."""
-        received, self._received = self._received, {}
-        for cell in received.values():
-            self._observe(cell, now)
-        for route, case in self._cases.items():
-            fault = case.fault(now)
-            if fault:
-                return f'{route}: {fault}'
-        return ''
-
-    def _observe(self, cell: rollout_model.EvidenceCell, now: float) -> None:
-        if cell.new.requests and self.first_answer is None:
-            self.first_answer = now
-        is_warm = (
-            self.first_answer is not None
-            and now >= self.first_answer + WARMUP_S
-        )
-        case = self._cases.get(cell.route)
-        if case is None:
-            case = self._cases[cell.route] = RouteCase(self._schedule)
-        case.observe(cell, now, is_warm)
-
-    def share(self, now: float, per_s: float) -> float:
-        """Return the share of requests that the new version gets.
-
-        :param per_s: requests of the service a second in the whole fleet
-        """
-        share = FIRST_REQUESTS_PER_S / max(per_s, 1.0)
-        # Counts are kept by share, so that it takes few values.
-        share = round(min(max(share, FIRST_SHARE_LOW), FIRST_SHARE_HIGH), 2)
-        passed = (now - self.began) / max(self.order.duration_s, 1.0)
-        for since, step in STEPS:
-            if passed >= since:
-                share = step
-        return share
-
-
 class Rollouts(registry.Service):
     """Chooses versions and gives the verdicts on moves.
 
@@ -267,7 +66,7 @@
         self._app = app
         self._clock = clock
         self._rng = rng or random.Random()
-        self._moves: dict[str, Move] = {}
+        self._moves: dict[str, moves.Move] = {}
         self._shares: dict[str, float] = {}
         self._picks: collections.Counter[str] = collections.Counter()
         self._rates: dict[str, float] = {}
@@ -351,7 +150,7 @@
         move = self._moves.get(order.service)
         if move is None:
             LOG.info('rollout: %s is known from another node', state.move)
-            move = self._moves[order.service] = Move(order, now)
+            move = self._moves[order.service] = moves.Move(order, now)
         if move.move_id != state.move:
             return
         if move.phase is not model.Phase.RUNNING:
@@ -379,7 +178,7 @@
 
     def _take_order(self, order: model.Order) -> None:
         known = self._moves.get(order.service)
-        if known is not None and known.move_id == move_id(order):
+        if known is not None and known.move_id == moves.move_id(order):
             known.order = order
             if order.phase is not model.Phase.RUNNING:
                 self._conclude(known, order.phase, 'the store says so')
@@ -391,10 +190,12 @@
             order.duration_s,
             order.phase.value,
         )
-        self._moves[order.service] = Move(order, self._clock())
+        self._moves[order.service] = moves.Move(order, self._clock())
         self._shares.pop(order.service, None)
 
-    def _conclude(self, move: Move, phase: model.Phase, reason: str) -> None:
+    def _conclude(
+        self, move: moves.Move, phase: model.Phase, reason: str
+    ) -> None:
         if move.phase is phase:
             return
         move.phase = phase
@@ -411,7 +212,7 @@
                     # One move must not end the judgement of all of them.
                     LOG.exception('rollout: %s is not judged', move.move_id)
 
-    def _tick(self, move: Move) -> None:
+    def _tick(self, move: moves.Move) -> None:
         now = self._clock()
         service = move.order.service
         if move.order.revision == NO_REVISION:
@@ -435,7 +236,7 @@
                 return
         self._advance(move, now, is_judge)
 
-    def _advance(self, move: Move, now: float, is_judge: bool) -> None:
+    def _advance(self, move: moves.Move, now: float, is_judge: bool) -> None:
         service = move.order.service
         if not self._has_workers(service, move.order.version):
             self._shares[service] = 0.0
@@ -464,14 +265,16 @@
         ):
             self._decide(move, model.Phase.DONE, 'all traffic has moved')
 
-    def _decide(self, move: Move, phase: model.Phase, reason: str) -> None:
+    def _decide(
+        self, move: moves.Move, phase: model.Phase, reason: str
+    ) -> None:
         self._conclude(move, phase, reason)
         self._app.service('exchange').share_state(
             _state_of(move, self._clock())
         )
         self._write_later(move)
 
-    def _write_later(self, move: Move) -> None:
+    def _write_later(self, move: moves.Move) -> None:
         if move.writing:
             return
         move.writing = True
@@ -481,7 +284,7 @@
         task = asyncio.create_task(self._write(move, delay_s))
         self._tasks.append(task)
 
-    async def _write(self, move: Move, delay_s: float) -> None:
+    async def _write(self, move: moves.Move, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
         try:
             if move.order.phase is not model.Phase.RUNNING:
@@ -508,7 +311,7 @@
             key=lambda node_id: _hash(name, node_id),
         )
 
-    def _judges(self, move: Move) -> list[str]:
+    def _judges(self, move: moves.Move) -> list[str]:
         return self._ranked(move.move_id)[:JUDGES]
 
     def _rank(self, name: str) -> int:
@@ -548,53 +351,6 @@
         return self._app.cfg.text('node', 'failure_domain')
 
 
-def _more_failures(
-    old: rollout_model.VersionCounts,
-    new: rollout_model.VersionCounts,
-    deviations: float,
-) -> str:
-    rate = new.failures / max(1, new.requests)
-    usual = old.failures / max(1, old.requests)
-    # Few requests of the old version leave its rate open.
-    seen = (old.failures + 1) / (old.requests + 2)
-    doubt = OLD_DEVIATIONS * math.sqrt(
-        seen * (1.0 - seen) / (old.requests + 2)
-    )
-    harmless = seen + doubt + MIN_EXCESS
-    if harmless >= 1.0:
-        # The old version fails as well, or has shown too little.
-        return ''
-    margin = deviations * math.sqrt(
-        harmless * (1.0 - harmless) / max(1, new.requests)
-    )
-    if new.failures < MIN_FAILURES or rate < harmless + margin:
-        return ''
-    return (
-        f'{new.failures} of {new.requests} requests failed, '
-        f'{usual:.1%} on the old version'
-    )
-
-
-def _slower(
-    old: rollout_model.VersionCounts, new: rollout_model.VersionCounts
-) -> str:
-    if new.requests < MIN_SLOW_REQUESTS or not old.requests:
-        return ''
-    median = latency.quantile_bucket(new.latency, 0.5)
-    before = latency.quantile_bucket(old.latency, 0.5)
-    if median - before < MIN_SLOWER_BUCKETS:
-        return ''
-    return (
-        f'median of {latency.lower_bound_ms(median):.0f} ms, '
-        f'{latency.lower_bound_ms(before):.0f} ms on the old version'
-    )
-
-
-def move_id(order: model.Order) -> str:
-    """Return the name of an order's move among all moves."""
-    return f'{order.service}/{order.version}/{order.order_id}'
-
-
 def _order_of(state: rollout_model.MoveState) -> model.Order | None:
     service, _, rest = state.move.partition('/')
     version, _, order_id = rest.rpartition('/')
@@ -611,7 +367,7 @@
     )
 
 
-def _state_of(move: Move, now: float) -> rollout_model.MoveState:
+def _state_of(move: moves.Move, now: float) -> rollout_model.MoveState:
     # The sequence number is the time since the order in milliseconds.
     return rollout_model.MoveState(
         move.move_id,
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -8,6 +8,7 @@
 
 from damaskpier.fleet import exchange
 from damaskpier.fleet import model
+from damaskpier.fleet import moves
 from damaskpier.fleet import rollouts
 from damaskpier.rollout import model as rollout_model
 
@@ -22,7 +23,7 @@
     monkeypatch.setattr(rollouts, 'TICK_S', 0.02)
     monkeypatch.setattr(rollouts, 'WRITE_STAGGER_S', 0.02)
     monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 0.05)
-    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 0.5),))
+    monkeypatch.setattr(moves, 'STEPS', ((0.0, 0.5),))
 
 
 async def _load(node: conftest.Node, count: int) -> None:
@@ -89,7 +90,7 @@
 
 
 async def test_good_version_is_completed(fleet, quick, monkeypatch):
-    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(moves, 'STEPS', ((0.0, 1.0),))
     monkeypatch.setattr(rollouts, 'DONE_AT', 0.0)
     fleet.store.put(
         conftest.make_configuration(
@@ -110,7 +111,7 @@
 async def test_move_without_workers_of_the_new_version_is_not_done(
     fleet, quick, monkeypatch
 ):
-    monkeypatch.setattr(rollouts, 'STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(moves, 'STEPS', ((0.0, 1.0),))
     monkeypatch.setattr(rollouts, 'DONE_AT', 0.0)
     node = await fleet.add(version='v1')
     await fleet.settled()
--- a/tests/test_fleet/test_verdicts.py
+++ b/tests/test_fleet/test_verdicts.py
@@ -13,6 +13,7 @@
 import pytest
 
 from damaskpier.fleet import model
+from damaskpier.fleet import moves
 from damaskpier.fleet import rollouts
 
 SEEDS = range(12)
@@ -54,7 +55,7 @@
 def _play(load: Load, seed: int) -> Played:
     rng = random.Random(seed)
     order = model.Order('s', 1, 'v2', DURATION_S, model.Phase.RUNNING, 1)
-    move = rollouts.Move(order, 0.0)
+    move = moves.Move(order, 0.0)
     new = total = bad = 0
     share = 0.0
     now = 0.0
