--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -71,6 +71,7 @@
         self._picks: collections.Counter[str] = collections.Counter()
         self._rates: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._writes: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Follow the orders in the store."""
@@ -81,7 +82,7 @@
 
     async def stop(self) -> None:
         """Stop following."""
-        for task in self._tasks:
+        for task in (*self._tasks, *self._writes):
             task.cancel()
 
     def pick(self, service: str) -> rollout_model.Choice:
@@ -282,7 +283,8 @@
             self._rank(move.move_id), MAX_WRITE_RANK
         )
         task = asyncio.create_task(self._write(move, delay_s))
-        self._tasks.append(task)
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
 
     async def _write(self, move: moves.Move, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
