Try workers again that were slow or failed, and spill into the region first

Ruled out: the ejector, which lets a worker return after some seconds. Change: what a worker has shown fades with a time constant of 4 s. All workers of the own region are compared, and distance to other regions counts more, for bytes that are billed.

--- a/damaskpier/fleet/choice.py
+++ b/damaskpier/fleet/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -22,13 +23,13 @@
 ROUND_TRIP_S = (0.0005, 0.003, 0.018)
 # Traffic between failure domains is billed by volume: a more distant worker
 # has to be faster by this time, for each request and each byte of it.
-DISTANCE_S = (0.0, 0.030, 0.040)
-DISTANCE_S_PER_BYTE = (0.0, 4e-6, 6e-6)
+DISTANCE_S = (0.0, 0.030, 0.050)
+DISTANCE_S_PER_BYTE = (0.0, 4e-6, 1e-5)
 # Latency that is assumed of a worker before a call to it has finished,
 # where no other worker of the service has shown any.
 UNKNOWN_LATENCY_S = 0.05
 MEAN_WEIGHT = 0.05
-# Workers of other failure domains that are compared for a request.
+# Workers of other regions that are compared for a request.
 SAMPLED = 3
 # A worker that refused by its queue is passed over for this long.
 REFUSED_S = 0.05
@@ -36,16 +37,35 @@
 # over until its new record has arrived.
 LEFT_OUT_S = 1.0
 LEAST_RELIABILITY = 0.05
+# What a worker has shown fades with this time constant: one that is passed
+# over because it was slow or failed shows nothing new by itself.
+FADE_S = 4.0
 
 _OVERLOADED = frozenset((errors.CALL_OVERLOADED, errors.CALL_UPSTREAM_REFUSED))
 
 
+class Worker(base.Worker):
+    """Worker with the time at which it last showed something."""
+
+    __slots__ = ('shown_at',)
+
+    def __init__(
+        self, record: model.NodeRecord, cost_s: float, tier: int
+    ) -> None:
+        super().__init__(record, cost_s, tier)
+        self.shown_at = 0.0
+
+    def fading(self, now: float) -> float:
+        """Return the weight, 1 to 0, of what the worker has shown."""
+        return math.exp(-max(0.0, now - self.shown_at) / FADE_S)
+
+
 class Chooser:
     """Chooses among the workers of one version of a service.
 
-    The workers of the own failure domain are compared with a few others
-    drawn at random: comparing all of them would make every node choose the
-    same one (Mitzenmacher, "The power of two choices", 1996).
+    The workers of the own region are compared with a few others drawn at
+    random: comparing all of them would make every node choose the same one
+    (Mitzenmacher, "The power of two choices", 1996).
 
     :param local: record of the caller's node
     """
@@ -60,9 +80,9 @@
         self._rng = rng
         self._clock = clock
         self._ejector = ejection.Ejector(clock)
-        self._workers: dict[str, base.Worker] = {}
-        self._near: list[base.Worker] = []
-        self._others: list[base.Worker] = []
+        self._workers: dict[str, Worker] = {}
+        self._near: list[Worker] = []
+        self._others: list[Worker] = []
         self._left: dict[str, float] = {}
         self._mean_s = 0.0
 
@@ -71,7 +91,7 @@
 
     def update(self, records: Iterable[model.NodeRecord]) -> None:
         """Set the routable workers; what is known of old ones is kept."""
-        workers: dict[str, base.Worker] = {}
+        workers: dict[str, Worker] = {}
         for record in records:
             worker = self._workers.get(record.node_id)
             if (
@@ -80,18 +100,18 @@
                 or worker.record.instance != record.instance
             ):
                 tier = self._tier(record)
-                worker = base.Worker(record, ROUND_TRIP_S[tier], tier)
+                worker = Worker(record, ROUND_TRIP_S[tier], tier)
                 self._left.pop(record.node_id, None)
             worker.record = record
             workers[record.node_id] = worker
         self._workers = workers
         self._ejector.keep(set(workers))
-        self._near = [w for w in workers.values() if w.tier == 0]
-        self._others = [w for w in workers.values() if w.tier]
+        self._near = [w for w in workers.values() if w.tier < 2]
+        self._others = [w for w in workers.values() if w.tier == 2]
 
     def pick(
         self, size: float, exclude: Collection[str] = ()
-    ) -> base.Worker | None:
+    ) -> Worker | None:
         """Return the worker for the next attempt, if there is one.
 
         :param size: expected bytes of the request and its response
@@ -117,20 +137,21 @@
             candidates, key=lambda worker: self._cost_s(worker, size, now)
         )
 
-    def started(self, worker: base.Worker) -> None:
+    def started(self, worker: Worker) -> None:
         """Note that an attempt on a worker begins."""
         worker.outstanding += 1
 
-    def abandoned(self, worker: base.Worker) -> None:
+    def abandoned(self, worker: Worker) -> None:
         """Note that an attempt ended without showing anything."""
         worker.outstanding -= 1
 
     def finished(
-        self, worker: base.Worker, reply: messages.Reply, latency_s: float
+        self, worker: Worker, reply: messages.Reply, latency_s: float
     ) -> None:
         """Note the outcome of an attempt."""
         worker.outstanding -= 1
         now = self._clock()
+        worker.shown_at = now
         if reply.load is not None:
             worker.load = reply.load
             worker.load_at = now
@@ -148,14 +169,18 @@
             self._ejector.silent(worker.key)
             self._rate(worker, good=False)
 
-    def expected_s(self, worker: base.Worker) -> float:
+    def expected_s(self, worker: Worker, now: float) -> float:
         """Return the expected time of an attempt without waiting."""
-        if worker.latency_s is not None:
+        usual_s = self._mean_s or UNKNOWN_LATENCY_S
+        if worker.latency_s is None:
+            return usual_s
+        if worker.latency_s <= usual_s:
             return worker.latency_s
-        return self._mean_s or UNKNOWN_LATENCY_S
+        excess_s = worker.latency_s - usual_s
+        return usual_s + excess_s * worker.fading(now)
 
     def _answered(
-        self, worker: base.Worker, answer: messages.Answer, latency_s: float
+        self, worker: Worker, answer: messages.Answer, latency_s: float
     ) -> None:
         failed = answer.status >= 500
         self._ejector.answered(worker.key, failed=failed)
@@ -163,7 +188,7 @@
         if not failed:
             self._learn(worker, latency_s)
 
-    def _learn(self, worker: base.Worker, latency_s: float) -> None:
+    def _learn(self, worker: Worker, latency_s: float) -> None:
         if worker.latency_s is None:
             worker.latency_s = latency_s
         else:
@@ -173,18 +198,19 @@
         weight = MEAN_WEIGHT if self._mean_s else 1.0
         self._mean_s += weight * (latency_s - self._mean_s)
 
-    def _rate(self, worker: base.Worker, good: bool) -> None:
+    def _rate(self, worker: Worker, good: bool) -> None:
         worker.reliability += base.RELIABILITY_WEIGHT * (
             float(good) - worker.reliability
         )
 
-    def _cost_s(self, worker: base.Worker, size: float, now: float) -> float:
-        expected_s = self.expected_s(worker)
+    def _cost_s(self, worker: Worker, size: float, now: float) -> float:
+        expected_s = self.expected_s(worker, now)
         waiting = worker.busy(now) + 1.0 - worker.slots
         if waiting > 0:
             expected_s *= 1.0 + waiting / worker.slots
         # Each failure costs a repeat, which the division stands for.
-        expected_s /= max(worker.reliability, LEAST_RELIABILITY) ** 2
+        reliability = 1.0 - (1.0 - worker.reliability) * worker.fading(now)
+        expected_s /= max(reliability, LEAST_RELIABILITY) ** 2
         tier = worker.tier
         if now < worker.full_until:
             expected_s += 1.0
@@ -192,10 +218,10 @@
 
     def _usable(
         self,
-        workers: list[base.Worker],
+        workers: list[Worker],
         exclude: Collection[str],
         now: float,
-    ) -> list[base.Worker]:
+    ) -> list[Worker]:
         usable = []
         for worker in workers:
             if worker.key in exclude:
