Tell the other nodes all changes of one moment

Cause, found by reading: while a message with changed records was waiting to be sent, further changes were dropped, so that a node marked as gone beside another change was told by the comparison of views only. Change: the names of changed records are kept until they are sent. Measured: the new test failed before.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -79,6 +79,8 @@
         self._tasks: set[asyncio.Task[object]] = set()
         self._comparing: asyncio.Task[None] | None = None
         self._batch: asyncio.TimerHandle | None = None
+        # Nodes whose records changed here and have not been sent.
+        self._untold: set[str] = set()
         self._checking: set[str] = set()
         self._config_at = 0.0
         self._config: tuple[int, bytes] = (0, b'')
@@ -332,29 +334,22 @@
     ) -> None:
         # Records that came from another node spread by themselves: their
         # owner tells everybody.
-        if source is not None or self._batch is not None:
+        if source is not None:
             return
-        try:
+        self._untold.update(record.node_id for record in records)
+        if self._batch is None and self._comparing is not None:
             loop = asyncio.get_running_loop()
-        except RuntimeError:
-            return
-        self._pending = list(records)
-        self._batch = loop.call_later(BATCH_S, self._tell_all)
+            self._batch = loop.call_later(BATCH_S, self._tell_all)
 
     def _tell_all(self) -> None:
         self._batch = None
         membership = self._app.service('membership')
-        changed = [membership.local()]
-        changed += [
-            record
-            for record in map(
-                membership.get, {r.node_id for r in self._pending}
-            )
-            if record is not None and record.node_id != self._node_id
-        ]
-        self._send_to_all(
-            mesh_pb2.Gossip(membership=wire.delta_to_pb(changed))
+        untold, self._untold = self._untold, set()
+        records = [membership.get(node_id) for node_id in sorted(untold)]
+        delta = wire.delta_to_pb(
+            record for record in records if record is not None
         )
+        self._send_to_all(mesh_pb2.Gossip(membership=delta))
 
     def _config_applied(self, cfg: model.Configuration) -> None:
         self._config_at = self._clock()
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -140,14 +140,14 @@
         :param request: request with its service and version left empty
         """
         service = self._choose_part(route).service
-        choice_ = self._app.service('rollouts').pick(service)
-        chooser = self._chooser(service, choice_.version)
-        request = request._replace(service=service, version=choice_.version)
+        picked = self._app.service('rollouts').pick(service)
+        chooser = self._chooser(service, picked.version)
+        request = request._replace(service=service, version=picked.version)
         began = self._clock()
         course = _Course(request)
         await self._attempts(route, chooser, course)
         outcome = course.outcome()
-        self._record(route, service, choice_, course, began)
+        self._record(route, service, picked, course, began)
         return outcome
 
     async def _attempts(
@@ -289,20 +289,20 @@
         self,
         route: model.Route,
         service: str,
-        choice_: rollout_model.Choice,
+        picked: rollout_model.Choice,
         course: _Course,
         began: float,
     ) -> None:
         # A request that ran nowhere tells of the load and not of the version.
-        if not 0 < choice_.share < 1 or not course.runs:
+        if not 0 < picked.share < 1 or not course.runs:
             return
         self._app.service('rollouts').record(
             service,
             route.name,
-            choice_.version,
+            picked.version,
             course.has_failed,
             (self._clock() - began) * 1000,
-            choice_.share,
+            picked.share,
         )
 
     def _changed(self, service: str) -> None:
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -77,6 +77,24 @@
     )
 
 
+async def test_changes_at_the_same_moment_are_all_told(fleet, monkeypatch):
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 1000.0)
+    nodes = [await fleet.add() for _ in range(4)]
+    await fleet.settled()
+    told = []
+    monkeypatch.setattr(
+        nodes[0].app.service('exchange'), '_send_to_all', told.append
+    )
+    membership = nodes[0].app.service('membership')
+    nodes[0].announce(draining=True)
+    membership.mark_gone([nodes[1].name])
+    membership.mark_gone([nodes[2].name])
+    await conftest.until(lambda: told)
+    records, _ = exchange.wire.delta_from_pb(told[0].membership)
+    names = {record.node_id for record in records}
+    assert names == {node.name for node in nodes[:3]}
+
+
 async def test_node_wrongly_marked_as_gone_comes_back(fleet, monkeypatch):
     monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 0.02)
     first = await fleet.add()
