Keep a stopping node's worker in routing until its callers have gone

Cause: a node that got SIGTERM took its worker out of routing at once and stopped 3 to 5.2 s later. Change: the worker leaves routing when two probes have found the node not ready and no caller has come for 0.3 s, at most half of the grace time after SIGTERM. The node then finishes the requests of other nodes, and stops as soon as they are done instead of after a fixed time. Test: test_worker_of_a_stopping_node_serves_until_callers_have_gone fails without the change.

--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -45,9 +45,13 @@
 RETURN_MARGIN_S = 0.02
 MAX_IDLE = 24
 IDLE_CLOSE_S = 60.0
-# The callers of this node are served by now; requests of other nodes that
-# still run get this long.
+# Requests of other nodes that still run when the time to stop is up.
 STOP_TIMEOUT_S = 0.2
+# Other nodes know by then that the worker left, and what they had sent
+# before has arrived: the notice is batched for 20 ms and takes 8 ms between
+# regions, and a lost packet is sent again within 0.4 s.
+NOTICE_S = 0.5
+FINISH_POLL_S = 0.01
 
 
 class Peers(registry.Service):
@@ -137,8 +141,20 @@
         )
         self._app.service('membership').set_ports(rpc_port=self.server.port)
 
+    async def finish(self, until: float) -> None:
+        """Serve the requests of other nodes that are under way.
+
+        :param until: latest end, as a time of the clock in seconds
+        """
+        self.server.leave()
+        notice_end = min(self._clock() + NOTICE_S, until)
+        while self._clock() < notice_end or (
+            self.server.running and self._clock() < until
+        ):
+            await asyncio.sleep(FINISH_POLL_S)
+
     async def stop(self) -> None:
-        """Finish the requests that run, and close."""
+        """Close; what still runs gets a last moment."""
         await self.server.stop(STOP_TIMEOUT_S)
 
     async def _handle(
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -25,9 +25,15 @@
 
 LOG = logging.getLogger(__name__)
 
-# After SIGTERM the node goes on serving for this part of the time that it
-# has, because callers notice only by then that it is not ready.
+# After SIGTERM the node goes on serving until its callers have gone, but for
+# no longer than this part of the time that it has.
 SERVE_PART = 0.5
+# The platform takes the callers away after this many probes in a row that
+# found the node not ready (PROTOCOL, readiness).
+UNREADY_PROBES = 2
+# Callers count as gone when no request came for this long after that.
+QUIET_S = 0.3
+LEAVE_POLL_S = 0.05
 # Part of the time that it has within which the requests have to end.
 FINISH_PART = 0.87
 # Time that a caller waits where neither it nor the route tells.
@@ -63,6 +69,9 @@
         self._clock = clock
         self.server = server.Server(self._handle, self._limits)
         self._grace_s = app.cfg.number('fleet', 'grace')
+        self._unready_probes = 0
+        self._requested_at = 0.0
+        app.events.connect('unready-probed', self._probed)
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -79,14 +88,36 @@
         """Leave without interrupting a request."""
         began = self._clock()
         self._app.events.emit('node-draining')
-        self._app.service('worker').drain_node()
         self.server.leave()
-        await asyncio.sleep(SERVE_PART * self._grace_s)
-        left_s = FINISH_PART * self._grace_s - (self._clock() - began)
-        if not await self.server.stop(left_s):
+        await self._callers_gone(began + SERVE_PART * self._grace_s)
+        LOG.info(
+            'ingress: callers are gone or their time is up after %.2f s; %d '
+            'probes found the node not ready',
+            self._clock() - began,
+            self._unready_probes,
+        )
+        # The worker serves other nodes until now: its slots are missed when
+        # many nodes restart one after the other.
+        self._app.service('worker').drain_node()
+        until = began + FINISH_PART * self._grace_s
+        if not await self.server.stop(until - self._clock()):
             LOG.warning(
                 'ingress: %d requests were still running', self.server.running
             )
+        await self._app.service('peer-server').finish(until)
+
+    async def _callers_gone(self, until: float) -> None:
+        """Wait until the callers have gone, or until a time."""
+        while self._clock() < until:
+            if (
+                self._unready_probes >= UNREADY_PROBES
+                and self._clock() - self._requested_at >= QUIET_S
+            ):
+                return
+            await asyncio.sleep(LEAVE_POLL_S)
+
+    def _probed(self) -> None:
+        self._unready_probes += 1
 
     def _limits(self) -> server.Limits:
         cfg = self._app.service('configuration').current()
@@ -96,7 +127,7 @@
     async def _handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
-        began = self._clock()
+        began = self._requested_at = self._clock()
         terms = self._terms.read_caller(request)
         table = self._app.service('configuration').table()
         if table is None:
--- a/damaskpier/platform/control.py
+++ b/damaskpier/platform/control.py
@@ -68,6 +68,8 @@
     async def _ready(self, request: messages.Request) -> messages.Response:
         if request.path != READY_PATH:
             return messages.Response(404)
+        if self._draining:
+            self._app.events.emit('unready-probed')
         # A node that restarts while the store is away learns of the others
         # by their messages.
         ready = (
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -121,6 +121,58 @@
     await stopping
 
 
+async def test_worker_of_a_stopping_node_serves_until_callers_have_gone(
+    fleet,
+):
+    # Nodes that restart one after the other must not take their workers'
+    # slots away for the whole time that they need to stop.
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.settled()
+    ingress = other.app.service('ingress')
+    ingress._grace_s = 20.0
+    stopping = asyncio.create_task(ingress.stop())
+    await asyncio.sleep(0.1)
+    assert (await caller.request()).body == b'i-1'
+    for _ in range(2):
+        other.app.events.emit('unready-probed')
+    # Far less than the part of the 20 s for which it might go on serving.
+    await asyncio.wait_for(stopping, 8.0)
+    await conftest.until(
+        lambda: not caller.app.service('membership').workers('reads')
+    )
+
+
+async def test_stop_of_a_node_finishes_requests_of_other_nodes(fleet):
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.settled()
+    running = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def wait(request):
+        running.set()
+        await go_on.wait()
+        return await other.upstream.ok(request)
+
+    other.upstream.answer = wait
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await running.wait()
+    ingress = other.app.service('ingress')
+    ingress._grace_s = 10.0
+    for _ in range(2):
+        other.app.events.emit('unready-probed')
+    stopping = asyncio.create_task(ingress.stop())
+    await conftest.until(
+        lambda: not caller.app.service('membership').workers('reads')
+    )
+    await asyncio.sleep(0.6)
+    assert not stopping.done()
+    go_on.set()
+    assert (await task).body == b'i-1'
+    await stopping
+
+
 async def test_lost_node_is_taken_out_of_routing_by_the_others(fleet):
     caller = await fleet.add('pages')
     lost = await fleet.add('reads')
