Ask the upstream at a node's start instead of waiting for its heartbeat

Cause: a node that starts beside a running upstream knows it only by the next heartbeat, 0 to 1.5 s later. Change: as soon as the configuration tells the path, the node makes one health check of its upstream and takes its instance and slots from it. The version stays unknown until the heartbeat, so that such a worker gets nothing while its service is being moved or after a move was taken back.

--- a/damaskpier/fleet/dialect.py
+++ b/damaskpier/fleet/dialect.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from damaskpier.fleet import model
     from damaskpier.http1 import messages
 
 
@@ -59,6 +60,10 @@
     def is_genuine(self, response: messages.Response) -> bool:
         """Tell whether a response comes from the upstream's program."""
 
+    @abc.abstractmethod
+    def read_health(self, response: messages.Response) -> model.Health | None:
+        """Return what a health check tells; None for an unhealthy worker."""
+
     @abc.abstractmethod
     def retry_after(self, delay_s: float) -> messages.Fields:
         """Return the headers that tell a caller when to come back."""
--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -48,10 +48,12 @@
     """Service that routes refer to.
 
     ``connections`` is the number that each worker accepts; 0 if unknown.
+    ``health_path`` is the path of its workers' health check.
     """
 
     name: str
     connections: int = 0
+    health_path: str = ''
 
 
 class CallerLimits(NamedTuple):
@@ -116,6 +118,16 @@
     warmup_s: float = 0.0
 
 
+class Health(NamedTuple):
+    """What a healthy worker says of itself in a health check.
+
+    ``slots`` is 0 where the worker does not tell.
+    """
+
+    instance: str
+    slots: int = 0
+
+
 class NodeAddress(NamedTuple):
     """Entry of a node in the directory that the store keeps."""
 
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -109,6 +109,25 @@
             return rollout_model.Choice(target, share)
         return rollout_model.Choice(old, share)
 
+    def accepts(self, service: str, version: str, known: str) -> bool:
+        """Tell whether a worker may get requests of a version.
+
+        A worker whose version is not known yet is of the target version if
+        the move is done: the old workers have stopped.
+
+        :param version: version that was chosen; empty where any will do
+        :param known: version of the worker; empty where it is not known
+        """
+        if not version or known == version:
+            return True
+        move = self._moves.get(service)
+        return (
+            not known
+            and move is not None
+            and move.order.phase is model.Phase.DONE
+            and version == move.order.version
+        )
+
     def record(
         self,
         service: str,
@@ -339,7 +358,8 @@
         versions = collections.Counter(
             worker.version
             for worker in self._app.service('membership').workers(service)
-            if worker.version != target
+            # Nodes that have just started do not know their worker's version.
+            if worker.version not in ('', target)
         )
         return versions.most_common(1)[0][0] if versions else ''
 
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -255,10 +255,11 @@
         now = self._clock()
         if now - entry.refreshed >= REFRESH_S:
             entry.refreshed = now
+            rollouts = self._app.service('rollouts')
             entry.chooser.update(
                 record
                 for record in membership.workers(service)
-                if not version or record.version == version
+                if rollouts.accepts(service, version, record.version)
             )
         return entry.chooser
 
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -111,11 +111,35 @@
         self._restart_expiry()
         if known is None or known.instance != announcement.instance:
             self._met(announcement)
+        elif known.slots != announcement.slots:
+            self._set_slots(announcement.slots)
         if announcement.draining:
             self._leaving(announcement, 'draining')
         self._publish()
         return True
 
+    def probed(self, health: model.Health) -> None:
+        """Take a health check's word until the upstream announces itself.
+
+        The version is not known from it, so that the upstream gets no
+        requests of a service that is being moved.
+        """
+        if self.announcement is not None:
+            return
+        address = self._app.cfg.address('upstream', 'address')
+        self.announced(
+            model.Announcement(
+                health.instance,
+                self._app.cfg.text('node', 'service'),
+                '',
+                address.host,
+                address.port,
+                health.slots,
+                draining=False,
+                sequence=0,
+            )
+        )
+
     def left(self, instance: str) -> None:
         """Take the upstream's word that it is leaving for good."""
         known = self.announcement
@@ -196,9 +220,10 @@
             user_timeout_ms=USER_TIMEOUT_MS,
         )
         self.admission.draining = False
-        self.admission.configure(
-            announcement.slots, QUEUE_PER_SLOT * announcement.slots
-        )
+        self._set_slots(announcement.slots)
+
+    def _set_slots(self, slots: int) -> None:
+        self.admission.configure(slots, QUEUE_PER_SLOT * slots)
 
     def _leaving(self, announcement: model.Announcement, how: str) -> None:
         if self.admission.draining or self._refusal_timer is not None:
@@ -283,8 +308,10 @@
             return _missing()
         if self.admission.draining:
             return _draining()
+        # The caller's node decides whether an upstream of unknown version
+        # may run the request.
         if known.service != request.service or (
-            request.version and known.version != request.version
+            request.version and known.version not in ('', request.version)
         ):
             return errors.Refusal(
                 errors.CALL_NO_WORKER,
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damaskpier.fleet import dialect
+from damaskpier.fleet import model
 from damaskpier.http1 import messages
 
 REQUEST_ID = 'X-Request-Id'
@@ -15,6 +16,10 @@
 SIGNATURE = 'X-Server-Stamp'
 NOT_RUN = 'X-Not-Run'
 RETRY_AFTER = 'Retry-After'
+# Run of the worker that answers a health check.
+INSTANCE = 'X-Instance-Id'
+# Running requests, waiting requests and slots, separated by commas.
+LOAD = 'X-Server-Load'
 
 OTHER_INSTANCE_STATUS = 421
 
@@ -62,6 +67,14 @@
         """Tell whether a response comes from the upstream's program."""
         return bool(response.header(SIGNATURE.lower()))
 
+    def read_health(self, response: messages.Response) -> model.Health | None:
+        """Return what a health check tells; None for an unhealthy worker."""
+        instance = response.header(INSTANCE.lower())
+        if response.status != 200 or not instance:
+            return None
+        slots = response.header(LOAD.lower()).rpartition(',')[2].strip()
+        return model.Health(instance, int(slots) if slots.isdecimal() else 0)
+
     def retry_after(self, delay_s: float) -> messages.Fields:
         """Return the headers that tell a caller when to come back."""
         return ((RETRY_AFTER, f'{delay_s:.2f}'),)
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -16,6 +16,7 @@
 from damaskpier.fleet import exchange
 from damaskpier.fleet import hop
 from damaskpier.fleet import ingress
+from damaskpier.fleet import introduction
 from damaskpier.fleet import rollouts
 from damaskpier.fleet import router
 from damaskpier.fleet import worker
@@ -47,6 +48,7 @@
             configuration.setup,
             rollouts.setup,
             functools.partial(worker.setup, terms=terms),
+            functools.partial(introduction.setup, terms=terms),
             hop.setup,
             exchange.setup,
             router.setup,
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -45,7 +45,9 @@
         ),
         {
             cluster['name']: model.ServiceSpec(
-                cluster['name'], int(cluster.get('maxConns', 0))
+                cluster['name'],
+                int(cluster.get('maxConns', 0)),
+                str(cluster.get('healthPath', '')),
             )
             for cluster in spec['clusters']
         },
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -19,6 +19,7 @@
 from damaskpier.fleet import exchange
 from damaskpier.fleet import hop
 from damaskpier.fleet import ingress
+from damaskpier.fleet import introduction
 from damaskpier.fleet import model
 from damaskpier.fleet import rollouts
 from damaskpier.fleet import router
@@ -34,6 +35,7 @@
 
 HOST = '127.0.0.1'
 LONG_S = 20.0
+HEALTH_PATH = '/healthz'
 
 
 class Store:
@@ -129,6 +131,7 @@
         self.cancelled = 0
         self.slots = 4
         self.sequence = 0
+        self.is_healthy = True
         self.answer: Callable[
             [messages.Request], Awaitable[messages.Response]
         ] = self.ok
@@ -143,6 +146,14 @@
         return messages.Response(status, ((headers.SIGNATURE, 's'),), body)
 
     async def _handle(self, request: messages.Request) -> messages.Response:
+        if request.path == HEALTH_PATH:
+            return messages.Response(
+                200 if self.is_healthy else 503,
+                (
+                    (headers.INSTANCE, self.instance),
+                    (headers.LOAD, f'0,0,{self.slots}'),
+                ),
+            )
         expected = request.header(headers.EXPECTED_INSTANCE.lower())
         if expected != self.instance:
             return messages.Response(421)
@@ -222,16 +233,24 @@
         self.nodes: list[Node] = []
 
     async def add(
-        self, service: str = 'reads', version: str = 'v1', domain: str = 'a'
+        self,
+        service: str = 'reads',
+        version: str = 'v1',
+        domain: str = 'a',
+        *,
+        announces: bool = True,
+        is_healthy: bool = True,
     ) -> Node:
         """Start a node with an upstream, which announces itself."""
         name = f'node-{len(self.nodes)}'
         upstream = Upstream(f'i-{len(self.nodes)}', service, version)
+        upstream.is_healthy = is_healthy
         await upstream.server.listen(HOST, 0)
         cfg = config.loads(
             f'[node]\nid = {name}\nregion = r\nfailure_domain = {domain}\n'
             f'service = {service}\n[platform]\naddress = 127.0.0.1:1\n'
             '[fleet]\ngrace = 0.5\nheartbeat = 60\nretry_slack = 1000\n'
+            f'[upstream]\naddress = {HOST}:{upstream.server.port}\n'
         )
         memory = MemorySource(self.store)
         terms = headers.PlatformDialect()
@@ -247,6 +266,7 @@
                 configuration.setup,
                 rollouts.setup,
                 functools.partial(worker.setup, terms=terms),
+                functools.partial(introduction.setup, terms=terms),
                 hop.setup,
                 exchange.setup,
                 router.setup,
@@ -256,7 +276,8 @@
         await app.start()
         node = Node(app, memory, upstream)
         self.nodes.append(node)
-        node.announce()
+        if announces:
+            node.announce()
         return node
 
     async def settled(self) -> None:
--- /dev/null
+++ b/tests/test_fleet/test_introduction.py
@@ -0,0 +1,78 @@
+"""Nodes that start beside a running upstream learn of it at once."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskpier.fleet import model
+
+from tests.test_fleet import conftest
+
+
+def _with_health() -> model.Configuration:
+    cfg = conftest.make_configuration(2)
+    spec = model.ServiceSpec('reads', 0, conftest.HEALTH_PATH)
+    return cfg._replace(services={'reads': spec})
+
+
+async def test_upstream_serves_before_its_first_heartbeat(fleet):
+    # After all nodes were off, heartbeats come up to 1.5 s later.
+    fleet.store.put(_with_health())
+    node = await fleet.add(announces=False)
+    await conftest.until(lambda: node.app.service('worker').announcement)
+    assert (await node.request()).body == b'i-0'
+    assert node.app.service('worker').admission.slots == node.upstream.slots
+
+
+async def test_heartbeat_goes_before_the_health_check(fleet):
+    fleet.store.put(_with_health())
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    await conftest.until(lambda: service.announcement)
+    node.upstream.slots = 9
+    assert node.announce()
+    assert service.announcement.version == 'v1'
+    assert service.admission.slots == 9
+
+
+async def test_leaving_upstream_is_not_brought_back_by_a_health_check(fleet):
+    fleet.store.put(_with_health())
+    node = await fleet.add(announces=False, is_healthy=False)
+    await asyncio.sleep(0.2)
+    service = node.app.service('worker')
+    assert service.announcement is None
+    # The leave notice may also come between the question and its answer.
+    service.left('i-0')
+    service.probed(model.Health('i-0', 4))
+    assert service.announcement is None
+
+
+async def test_upstream_of_unknown_version_gets_nothing_during_a_move(fleet):
+    # It may be of the version that is being tried out.
+    fleet.store.put(_with_health())
+    node = await fleet.add(announces=False)
+    old = await fleet.add()
+    await fleet.settled()
+    fleet.store.order(
+        model.Order('reads', 1, 'v2', 60.0, model.Phase.RUNNING, 1)
+    )
+    rollouts = old.app.service('rollouts')
+    await conftest.until(lambda: rollouts.states())
+    for number in range(10):
+        response = await old.request(request_id=f'r{number}')
+        assert response.body == b'i-1'
+    assert not node.upstream.ran
+
+
+async def test_upstream_of_unknown_version_serves_after_a_finished_move(
+    fleet,
+):
+    # The old workers have stopped: waiting for a heartbeat gains nothing.
+    fleet.store.put(_with_health())
+    done = model.Order('reads', 1, 'v2', 60.0, model.Phase.DONE, 1)
+    fleet.store.order(done)
+    node = await fleet.add(announces=False)
+    rollouts = node.app.service('rollouts')
+    await conftest.until(lambda: rollouts.states())
+    await conftest.until(lambda: node.app.service('worker').announcement)
+    assert (await node.request()).body == b'i-0'
