Let callers of a recovering node come back after half a heartbeat

Cause: a caller that was refused because nodes or workers were missing came back after 0.1 s. Its one or two retries were used up before the next heartbeat could bring a worker back. Change: Retry-After is half of the heartbeat's interval for such refusals, within the caller's time.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -41,10 +41,19 @@
 # Time after which a refused caller may come back: about as long as a slot of
 # a full worker is taken by one request.
 RETURN_S = 0.1
+# The same, as a part of the heartbeat's interval, where nodes or workers
+# are missing: they are back with a heartbeat, and a caller that comes back
+# before has used up its retries.
+RECOVERY_PART = 0.5
 JITTER = 0.5
 # Part of a caller's remaining time after which it would not come back.
 RETURN_PART = 0.3
 
+# Refusals while nodes or workers restart.
+_RECOVERING = frozenset(
+    (errors.CALL_NO_WORKER, errors.CALL_NO_CONFIG, errors.CALL_CONNECT)
+)
+
 _STATUS = {
     errors.CALL_NO_ROUTE: 404,
     errors.CALL_BAD_HEADER: 400,
@@ -69,6 +78,7 @@
         self._clock = clock
         self.server = server.Server(self._handle, self._limits)
         self._grace_s = app.cfg.number('fleet', 'grace')
+        self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         self._unready_probes = 0
         self._requested_at = 0.0
         app.events.connect('unready-probed', self._probed)
@@ -229,21 +239,27 @@
             status = _STATUS.get(result.code, 503)
             if status in (503, 504):
                 # Nothing has run, so that any request may come back.
-                return 503, self._terms.retry_after(self._return_s(left_s))
+                return_s = self._return_s(result.code, left_s)
+                return 503, self._terms.retry_after(return_s)
             return status, ()
         if result.code is errors.CALL_DEADLINE:
             return 504, ()
         return 502, ()
 
-    def _return_s(self, left_s: float) -> float:
+    def _return_s(self, code: errors.ResultCode, left_s: float) -> float:
         """Return when a refused caller may come back.
 
         Callers that were refused together come back apart.
 
+        :param code: reason of the refusal
         :param left_s: time that the caller goes on waiting
         """
-        wanted = RETURN_S * self._rng.uniform(1 - JITTER, 1 + JITTER)
-        return max(0.0, min(wanted, RETURN_PART * left_s))
+        usual_s = RETURN_S
+        if code in _RECOVERING:
+            usual_s = RECOVERY_PART * self._heartbeat_s
+        # The latest return is within the caller's time, however it is drawn.
+        usual_s = min(usual_s, max(0.0, RETURN_PART * left_s) / (1 + JITTER))
+        return usual_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
 
 
 def _forwarded(request: http_messages.Request) -> http_messages.Fields:
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -71,6 +71,18 @@
     assert all(0.0 < delay <= 0.1 for delay in delays)
 
 
+async def test_callers_of_a_recovering_node_do_not_come_back_too_soon(fleet):
+    # A caller whose retries end before the next heartbeat has none left when
+    # the workers are back.
+    fleet.store.is_down = True
+    node = await fleet.add()
+    delays = [
+        float((await node.request(deadline_ms=10_000)).header('retry-after'))
+        for _ in range(5)
+    ]
+    assert all(0.9 < delay <= 3.0 for delay in delays)
+
+
 async def test_longest_prefix_of_the_host_wins(fleet):
     fleet.store.put(
         conftest.make_configuration(
