Serve requests that can meet their objective before those that can not

Cause: a worker's queue was in the order of deadlines. With a few more requests than slots for some seconds, the wait settles near the deadline and nearly every answer comes late. Change: within a priority, requests that can still meet the route's latency objective go first. One that can not gets a slot when none of these waits, and is refused as soon as it can not end by its deadline. A full queue refuses its last request in place of the newcomer.

--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -30,6 +30,7 @@
 CALLER = 'Damaskpier-Caller'
 PRIORITY = 'Damaskpier-Priority'
 PATIENCE = 'Damaskpier-Patience-Ms'
+OBJECTIVE = 'Damaskpier-Objective-Ms'
 REPEATABLE = 'Damaskpier-Repeatable'
 REPEAT = 'Damaskpier-Repeat'
 LOAD = 'Damaskpier-Load'
@@ -191,6 +192,9 @@
         fields += ((REPEATABLE, '1'),)
     if request.is_repeat:
         fields += ((REPEAT, '1'),)
+    objective_s = request.objective - now
+    if objective_s < remaining_s:
+        fields += ((OBJECTIVE, str(int(objective_s * 1000))),)
     if request.patience_s < remaining_s:
         patience_ms = max(0, int(request.patience_s * 1000))
         fields += ((PATIENCE, str(patience_ms)),)
@@ -210,6 +214,7 @@
             rest.append((name, value))
     try:
         patience = own.get(PATIENCE.lower())
+        objective = own.get(OBJECTIVE.lower())
         return messages.Request(
             request_id=own[headers.REQUEST_ID.lower()],
             route=own[ROUTE.lower()],
@@ -228,6 +233,9 @@
             if patience is None
             else int(patience) / 1000,
             is_repeat=REPEAT.lower() in own,
+            objective=float('inf')
+            if objective is None
+            else now + int(objective) / 1000,
         )
     except (KeyError, ValueError) as exc:
         return errors.Refusal(
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -170,6 +170,7 @@
                 repeatable=route.repeatable,
                 priority=route.priority,
                 caller=self._app.cfg.text('node', 'service'),
+                objective=began + route.objective_s,
             ),
         )
         return self._respond(terms, route, outcome, began)
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -286,6 +286,7 @@
             request.route,
             priority=request.priority,
             patience_s=request.patience_s,
+            objective=request.objective,
         )
         book = self._app.service('metrics')
         book.observe('queue_wait', self._clock() - began)
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
+import bisect
 import itertools
 import math
 import time
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -31,6 +32,10 @@
 FALL_WEIGHT = 0.01
 RISE_WEIGHT = 0.001
 LIMIT_SMOOTHING = 0.2
+# Multiple of the usual service time with which a request counts as able to
+# meet its objective: with the mean itself, half of those that are served
+# last would miss it (tests/test_traffic/test_overload.py).
+OBJECTIVE_MARGIN = 1.6
 
 
 class Ticket:
@@ -39,6 +44,8 @@
     :param deadline: end of the request's time on the admission's clock
     :param done: called once, with None when the slot is granted or with the
         refusal
+    :param objective: time by which the answer should be there
+    :param number: place in the order of arrival
     """
 
     __slots__ = (
@@ -46,6 +53,8 @@
         'done',
         'route',
         'priority',
+        'objective',
+        'number',
         'granted_at',
         'closed',
     )
@@ -56,15 +65,28 @@
         done: Callable[[errors.Refusal | None], None],
         route: str,
         priority: int = 0,
+        objective: float = math.inf,
+        number: int = 0,
     ) -> None:
         self.deadline = deadline
         self.priority = priority
+        self.objective = min(objective, deadline)
+        self.number = number
         self.done = done
         self.route = route
         self.granted_at: float | None = None
         self.closed = False
 
 
+class Rank(NamedTuple):
+    """Order in which waiting requests get a slot, lowest first."""
+
+    priority: int
+    misses_objective: bool
+    by: float
+    number: int
+
+
 class AdaptiveLimit:
     """Finds the concurrency limit where the upstream does not state one.
 
@@ -97,7 +119,10 @@
 class Admission:
     """Grants the slots of one worker.
 
-    The queue is ordered by priority and by deadline within a priority.
+    The queue is ordered by priority. Within a priority, requests that can
+    still meet their objective go before those that can not, and the rest is
+    ordered by time: with more requests than slots for a while, an order by
+    deadline alone would let nearly all of them miss the objective.
 
     The class does no input or output, so that it can be driven by a virtual
     clock.
@@ -114,8 +139,7 @@
         self._slots = 0
         self._queue_limit = 0
         self._adaptive = AdaptiveLimit()
-        self._queue: list[tuple[int, float, int, Ticket]] = []
-        self._queued = 0
+        self._queue: list[Ticket] = []
         self._order = itertools.count()
 
     def configure(self, slots: int, queue: int) -> None:
@@ -132,7 +156,7 @@
     @property
     def load(self) -> messages.Load:
         """Return the load as it is told to callers."""
-        return messages.Load(self.slots, self.in_use, self._queued)
+        return messages.Load(self.slots, self.in_use, len(self._queue))
 
     def submit(
         self,
@@ -141,6 +165,7 @@
         route: str = '',
         priority: int = 0,
         patience_s: float = math.inf,
+        objective: float = math.inf,
     ) -> Ticket:
         """Ask for a slot; the outcome is given to ``done``.
 
@@ -151,20 +176,21 @@
         :param priority: 0 for the most urgent requests
         :param patience_s: longest wait for a slot; a request that is
             likely to wait longer is refused at once
+        :param objective: time by which the answer should be there
         """
         now = self._clock()
-        ticket = Ticket(deadline, done, route, priority)
-        refusal = self._refusal(ticket, now, patience_s)
+        ticket = Ticket(
+            deadline, done, route, priority, objective, next(self._order)
+        )
+        refusal = self._refusal(ticket, now)
+        if refusal is None and self.in_use < self.slots:
+            self._start(ticket, now)
+            return ticket
+        if refusal is None:
+            refusal = self._enqueue(ticket, now, patience_s)
         if refusal is not None:
             ticket.closed = True
             done(refusal)
-        elif self.in_use < self.slots:
-            self._start(ticket, now)
-        else:
-            entry = (priority, deadline, next(self._order), ticket)
-            heapq.heappush(self._queue, entry)
-            self._queued += 1
-            self._refuse_hopeless(now)
         return ticket
 
     def release(self, ticket: Ticket, *, finished: bool = True) -> None:
@@ -177,8 +203,7 @@
             return
         ticket.closed = True
         if ticket.granted_at is None:
-            self._queued -= 1
-            self._drop_closed()
+            self._queue.remove(ticket)
             return
         self.in_use -= 1
         if finished:
@@ -193,20 +218,16 @@
         if ticket.closed or ticket.granted_at is not None:
             return
         self._close(ticket, self._too_late())
-        self._drop_closed()
 
     def refuse_impatient(self, ticket: Ticket) -> None:
         """Refuse a request that has waited as long as it may."""
         if ticket.closed or ticket.granted_at is not None:
             return
         self._close(ticket, self._too_busy())
-        self._drop_closed()
 
     def refuse_queued(self, refusal: errors.Refusal) -> None:
         """Refuse every request that waits."""
-        waiting = [entry[-1] for entry in self._queue]
-        self._queue.clear()
-        for ticket in waiting:
+        for ticket in list(self._queue):
             if not ticket.closed:
                 self._close(ticket, refusal)
 
@@ -222,11 +243,8 @@
     def _expected_s(self, route: str) -> float:
         return self._route_s.get(route, self.service_s)
 
-    def _refusal(
-        self, ticket: Ticket, now: float, patience_s: float
-    ) -> errors.Refusal | None:
+    def _refusal(self, ticket: Ticket, now: float) -> errors.Refusal | None:
         deadline = ticket.deadline
-        expected_s = self._expected_s(ticket.route)
         if self.draining:
             return errors.Refusal(
                 errors.CALL_DRAINING, 'the worker is draining'
@@ -235,48 +253,63 @@
             return errors.Refusal(
                 errors.CALL_DEADLINE, 'the deadline has passed'
             )
-        if self.in_use < self.slots:
-            # An idle worker takes the request all the same: without new
-            # requests, a service time that was long once stays so.
-            if now + expected_s > deadline and self.in_use:
+        # An idle worker takes the request all the same: without new requests,
+        # a service time that was long once stays so.
+        if 0 < self.in_use < self.slots:
+            if now + self._expected_s(ticket.route) > deadline:
                 return self._too_late()
-            return None
-        if self._queued >= self._queue_limit:
-            return self._too_busy()
-        place = (ticket.priority, deadline)
-        ahead = sum(
-            1
-            for entry in self._queue
-            if entry[:2] <= place and not entry[-1].closed
+        return None
+
+    def _enqueue(
+        self, ticket: Ticket, now: float, patience_s: float
+    ) -> errors.Refusal | None:
+        """Let a request wait, and refuse those that it goes ahead of.
+
+        :returns: the refusal if the request itself may not wait
+        """
+        ranked = self._ranked(now)
+        rank = self._rank(ticket, now)
+        ahead = bisect.bisect_left(
+            ranked, rank, key=lambda other: self._rank(other, now)
         )
-        wait_s = self._wait_s(ahead)
-        if wait_s > patience_s:
+        if ahead >= self._queue_limit:
+            return self._too_busy()
+        if self._wait_s(ahead) > patience_s:
             return self._too_busy()
-        if now + wait_s + expected_s > deadline:
+        if self._is_hopeless(ticket, ahead, now):
             return self._too_late()
+        self._queue.append(ticket)
+        if len(self._queue) > self._queue_limit:
+            self._close(ranked.pop(), self._too_busy())
+        behind = ahead + 1
+        for other in ranked[ahead:]:
+            if self._is_hopeless(other, behind, now):
+                self._close(other, self._too_late())
+            else:
+                behind += 1
         return None
 
+    def _is_hopeless(self, ticket: Ticket, ahead: int, now: float) -> bool:
+        """Tell whether a request would end after its deadline."""
+        needed_s = self._wait_s(ahead) + self._expected_s(ticket.route)
+        return now + needed_s > ticket.deadline
+
     def _wait_s(self, ahead: int) -> float:
         return (ahead + 1) * self.service_s / self.slots
 
-    def _refuse_hopeless(self, now: float) -> None:
-        """Refuse requests that others went ahead of for too long."""
-        ahead = 0
-        for entry in sorted(self._queue):
-            ticket = entry[-1]
-            if ticket.closed:
-                continue
-            finish = now + self._wait_s(ahead) + self._expected_s(ticket.route)
-            if finish > ticket.deadline:
-                self._close(ticket, self._too_late())
-            else:
-                ahead += 1
-        self._drop_closed()
+    def _rank(self, ticket: Ticket, now: float) -> Rank:
+        needed_s = OBJECTIVE_MARGIN * self._expected_s(ticket.route)
+        misses = now + needed_s > ticket.objective
+        by = ticket.deadline if misses else ticket.objective
+        return Rank(ticket.priority, misses, by, ticket.number)
+
+    def _ranked(self, now: float) -> list[Ticket]:
+        return sorted(self._queue, key=lambda ticket: self._rank(ticket, now))
 
     def _too_busy(self) -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_OVERLOADED,
-            f'{self.in_use} requests run and {self._queued} wait',
+            f'{self.in_use} requests run and {len(self._queue)} wait',
         )
 
     def _too_late(self) -> errors.Refusal:
@@ -292,28 +325,19 @@
 
     def _close(self, ticket: Ticket, refusal: errors.Refusal) -> None:
         ticket.closed = True
-        self._queued -= 1
+        self._queue.remove(ticket)
         ticket.done(refusal)
 
-    def _drop_closed(self) -> None:
-        while self._queue and self._queue[0][-1].closed:
-            heapq.heappop(self._queue)
-        # Cancelled entries deeper in the heap are removed when they are
-        # most of it, which keeps its size bounded.
-        if len(self._queue) > 2 * self._queued + 8:
-            self._queue = [e for e in self._queue if not e[-1].closed]
-            heapq.heapify(self._queue)
-
     def _grant(self) -> None:
-        while self._queue and self.in_use < self.slots:
-            ticket = heapq.heappop(self._queue)[-1]
-            if ticket.closed:
-                continue
-            now = self._clock()
+        now = self._clock()
+        for ticket in list(self._queue):
             if now + self._expected_s(ticket.route) > ticket.deadline:
                 self._close(ticket, self._too_late())
-                continue
-            self._queued -= 1
+        while self._queue and self.in_use < self.slots:
+            ticket = min(
+                self._queue, key=lambda ticket: self._rank(ticket, now)
+            )
+            self._queue.remove(ticket)
             self._start(ticket, now)
 
 
@@ -324,6 +348,7 @@
     route: str,
     priority: int = 0,
     patience_s: float = math.inf,
+    objective: float = math.inf,
 ) -> Ticket | errors.Refusal:
     """Wait for a slot.
 
@@ -338,7 +363,9 @@
         if fut is not None and not fut.done():
             fut.set_result(refusal)
 
-    ticket = admission.submit(deadline, done, route, priority, patience_s)
+    ticket = admission.submit(
+        deadline, done, route, priority, patience_s, objective
+    )
     if not outcome:
         loop = asyncio.get_running_loop()
         fut = loop.create_future()
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -17,6 +17,8 @@
     ``deadline`` is a time of the node's monotonic clock in seconds.
     ``priority`` 0 is the most urgent. ``caller`` names the service whose
     instance the request began on. ``patience_s`` bounds the wait for a slot.
+    ``objective`` is the time by which the answer should be there, on the
+    same clock as the deadline.
     ``is_repeat`` is set where an earlier attempt may have run.
     """
 
@@ -35,6 +37,7 @@
     caller: str = ''
     patience_s: float = float('inf')
     is_repeat: bool = False
+    objective: float = float('inf')
 
 
 class Answer(NamedTuple):
