Show operators that a move is running

Cause: the status of an order stayed empty until its verdict, so that an operator could not tell an order that nobody had seen from one under way. Change: the first node of the move's ranking writes the status `running`; the next one does so 2 s later if the store does not show it by then. Test: test_operators_see_that_a_move_is_running and test_a_shown_move_is_still_taken_back; the first fails without the change.

--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -87,7 +87,8 @@
 
     ``order_id`` identifies the order among the orders of the service;
     ``revision`` is the store's revision of the object, which conditional
-    updates compare.
+    updates compare. ``is_shown`` tells whether the status in the store is
+    that of this order.
     """
 
     service: str
@@ -96,6 +97,7 @@
     duration_s: float
     phase: Phase
     revision: int
+    is_shown: bool = False
 
 
 class Announcement(NamedTuple):
--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -41,6 +41,7 @@
         self.full_since: float | None = None
         self.first_answer: float | None = None
         self.writing = False
+        self.showing = False
         self._schedule = judge.Schedule(now, now + order.duration_s)
         self._cases: dict[str, verdict.RouteCase] = {}
         self._counts: dict[tuple[str, float], tuple[list, list]] = {}
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -16,6 +16,7 @@
 import math
 import random
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from damaskpier import application
 
@@ -43,6 +45,9 @@
 # Time between the nodes that may write a verdict, by rank.
 WRITE_STAGGER_S = 0.4
 MAX_WRITE_RANK = 8
+# The same for the status that a move is running, which is not urgent: the
+# watch of the next node has brought the first one's write by then.
+SHOW_STAGGER_S = 2.0
 NO_VERSION = 'none'
 # Revision of an order that is known from other nodes only: until the store
 # tells its time, this node sends nothing to the new version.
@@ -241,6 +246,8 @@
             if move.order.phase is model.Phase.RUNNING:
                 self._write_later(move)
             return
+        if not move.order.is_shown:
+            self._show_later(move)
         self._measure_rate(service)
         judges = self._judges(move)
         cells = move.take(self._domain(), now)
@@ -301,7 +308,10 @@
         delay_s = WRITE_STAGGER_S * min(
             self._rank(move.move_id), MAX_WRITE_RANK
         )
-        task = asyncio.create_task(self._write(move, delay_s))
+        self._start_write(self._write(move, delay_s))
+
+    def _start_write(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coro)
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
 
@@ -324,6 +334,35 @@
         finally:
             move.writing = False
 
+    def _show_later(self, move: moves.Move) -> None:
+        """Show operators that a move is running."""
+        if move.showing:
+            return
+        move.showing = True
+        rank = min(self._rank(move.move_id), MAX_WRITE_RANK)
+        self._start_write(self._show(move, SHOW_STAGGER_S * rank))
+
+    async def _show(self, move: moves.Move, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        try:
+            if move.order.is_shown or move.phase is not model.Phase.RUNNING:
+                return
+            written = await self._app.service('source').conclude(
+                move.order, model.Phase.RUNNING
+            )
+            if isinstance(written, errors.Refusal):
+                LOG.warning(
+                    'rollout: %s is not shown as running yet: %s',
+                    move.move_id,
+                    written,
+                )
+                # A store in trouble is not asked again at once.
+                await asyncio.sleep(SHOW_STAGGER_S)
+                return
+            self._take_order(written)
+        finally:
+            move.showing = False
+
     def _ranked(self, name: str) -> list[str]:
         """Return the living nodes in the order in which they take part."""
         nodes = self._app.service('membership').nodes()
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -70,7 +70,8 @@
     version = spec['targetVersion']
     phase = model.Phase.RUNNING
     # A status of an earlier order names another version.
-    if status.get('targetVersion') == version:
+    is_shown = status.get('targetVersion') == version
+    if is_shown:
         phase = _PHASES.get(status.get('state'), model.Phase.RUNNING)
     meta = obj['metadata']
     # The revision of creation tells an order from a later one of the same
@@ -83,6 +84,7 @@
         values.seconds(spec['duration']),
         phase,
         int(meta['rev']),
+        is_shown,
     )
 
 
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -96,7 +96,9 @@
             return _down()
         stored = self._store.orders[order.service]
         if stored.revision == order.revision:
-            stored = stored._replace(phase=phase, revision=order.revision + 1)
+            stored = stored._replace(
+                phase=phase, revision=order.revision + 1, is_shown=True
+            )
             self._store.order(stored)
         return stored
 
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -181,3 +181,26 @@
     membership.mark_gone([lost])
     assert lost not in service._judges(move)
     assert len(set(judges) & set(service._judges(move))) == 2
+
+
+async def test_operators_see_that_a_move_is_running(fleet, quick):
+    await _fleet_with_two_versions(fleet)
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: fleet.store.orders['reads'].is_shown)
+    stored = fleet.store.orders['reads']
+    assert stored.phase is model.Phase.RUNNING
+    # One write shows it; the other nodes see it and leave it at that.
+    assert stored.revision == ORDER.revision + 1
+
+
+async def test_a_shown_move_is_still_taken_back(fleet, quick):
+    # The write of the status changes the revision that a verdict names.
+    await _fleet_with_two_versions(fleet)
+    for node in fleet.nodes[2:]:
+        _fail(node)
+    fleet.store.order(ORDER)
+    await conftest.until(lambda: fleet.store.orders['reads'].is_shown)
+    await _load_until_taken_back(fleet)
+    await conftest.until(
+        lambda: fleet.store.orders['reads'].phase is model.Phase.TAKEN_BACK
+    )
