Let a request wait at the second full worker

Cause: a request that a full worker refused asked up to three others, with a wait of up to a quarter of its objective at each, and waited as long as it could at the fourth only. Under overload all were full, and its objective was used up when it began to wait. Ruled out: less patience at each worker, which changes little at the same number of tries (docs/measurements/overload.md). Change: the second worker is the one at which a request waits.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -28,6 +28,8 @@
 REFRESH_S = 1.0
 # Attempts of one request, refused ones included.
 MAX_TRIES = 4
+# Attempt from which on a request waits for a slot as long as it can.
+PATIENT_TRY = 2
 # Time that another attempt has to have left to be worth starting.
 MIN_REMAINING_S = 0.01
 # Part of the latency objective that a request may wait for a slot of the
@@ -183,7 +185,9 @@
         self, route: model.Route, chooser: choice.Chooser, tried: list[str]
     ) -> float:
         """Return how long a request may wait for a slot of a worker."""
-        if len(tried) + 1 >= min(MAX_TRIES, len(chooser)):
+        # One full worker tells little; after a second one, going on costs
+        # time that waiting would use better (docs/measurements/overload.md).
+        if len(tried) + 1 >= min(PATIENT_TRY, len(chooser)):
             return float('inf')
         return FIRST_PATIENCE * route.objective_s
 
