Find nodes that restart while the store refuses them

A node that starts while the store refuses it knows no other node. kamloops-b-3 started at 24.14 s and had a configuration at 26.26 s only; 49 requests were refused meanwhile. Ruled out: the store's own recovery, since the version came from a node; the wait of 0.7 s before a configuration is passed on, since the configuration had been in force elsewhere for longer. Change: a node without a configuration asks whoever contacts it, gets the configuration without that wait, and a lost node is asked every 0.3 s for 10 s whether it is back, by the living node before it in the ring. Tests: test_node_without_a_configuration_asks_who_contacts_it and test_lost_node_is_asked_whether_it_is_back fail without the change.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -47,11 +47,16 @@
 MAX_FAILURES = 2
 # Pause between the two attempts to reach a node that may be gone.
 RECHECK_S = 0.15
+# A node that was lost is asked this often whether it is back, and for this
+# long, by the node before it in the ring: one that restarts while the store
+# is away knows nobody. The time is that of a planned stop and a start.
+RETURN_INTERVAL_S = 0.3
+RETURN_WATCH_S = 10.0
 # Pause between attempts to enter the directory, doubled up to the limit.
 REGISTER_FIRST_S = 0.2
 REGISTER_MAX_S = 3.0
-# A peer gets the configuration only when the store has had this long to
-# deliver it.
+# A peer that has a configuration gets a later one only when the store has had
+# this long to deliver it.
 CONFIG_AFTER_S = 0.7
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
@@ -78,6 +83,9 @@
         self._node_id = app.cfg.text('node', 'id')
         self._tasks: set[asyncio.Task[object]] = set()
         self._comparing: asyncio.Task[None] | None = None
+        self._watching: asyncio.Task[None] | None = None
+        # Nodes that a message is under way to beside the usual ones.
+        self._asking: set[str] = set()
         self._batch: asyncio.TimerHandle | None = None
         # Nodes whose records changed here and have not been sent.
         self._untold: set[str] = set()
@@ -91,10 +99,11 @@
         """Enter the directory and begin to compare views."""
         self._spawn(self._join())
         self._comparing = tasks.keep_running('exchange', self._compare_forever)
+        self._watching = tasks.keep_running('returns', self._watch_returns)
 
     async def stop(self) -> None:
         """Stop all messages."""
-        for task in (*self._tasks, self._comparing):
+        for task in (*self._tasks, self._comparing, self._watching):
             if task is not None:
                 task.cancel()
 
@@ -106,6 +115,11 @@
             LOG.warning('exchange: a message can not be read: %s', exc)
             return b''
         self._take_in(gossip)
+        if self._app.service(
+            'configuration'
+        ).current() is None and gossip.HasField('sender'):
+            # The sender has been in touch with the fleet, unlike this node.
+            self._ask(wire.record_from_pb(gossip.sender))
         if not gossip.digests:
             return b''
         return self._answer(gossip).SerializeToString()
@@ -193,14 +207,51 @@
             known = membership.known()
             others = [r for r in known if r.node_id != self._node_id]
             return self._rng.choice(others) if others else None
-        ring = sorted(
-            (r for r in membership.nodes() if r.node_id != self._node_id),
+        ring = self._ring(membership.nodes())
+        return ring[0] if ring else None
+
+    def _ring(
+        self, records: Iterable[mesh_model.NodeRecord]
+    ) -> list[mesh_model.NodeRecord]:
+        """Return other nodes in the order in which they follow this one."""
+        return sorted(
+            (record for record in records if record.node_id != self._node_id),
             key=lambda record: (
                 record.node_id <= self._node_id,
                 record.node_id,
             ),
         )
-        return ring[0] if ring else None
+
+    async def _watch_returns(self) -> None:
+        while True:
+            await asyncio.sleep(
+                RETURN_INTERVAL_S * self._rng.uniform(0.67, 1.33)
+            )
+            for record in self._lost_neighbours():
+                self._ask(record)
+
+    def _lost_neighbours(self) -> list[mesh_model.NodeRecord]:
+        """Return nodes lost lately between this one and the next living."""
+        membership = self._app.service('membership')
+        lost = []
+        for record in self._ring(membership.known()):
+            if not record.gone:
+                break
+            if membership.gone_for_s(record.node_id) <= RETURN_WATCH_S:
+                lost.append(record)
+        return lost
+
+    def _ask(self, record: mesh_model.NodeRecord) -> None:
+        """Compare views with a node unless this is under way."""
+        if record.node_id not in self._asking:
+            self._asking.add(record.node_id)
+            self._spawn(self._compare_once(record))
+
+    async def _compare_once(self, record: mesh_model.NodeRecord) -> None:
+        try:
+            await self._compare(record)
+        finally:
+            self._asking.discard(record.node_id)
 
     async def _compare_or_check(self, record: mesh_model.NodeRecord) -> None:
         if not await self._compare(record) and not record.gone:
@@ -267,9 +318,9 @@
         )
         applied = self._app.service('configuration')
         answer.config_version = applied.version()
-        if (
-            asked.config_version < applied.version()
-            and self._clock() - self._config_at >= CONFIG_AFTER_S
+        if asked.config_version < applied.version() and (
+            not asked.config_version
+            or self._clock() - self._config_at >= CONFIG_AFTER_S
         ):
             answer.config = self._packed_config()
         return answer
--- a/damaskpier/mesh/membership.py
+++ b/damaskpier/mesh/membership.py
@@ -94,6 +94,11 @@
         """Return the record of a node, gone or not."""
         return self._records.get(node_id)
 
+    def gone_for_s(self, node_id: str) -> float:
+        """Return how long a node has been gone; 0 if it is not."""
+        now = self._clock()
+        return now - self._gone_at.get(node_id, now)
+
     def workers(self, service: str) -> tuple[model.NodeRecord, ...]:
         """Return the workers of a service that may get new requests."""
         return self._workers.get(service, ())
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -105,6 +105,64 @@
     await conftest.until(lambda: not membership.get(second.name).gone)
 
 
+async def test_node_without_a_configuration_asks_who_contacts_it(
+    fleet, monkeypatch
+):
+    # It restarts while the store is away: it knows nobody, and the next
+    # comparison may be long in coming.
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 1000.0)
+    first = await fleet.add()
+    await fleet.settled()
+    fleet.store.is_down = True
+    second = await fleet.add()
+    local = second.app.service('membership').local()
+    earlier = local._replace(incarnation=local.incarnation - 1)
+    membership = first.app.service('membership')
+    membership.merge([earlier])
+    membership.mark_gone([second.name])
+    await conftest.until(
+        lambda: second.app.service('configuration').version() == 1
+    )
+    assert not membership.get(second.name).gone
+
+
+async def test_lost_node_is_asked_whether_it_is_back(fleet, monkeypatch):
+    # A node that restarts while the store is away knows nobody to contact.
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 1000.0)
+    monkeypatch.setattr(exchange, 'RETURN_INTERVAL_S', 0.02)
+    first = await fleet.add()
+    second = await fleet.add()
+    await fleet.settled()
+    asked = []
+    monkeypatch.setattr(first.app.service('exchange'), '_ask', asked.append)
+    first.app.service('membership').mark_gone([second.name])
+    await conftest.until(lambda: asked)
+    assert asked[0].node_id == second.name
+
+
+async def test_lost_nodes_are_watched_by_the_living_node_before_them(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 1000.0)
+    nodes = [await fleet.add() for _ in range(4)]
+    await fleet.settled()
+    for node in nodes[:2]:
+        membership = node.app.service('membership')
+        membership.mark_gone([nodes[2].name, nodes[3].name])
+        # They live, and must not be found in the middle of the test.
+        node.app.service('exchange')._watching.cancel()
+    watched = [
+        [
+            record.node_id
+            for record in node.app.service('exchange')._lost_neighbours()
+        ]
+        for node in nodes[:2]
+    ]
+    assert watched == [[], [nodes[2].name, nodes[3].name]]
+    monkeypatch.setattr(exchange, 'RETURN_WATCH_S', -1.0)
+    assert not nodes[1].app.service('exchange')._lost_neighbours()
+
+
 def test_configuration_survives_its_encoding():
     cfg = conftest.make_configuration()
     text = exchange._CONFIG_ENCODER.encode(cfg)
