Keep the port for callers open until the worker's last requests have ended

A worker makes its calls through the node beside it. The node closed its port when it took the worker out of routing, while the worker still ran requests of other nodes, whose calls then found no connection. Change: the worker leaves routing after 0.36 of the grace time at the latest, and the port closes when its requests have ended, after half of the grace time at the latest. Test: test_last_requests_of_a_worker_make_their_calls fails without the change.

--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -147,11 +147,10 @@
 
         :param until: latest end, as a time of the clock in seconds
         """
-        self.server.leave()
-        notice_end = min(self._clock() + NOTICE_S, until)
-        while self._clock() < notice_end or (
-            self.server.running and self._clock() < until
-        ):
+        if not self.server.leaving:
+            self.server.leave()
+            await asyncio.sleep(max(0.0, min(NOTICE_S, until - self._clock())))
+        while self.server.running and self._clock() < until:
             await asyncio.sleep(FINISH_POLL_S)
 
     async def stop(self) -> None:
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -28,6 +28,9 @@
 # After SIGTERM the node goes on serving until its callers have gone, but for
 # no longer than this part of the time that it has.
 SERVE_PART = 0.5
+# The same for its worker, which needs the node for the calls of its last
+# requests: those that it takes in half a second more, and runs in the rest.
+WORKER_PART = 0.36
 # The platform takes the callers away after this many probes in a row that
 # found the node not ready (PROTOCOL, readiness).
 UNREADY_PROBES = 2
@@ -99,22 +102,26 @@
         began = self._clock()
         self._app.events.emit('node-draining')
         self.server.leave()
-        await self._callers_gone(began + SERVE_PART * self._grace_s)
+        await self._callers_gone(began + WORKER_PART * self._grace_s)
+        # The worker serves other nodes until now: its slots are missed when
+        # many nodes restart one after the other.
+        self._app.service('worker').drain_node()
+        peers = self._app.service('peer-server')
+        served_until = began + SERVE_PART * self._grace_s
+        await peers.finish(served_until)
+        await self._callers_gone(served_until)
         LOG.info(
             'ingress: callers are gone or their time is up after %.2f s; %d '
             'probes found the node not ready',
             self._clock() - began,
             self._unready_probes,
         )
-        # The worker serves other nodes until now: its slots are missed when
-        # many nodes restart one after the other.
-        self._app.service('worker').drain_node()
         until = began + FINISH_PART * self._grace_s
         if not await self.server.stop(until - self._clock()):
             LOG.warning(
                 'ingress: %d requests were still running', self.server.running
             )
-        await self._app.service('peer-server').finish(until)
+        await peers.finish(until)
 
     async def _callers_gone(self, until: float) -> None:
         """Wait until the callers have gone, or until a time."""
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -173,6 +173,45 @@
     await stopping
 
 
+async def test_last_requests_of_a_worker_make_their_calls(fleet):
+    # A worker calls through its own node, which must not close its port to
+    # callers before the worker's requests have ended.
+    fleet.store.put(
+        conftest.make_configuration(
+            2,
+            (conftest.make_route(), conftest.make_route('count', 'counts')),
+        )
+    )
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.add('counts')
+    await fleet.settled()
+    running = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def call(request):
+        running.set()
+        await go_on.wait()
+        called = await other.request('/count/1', request_id='inner')
+        return other.upstream.signed(called.status, called.body)
+
+    other.upstream.answer = call
+    task = asyncio.create_task(caller.request())
+    await running.wait()
+    ingress = other.app.service('ingress')
+    ingress._grace_s = 10.0
+    for _ in range(2):
+        other.app.events.emit('unready-probed')
+    stopping = asyncio.create_task(ingress.stop())
+    await conftest.until(
+        lambda: not caller.app.service('membership').workers('reads')
+    )
+    await asyncio.sleep(0.6)
+    go_on.set()
+    assert (await task).body == b'i-2'
+    await stopping
+
+
 async def test_lost_node_is_taken_out_of_routing_by_the_others(fleet):
     caller = await fleet.add('pages')
     lost = await fleet.add('reads')
