--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -9,7 +9,10 @@
 
 from damaskpier import errors
 from damaskpier.fleet import model
+from damaskpier.http1 import messages
 from damaskpier.platform import control
+from damaskpier.platform import headers
+from damaskpier.platform import objects
 from damaskpier.platform import settings
 from damaskpier.platform import values
 
@@ -125,3 +128,67 @@
 def test_text_that_is_no_time(text: object):
     with pytest.raises(ValueError):
         values.seconds(text)
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields', 'expected'),
+    [
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.LOAD, '3,0,8')),
+            model.Health('i-1', 8),
+        ),
+        (200, ((headers.INSTANCE, 'i-1'),), model.Health('i-1', 0)),
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.LOAD, 'none')),
+            model.Health('i-1', 0),
+        ),
+        # A worker that leaves or fails, and a program that is no worker.
+        (503, ((headers.INSTANCE, 'i-1'), (headers.LOAD, '3,0,8')), None),
+        (200, (), None),
+    ],
+)
+def test_health_check_names_the_instance_of_a_healthy_worker(
+    status, fields, expected
+):
+    response = messages.Response(status, fields)
+    assert headers.PlatformDialect().read_health(response) == expected
+
+
+@pytest.mark.parametrize(
+    ('status', 'phase', 'is_shown'),
+    [
+        (None, model.Phase.RUNNING, False),
+        # The status of the order before this one.
+        (
+            {'state': 'completed', 'targetVersion': 'v1'},
+            model.Phase.RUNNING,
+            False,
+        ),
+        (
+            {'state': 'running', 'targetVersion': 'v2'},
+            model.Phase.RUNNING,
+            True,
+        ),
+        (
+            {'state': 'rolled_back', 'targetVersion': 'v2'},
+            model.Phase.TAKEN_BACK,
+            True,
+        ),
+    ],
+)
+def test_status_counts_for_the_version_that_it_names(status, phase, is_shown):
+    order = objects.read_order(
+        {
+            'metadata': {'name': 's1', 'rev': 9, 'createRevision': 4},
+            'spec': {
+                'service': 's1',
+                'targetVersion': 'v2',
+                'duration': '15s',
+            },
+            'status': status,
+        }
+    )
+    assert (order.phase, order.is_shown) == (phase, is_shown)
+    assert order.revision == 9
