--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -3,14 +3,53 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from damaskpier import errors
+from damaskpier.fleet import hop
 from damaskpier.fleet import worker
 from damaskpier.http1 import messages
 
 from tests.test_fleet import conftest
 
 
+class Held(NamedTuple):
+    """Tells when an upstream runs a request, and lets it answer."""
+
+    running: asyncio.Event
+    go_on: asyncio.Event
+
+
+def _hold(node: conftest.Node) -> Held:
+    """Let the upstream of a node answer only when the test says so."""
+    held = Held(asyncio.Event(), asyncio.Event())
+    answer = node.upstream.answer
+
+    async def wait(request: messages.Request) -> messages.Response:
+        held.running.set()
+        await held.go_on.wait()
+        return await answer(request)
+
+    node.upstream.answer = wait
+    return held
+
+
+async def _stop_until_left(
+    node: conftest.Node, caller: conftest.Node
+) -> asyncio.Task[None]:
+    """Stop a node whose callers are gone; wait until its worker has left."""
+    ingress = node.app.service('ingress')
+    ingress._grace_s = 10.0
+    for _ in range(2):
+        node.app.events.emit('unready-probed')
+    stopping = asyncio.create_task(ingress.stop())
+    await conftest.until(
+        lambda: not caller.app.service('membership').workers('reads')
+    )
+    await asyncio.sleep(hop.NOTICE_S + 0.1)
+    return stopping
+
+
 async def test_draining_worker_gets_no_request_after_the_notice(
     fleet, monkeypatch
 ):
@@ -102,21 +141,13 @@
     caller = await fleet.add('pages')
     other = await fleet.add('reads')
     await fleet.settled()
-    running = asyncio.Event()
-    go_on = asyncio.Event()
-
-    async def wait(request):
-        running.set()
-        await go_on.wait()
-        return await other.upstream.ok(request)
-
-    other.upstream.answer = wait
+    held = _hold(other)
     task = asyncio.create_task(caller.request())
-    await running.wait()
+    await held.running.wait()
     ingress = caller.app.service('ingress')
     stopping = asyncio.create_task(ingress.stop())
     await asyncio.sleep(0)
-    go_on.set()
+    held.go_on.set()
     assert (await task).body == b'i-1'
     await stopping
 
@@ -147,28 +178,12 @@
     caller = await fleet.add('pages')
     other = await fleet.add('reads')
     await fleet.settled()
-    running = asyncio.Event()
-    go_on = asyncio.Event()
-
-    async def wait(request):
-        running.set()
-        await go_on.wait()
-        return await other.upstream.ok(request)
-
-    other.upstream.answer = wait
+    held = _hold(other)
     task = asyncio.create_task(caller.request('/write/1', 'POST'))
-    await running.wait()
-    ingress = other.app.service('ingress')
-    ingress._grace_s = 10.0
-    for _ in range(2):
-        other.app.events.emit('unready-probed')
-    stopping = asyncio.create_task(ingress.stop())
-    await conftest.until(
-        lambda: not caller.app.service('membership').workers('reads')
-    )
-    await asyncio.sleep(0.6)
+    await held.running.wait()
+    stopping = await _stop_until_left(other, caller)
     assert not stopping.done()
-    go_on.set()
+    held.go_on.set()
     assert (await task).body == b'i-1'
     await stopping
 
@@ -186,28 +201,17 @@
     other = await fleet.add('reads')
     await fleet.add('counts')
     await fleet.settled()
-    running = asyncio.Event()
-    go_on = asyncio.Event()
 
     async def call(request):
-        running.set()
-        await go_on.wait()
         called = await other.request('/count/1', request_id='inner')
         return other.upstream.signed(called.status, called.body)
 
     other.upstream.answer = call
+    held = _hold(other)
     task = asyncio.create_task(caller.request())
-    await running.wait()
-    ingress = other.app.service('ingress')
-    ingress._grace_s = 10.0
-    for _ in range(2):
-        other.app.events.emit('unready-probed')
-    stopping = asyncio.create_task(ingress.stop())
-    await conftest.until(
-        lambda: not caller.app.service('membership').workers('reads')
-    )
-    await asyncio.sleep(0.6)
-    go_on.set()
+    await held.running.wait()
+    stopping = await _stop_until_left(other, caller)
+    held.go_on.set()
     assert (await task).body == b'i-2'
     await stopping
 
