--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -115,9 +115,8 @@
             LOG.warning('exchange: a message can not be read: %s', exc)
             return b''
         self._take_in(gossip)
-        if self._app.service(
-            'configuration'
-        ).current() is None and gossip.HasField('sender'):
+        knows_nothing = self._app.service('configuration').current() is None
+        if knows_nothing and gossip.HasField('sender'):
             # The sender has been in touch with the fleet, unlike this node.
             self._ask(wire.record_from_pb(gossip.sender))
         if not gossip.digests:
--- a/damaskpier/fleet/hop.py
+++ b/damaskpier/fleet/hop.py
@@ -145,6 +145,9 @@
     async def finish(self, until: float) -> None:
         """Serve the requests of other nodes that are under way.
 
+        The first call gives the other nodes time to hear that this one is
+        leaving.
+
         :param until: latest end, as a time of the clock in seconds
         """
         if not self.server.leaving:
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -28,8 +28,8 @@
 # After SIGTERM the node goes on serving until its callers have gone, but for
 # no longer than this part of the time that it has.
 SERVE_PART = 0.5
-# The same for its worker, which needs the node for the calls of its last
-# requests: those that it takes in half a second more, and runs in the rest.
+# The worker leaves routing by this part, so that its last requests can end,
+# and make their calls through this node, before the port closes.
 WORKER_PART = 0.36
 # The platform takes the callers away after this many probes in a row that
 # found the node not ready (PROTOCOL, readiness).
