--- a/tests/test_fleet/test_introduction.py
+++ b/tests/test_fleet/test_introduction.py
@@ -16,7 +16,7 @@
 
 
 async def test_upstream_serves_before_its_first_heartbeat(fleet):
-    # After all nodes were off, heartbeats come up to 1.5 s later.
+    # The next heartbeat may be a whole interval away.
     fleet.store.put(_with_health())
     node = await fleet.add(announces=False)
     await conftest.until(lambda: node.app.service('worker').announcement)
