Wait on conditions instead of fixed times in tests

Cause: five tests slept for a fixed time, and one bounded a stop by 8 s, so that their verdicts depended on the machine's speed. Change: they wait for the event that the time stood for, or move a clock. No assertion is dropped. The test of a move without workers also passed with its guard taken out, because the longest timeout of a route kept the move open; that time is 0 in the test now.

--- a/tests/test_fleet/test_introduction.py
+++ b/tests/test_fleet/test_introduction.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from damaskpier.fleet import model
 
 from tests.test_fleet import conftest
@@ -38,7 +36,10 @@
 async def test_leaving_upstream_is_not_brought_back_by_a_health_check(fleet):
     fleet.store.put(_with_health())
     node = await fleet.add(announces=False, is_healthy=False)
-    await asyncio.sleep(0.2)
+    introduction = node.app.service('introduction')
+    await conftest.until(
+        lambda: introduction._task is not None and introduction._task.done()
+    )
     service = node.app.service('worker')
     assert service.announcement is None
     # The leave notice may also come between the question and its answer.
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import NamedTuple
 
+import pytest
+
 from damaskpier import errors
 from damaskpier.fleet import hop
+from damaskpier.fleet import ingress as ingress_module
 from damaskpier.fleet import worker
 from damaskpier.http1 import messages
 
@@ -34,20 +37,28 @@
     return held
 
 
-async def _stop_until_left(
-    node: conftest.Node, caller: conftest.Node
-) -> asyncio.Task[None]:
-    """Stop a node whose callers are gone; wait until its worker has left."""
-    ingress = node.app.service('ingress')
-    ingress._grace_s = 10.0
-    for _ in range(2):
-        node.app.events.emit('unready-probed')
-    stopping = asyncio.create_task(ingress.stop())
-    await conftest.until(
-        lambda: not caller.app.service('membership').workers('reads')
-    )
-    await asyncio.sleep(hop.NOTICE_S + 0.1)
-    return stopping
+@pytest.fixture
+def stop_until_left(monkeypatch):
+    """Return a function that stops a node whose callers are gone.
+
+    It returns when the worker has left and other nodes had their notice.
+    """
+    monkeypatch.setattr(hop, 'NOTICE_S', 0.0)
+
+    async def stop(node: conftest.Node) -> asyncio.Task[None]:
+        ingress = node.app.service('ingress')
+        ingress._grace_s = 10 * conftest.LONG_S
+        for _ in range(2):
+            node.app.events.emit('unready-probed')
+        stopping = asyncio.create_task(ingress.stop())
+        peers = node.app.service('peer-server')
+        await conftest.until(lambda: peers.server.leaving)
+        # Whatever does not wait for the requests that run happens now.
+        for _ in range(100):
+            await asyncio.sleep(0)
+        return stopping
+
+    return stop
 
 
 async def test_draining_worker_gets_no_request_after_the_notice(
@@ -161,34 +172,43 @@
     other = await fleet.add('reads')
     await fleet.settled()
     ingress = other.app.service('ingress')
-    ingress._grace_s = 20.0
+    now = [ingress._clock()]
+    ingress._clock = lambda: now[0]
+    ingress._grace_s = conftest.LONG_S
     stopping = asyncio.create_task(ingress.stop())
-    await asyncio.sleep(0.1)
+    await conftest.until(lambda: ingress.server.leaving)
+    membership = other.app.service('membership')
+    assert not membership.local().draining
     assert (await caller.request()).body == b'i-1'
     for _ in range(2):
         other.app.events.emit('unready-probed')
-    # Far less than the part of the 20 s for which it might go on serving.
-    await asyncio.wait_for(stopping, 8.0)
+    # Callers are quiet for this long, and the time to serve is not up.
+    now[0] += ingress_module.QUIET_S
+    await stopping
     await conftest.until(
         lambda: not caller.app.service('membership').workers('reads')
     )
 
 
-async def test_stop_of_a_node_finishes_requests_of_other_nodes(fleet):
+async def test_stop_of_a_node_finishes_requests_of_other_nodes(
+    fleet, stop_until_left
+):
     caller = await fleet.add('pages')
     other = await fleet.add('reads')
     await fleet.settled()
     held = _hold(other)
     task = asyncio.create_task(caller.request('/write/1', 'POST'))
     await held.running.wait()
-    stopping = await _stop_until_left(other, caller)
+    stopping = await stop_until_left(other)
     assert not stopping.done()
     held.go_on.set()
     assert (await task).body == b'i-1'
     await stopping
 
 
-async def test_last_requests_of_a_worker_make_their_calls(fleet):
+async def test_last_requests_of_a_worker_make_their_calls(
+    fleet, stop_until_left
+):
     # A worker calls through its own node, which must not close its port to
     # callers before the worker's requests have ended.
     fleet.store.put(
@@ -210,7 +230,7 @@
     held = _hold(other)
     task = asyncio.create_task(caller.request())
     await held.running.wait()
-    stopping = await _stop_until_left(other, caller)
+    stopping = await stop_until_left(other)
     held.go_on.set()
     assert (await task).body == b'i-2'
     await stopping
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -117,9 +117,14 @@
     await fleet.settled()
     fleet.store.order(ORDER)
     await conftest.until(lambda: _phases(fleet) == {model.Phase.RUNNING})
+    service = node.app.service('rollouts')
+    # Nothing but the missing workers keeps the move from being done.
+    monkeypatch.setattr(service, '_longest_s', lambda: 0.0)
+    move = service._moves['reads']
     for _ in range(10):
         assert (await node.request()).status == 200
-        await asyncio.sleep(0.02)
+        service._tick(move)
+        assert move.phase is model.Phase.RUNNING
     assert fleet.store.orders['reads'].phase is model.Phase.RUNNING
 
 
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 
+from damaskpier.http1 import client
 from damaskpier.http1 import messages
 
 from tests.test_http1 import conftest
@@ -178,18 +179,38 @@
     assert not pool._idle
 
 
-async def test_interim_responses_keep_a_request_alive(scripted, options):
+async def test_interim_responses_keep_a_request_alive(
+    scripted, options, monkeypatch
+):
+    loop = asyncio.get_running_loop()
+    real_time = loop.time
+    passed_s = 0.0
+    monkeypatch.setattr(loop, 'time', lambda: real_time() + passed_s)
+    heard = asyncio.Event()
+    receive = client.Connection.data_received
+
+    def received(conn, data):
+        receive(conn, data)
+        heard.set()
+
+    monkeypatch.setattr(client.Connection, 'data_received', received)
+
     async def script(reader, writer):
+        nonlocal passed_s
         await _read_request(reader)
         for _ in range(4):
             writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
-            await asyncio.sleep(0.05)
+            await heard.wait()
+            heard.clear()
+            passed_s += 60.0
         writer.write(OK)
         await writer.drain()
         await reader.read()
 
     pool = await scripted(script)
-    outcome = await pool.request(conftest.GET, options(silence_s=0.15))
+    outcome = await pool.request(
+        conftest.GET, options(deadline=loop.time() + 1000.0, silence_s=100.0)
+    )
     assert outcome.body == b'ok'
 
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -21,11 +21,13 @@
     serve, connect
 ):
     both = asyncio.Barrier(2)
+    second_ran = asyncio.Event()
 
     async def handler(request):
         await both.wait()
         if request.target == '/a':
-            await asyncio.sleep(0.01)
+            await second_ran.wait()
+        second_ran.set()
         return messages.Response(200, (), request.target.encode())
 
     started = await serve(handler)
@@ -154,9 +156,8 @@
     idle.send(GET_A)
     await idle.until(b'/a')
     slow.send(b'GET / HTTP/1.1\r\n')
-    while len(started._connections) < 2:
+    while not any(conn._in_message for conn in started._connections):
         await asyncio.sleep(0)
-    await asyncio.sleep(0.05)
     now[0] = 4.0
     assert (await slow.rest()).startswith(b'HTTP/1.1 408')
     now[0] = 11.0
