Begin no message between nodes after the end of their service

Cause: a change that was batched when the exchange stopped began its messages later, on an event loop that was closing; Python warned of a coroutine that was never awaited in one run of the tests. Change: the stop cancels the batch, and no later change starts one. Measured: test_stopped_node_begins_no_message fails without the change.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -106,6 +106,10 @@
         for task in (*self._tasks, self._comparing, self._watching):
             if task is not None:
                 task.cancel()
+        self._comparing = None
+        if self._batch is not None:
+            self._batch.cancel()
+            self._batch = None
 
     def received(self, body: bytes) -> bytes:
         """Take in a message of another node and return the answer."""
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -126,6 +126,21 @@
     assert not membership.get(second.name).gone
 
 
+async def test_stopped_node_begins_no_message(fleet):
+    # A message that begins after the end of its service is never sent.
+    node = await fleet.add()
+    await fleet.settled()
+    service = node.app.service('exchange')
+    node.announce(draining=True)
+    assert service._batch is not None
+    await service.stop()
+    assert service._batch is None
+    node.app.service('worker').left('i-0')
+    node.app.service('worker').drain_node()
+    node.app.service('membership').touch()
+    assert service._batch is None
+
+
 async def test_lost_node_is_asked_whether_it_is_back(fleet, monkeypatch):
     # A node that restarts while the store is away knows nobody to contact.
     monkeypatch.setattr(exchange, 'COMPARE_INTERVAL_S', 1000.0)
