Share the way through the admission and the codes that may be retried

Cause: the workers of both kinds of deployment held the same steps from a request to its slot and back, and both routers the same set of codes. Change: admission.run_admitted is the one copy of the steps, and retry.REFUSED_BY_WORKER of the codes. Requests of our own interface have no priority, patience or objective, so nothing changes for them.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -40,18 +40,6 @@
 UNKNOWN_BYTES = 2000.0
 BYTES_WEIGHT = 0.1
 
-# Another worker may run what one has refused with these codes.
-_REFUSED_BY_WORKER = frozenset(
-    (
-        errors.CALL_OVERLOADED,
-        errors.CALL_DRAINING,
-        errors.CALL_CONNECT,
-        errors.CALL_NO_WORKER,
-        errors.CALL_UPSTREAM_REFUSED,
-        errors.CALL_DEADLINE,
-    )
-)
-
 
 class Outcome(NamedTuple):
     """Result of a request."""
@@ -329,7 +317,7 @@
         return False
     if _may_have_run(result):
         return route.repeatable
-    return result.code in _REFUSED_BY_WORKER
+    return result.code in retry.REFUSED_BY_WORKER
 
 
 def _may_have_run(result: messages.Answer | errors.Refusal) -> bool:
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -278,30 +278,13 @@
         refusal = self._unavailable(request)
         if refusal is not None:
             return refusal
-        began = self._clock()
-        ticket = await admission.acquire(
+        return await admission.run_admitted(
             self.admission,
-            request.deadline,
-            request.deadline - began,
-            request.route,
-            priority=request.priority,
-            patience_s=request.patience_s,
-            objective=request.objective,
+            request,
+            self._send,
+            self._app.service('metrics'),
+            self._clock,
         )
-        book = self._app.service('metrics')
-        book.observe('queue_wait', self._clock() - began)
-        if isinstance(ticket, errors.Refusal):
-            return ticket
-        finished = False
-        try:
-            result = await self._send(request)
-            finished = (
-                isinstance(result, messages.Answer)
-                or result.code is errors.CALL_DEADLINE
-            )
-        finally:
-            self.admission.release(ticket, finished=finished)
-        return result
 
     def _unavailable(self, request: messages.Request) -> errors.Refusal | None:
         known = self.announcement
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -14,8 +14,11 @@
 from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from damaskpier import metrics
+
 # Weight of a new service time in the running average.
 SERVICE_TIME_WEIGHT = 0.1
 # Routes whose service times are remembered; bounds memory when bundles
@@ -385,3 +388,45 @@
             timer.cancel()
     refusal = outcome[0]
     return ticket if refusal is None else refusal
+
+
+async def run_admitted(
+    admission: Admission,
+    request: messages.Request,
+    send: Callable[
+        [messages.Request], Awaitable[messages.Answer | errors.Refusal]
+    ],
+    book: metrics.Metrics,
+    clock: Callable[[], float],
+) -> messages.Answer | errors.Refusal:
+    """Run a request when it has a slot, which it gives back.
+
+    :param send: runs the request on the upstream
+    :param book: takes the time that the request waited
+    :param clock: clock of the admission and of the request's deadline
+    """
+    began = clock()
+    ticket = await acquire(
+        admission,
+        request.deadline,
+        request.deadline - began,
+        request.route,
+        request.priority,
+        request.patience_s,
+        request.objective,
+    )
+    book.observe('queue_wait', clock() - began)
+    if isinstance(ticket, errors.Refusal):
+        return ticket
+    finished = False
+    try:
+        result = await send(request)
+        # The time of a call that timed out is a lower bound of its service
+        # time, and the only sign of a frozen upstream.
+        finished = (
+            isinstance(result, messages.Answer)
+            or result.code is errors.CALL_DEADLINE
+        )
+    finally:
+        admission.release(ticket, finished=finished)
+    return result
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -29,7 +29,7 @@
 TOTAL_PART = 0.85
 
 # Another worker may accept what one has refused with these codes.
-_REFUSED_BY_WORKER = frozenset(
+REFUSED_BY_WORKER = frozenset(
     (
         errors.CALL_OVERLOADED,
         errors.CALL_DRAINING,
@@ -165,7 +165,7 @@
     if attempts >= MAX_ATTEMPTS or remaining_s < MIN_REMAINING_S:
         return False
     if refusal.run is errors.RunState.NOT_RUN:
-        return refusal.code in _REFUSED_BY_WORKER
+        return refusal.code in REFUSED_BY_WORKER
     return repeatable and refusal.code in (
         errors.CALL_UNKNOWN,
         errors.CALL_DEADLINE,
--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -218,29 +218,13 @@
         refusal = self._unavailable(request)
         if refusal is not None:
             return refusal
-        began = self._clock()
-        ticket = await admission.acquire(
+        return await admission.run_admitted(
             self.admission,
-            request.deadline,
-            request.deadline - began,
-            request.route,
+            request,
+            self._send,
+            self._app.service('metrics'),
+            self._clock,
         )
-        metrics = self._app.service('metrics')
-        metrics.observe('queue_wait', self._clock() - began)
-        if isinstance(ticket, errors.Refusal):
-            return ticket
-        finished = False
-        try:
-            result = await self._send(request)
-            # The time of a call that timed out is a lower bound of its
-            # service time, and the only sign of a frozen upstream.
-            finished = (
-                isinstance(result, messages.Answer)
-                or result.code is errors.CALL_DEADLINE
-            )
-        finally:
-            self.admission.release(ticket, finished=finished)
-        return result
 
     async def _send(
         self, request: messages.Request
