Keep the table of settings in a module of its own

config.py had 525 lines, of which 300 were the declared table. It keeps the loading and the checks; the reference page is unchanged (tests/test_tools compares it).

--- a/damaskpier/config.py
+++ b/damaskpier/config.py
@@ -1,4 +1,4 @@
-"""Settings: one declared table, loaded from INI and checked."""
+"""Settings, loaded from INI and checked against their declared table."""
 
 from __future__ import annotations
 
@@ -9,32 +9,11 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier import settings
 
 if TYPE_CHECKING:
     import pathlib
 
-Value = int | float | str | bool | tuple[str, ...]
-
-REQUIRED = None
-
-
-class Setting(NamedTuple):
-    """One row of the table of settings.
-
-    ``default`` is :data:`REQUIRED` where the file has to set the value.
-    ``low`` and ``high`` bound numbers; ``choices`` lists allowed texts.
-    """
-
-    section: str
-    name: str
-    kind: str  # int, float, bool, text, host, address or addresses
-    default: Value | None
-    help: str
-    unit: str = ''
-    low: float | None = None
-    high: float | None = None
-    choices: tuple[str, ...] = ()
-
 
 class Address(NamedTuple):
     """Host and port of a server."""
@@ -46,302 +25,13 @@
         return f'{self.host}:{self.port}'
 
 
-TABLE: tuple[Setting, ...] = (
-    Setting('node', 'id', 'text', REQUIRED, 'Unique name of the node.'),
-    Setting('node', 'region', 'text', REQUIRED, 'Region of the instance.'),
-    Setting(
-        'node',
-        'failure_domain',
-        'text',
-        REQUIRED,
-        'Failure domain of the instance.',
-    ),
-    Setting('node', 'host', 'host', '127.0.0.1', 'Address that peers dial.'),
-    Setting(
-        'node',
-        'http_port',
-        'int',
-        0,
-        'Port for callers; 0 lets the kernel choose.',
-        low=0,
-        high=65535,
-    ),
-    Setting(
-        'node',
-        'rpc_port',
-        'int',
-        0,
-        'Port for other nodes; 0 lets the kernel choose.',
-        low=0,
-        high=65535,
-    ),
-    Setting(
-        'node',
-        'admin_port',
-        'int',
-        0,
-        'Port for metrics, status and announcements; 0 lets the kernel '
-        'choose.',
-        low=0,
-        high=65535,
-    ),
-    Setting(
-        'node',
-        'ready_file',
-        'text',
-        '',
-        'File that receives the chosen ports as JSON; empty for none. For '
-        'tests and demonstrations.',
-    ),
-    Setting(
-        'node',
-        'service',
-        'text',
-        '',
-        'Service whose instance the node stands beside.',
-    ),
-    Setting(
-        'node',
-        'health_port',
-        'int',
-        0,
-        'Port for the readiness probe; 0 lets the kernel choose.',
-        low=0,
-        high=65535,
-    ),
-    Setting(
-        'node',
-        'metrics_port',
-        'int',
-        0,
-        'Port for metrics where it is not the admin port; 0 lets the kernel '
-        'choose.',
-        low=0,
-        high=65535,
-    ),
-    Setting(
-        'upstream',
-        'address',
-        'address',
-        '127.0.0.1:1',
-        'Address of the upstream beside the node.',
-    ),
-    Setting(
-        'fleet',
-        'heartbeat',
-        'float',
-        1.0,
-        'Time between two announcements of the upstream.',
-        unit='s',
-        low=0.05,
-        high=60,
-    ),
-    Setting(
-        'fleet',
-        'grace',
-        'float',
-        6.0,
-        'Time between SIGTERM and SIGKILL.',
-        unit='s',
-        low=0.5,
-        high=600,
-    ),
-    Setting(
-        'fleet',
-        'apply',
-        'float',
-        2.0,
-        'Time by which a configuration has to be in force everywhere.',
-        unit='s',
-        low=0.1,
-        high=60,
-    ),
-    Setting(
-        'fleet',
-        'retry_ratio',
-        'float',
-        0.2,
-        'Retries of a service over all nodes, as a part of its requests.',
-        low=0,
-        high=1,
-    ),
-    Setting(
-        'fleet',
-        'retry_slack',
-        'float',
-        10.0,
-        'Retries of a service over all nodes in each window beyond the ratio.',
-        low=0,
-        high=100000,
-    ),
-    Setting(
-        'fleet',
-        'retry_window',
-        'float',
-        10.0,
-        'Window over which retries are counted.',
-        unit='s',
-        low=0.5,
-        high=600,
-    ),
-    Setting(
-        'platform',
-        'address',
-        'address',
-        REQUIRED,
-        'Address of the object API.',
-    ),
-    Setting(
-        'platform',
-        'timeout',
-        'float',
-        1.0,
-        'Time limit of a call other than a watch.',
-        unit='s',
-        low=0.05,
-        high=60,
-    ),
-    Setting(
-        'mesh',
-        'seeds',
-        'addresses',
-        (),
-        'RPC addresses of nodes to join through when the platform is down.',
-    ),
-    Setting(
-        'mesh',
-        'max_children',
-        'int',
-        8,
-        'Children that the node accepts in the distribution tree.',
-        low=2,
-        high=64,
-    ),
-    Setting(
-        'limits',
-        'max_body',
-        'int',
-        4 * 1024 * 1024,
-        'Largest request or response body.',
-        unit='bytes',
-        low=1024,
-        high=64 * 1024 * 1024,
-    ),
-    Setting(
-        'limits',
-        'max_headers',
-        'int',
-        64 * 1024,
-        'Largest block of request headers.',
-        unit='bytes',
-        low=1024,
-        high=1024 * 1024,
-    ),
-    Setting(
-        'limits',
-        'max_requests',
-        'int',
-        1000,
-        'Requests of callers that the node carries at a time.',
-        low=1,
-        high=100000,
-    ),
-    Setting(
-        'limits',
-        'drain_timeout',
-        'float',
-        30.0,
-        'Longest wait for running requests at a planned stop.',
-        unit='s',
-        low=0,
-        high=600,
-    ),
-    Setting(
-        'log',
-        'level',
-        'text',
-        'info',
-        'Least severity that is logged.',
-        choices=('debug', 'info', 'warning', 'error'),
-    ),
-    Setting(
-        'log',
-        'format',
-        'text',
-        'text',
-        'Form of log records.',
-        choices=('text', 'json'),
-    ),
-    Setting(
-        'rollout',
-        'first_share',
-        'float',
-        0.01,
-        'Largest first share of a new version on a route.',
-        low=0.0001,
-        high=0.2,
-    ),
-    Setting(
-        'rollout',
-        'error_rate',
-        'float',
-        0.01,
-        'Bound on the chance that a good version is taken back because of '
-        'noise, over all looks at a move.',
-        low=1e-9,
-        high=0.2,
-    ),
-    Setting(
-        'rollout',
-        'hold_back',
-        'float',
-        0.01,
-        'Share of requests that stays on the old version after a move is '
-        'done, for comparison.',
-        low=0,
-        high=0.2,
-    ),
-    Setting(
-        'rollout',
-        'evidence_interval',
-        'float',
-        1.0,
-        'Time between two messages with evidence to the parent.',
-        unit='s',
-        low=0.1,
-        high=10,
-    ),
-    Setting(
-        'rollout',
-        'quiet_interval',
-        'float',
-        4.0,
-        'Time that evidence without a failure may wait at a node.',
-        unit='s',
-        low=0,
-        high=60,
-    ),
-    Setting(
-        'rollout',
-        'trip_hold',
-        'float',
-        10.0,
-        'First time for which a tripped node sends a route to the old '
-        'version only.',
-        unit='s',
-        low=0.5,
-        high=600,
-    ),
-)
-
-
 class Settings:
     """Checked settings of a process."""
 
-    def __init__(self, values: dict[tuple[str, str], Value]) -> None:
+    def __init__(self, values: dict[tuple[str, str], settings.Value]) -> None:
         self._values = values
 
-    def __getitem__(self, key: tuple[str, str]) -> Value:
+    def __getitem__(self, key: tuple[str, str]) -> settings.Value:
         return self._values[key]
 
     def text(self, section: str, name: str) -> str:
@@ -417,9 +107,9 @@
     return Settings(
         {
             (row.section, row.name): _value_of(row, parser, text, source)
-            for row in TABLE
+            for row in settings.TABLE
             if required
-            or row.default is not REQUIRED
+            or row.default is not settings.REQUIRED
             or parser.has_option(row.section, row.name)
         }
     )
@@ -428,7 +118,7 @@
 def _check_names(
     parser: configparser.ConfigParser, text: str, source: str
 ) -> None:
-    sections = {row.section for row in TABLE}
+    sections = {row.section for row in settings.TABLE}
     for section in parser.sections():
         if section not in sections:
             line = _line_of(text, section, None)
@@ -437,7 +127,7 @@
                 f'{source}:{line}: no section [{section}]'
                 + _hint(section, sections),
             )
-        names = {row.name for row in TABLE if row.section == section}
+        names = {row.name for row in settings.TABLE if row.section == section}
         for name in parser[section]:
             if name not in names:
                 line = _line_of(text, section, name)
@@ -471,14 +161,14 @@
 
 
 def _value_of(
-    row: Setting,
+    row: settings.Setting,
     parser: configparser.ConfigParser,
     text: str,
     source: str,
-) -> Value:
+) -> settings.Value:
     raw = parser.get(row.section, row.name, fallback=None)
     if raw is None:
-        if row.default is REQUIRED:
+        if row.default is settings.REQUIRED:
             raise errors.SettingsError(
                 errors.SETTINGS_MISSING,
                 f'{source}: [{row.section}] {row.name} is not set',
@@ -494,7 +184,7 @@
         ) from exc
 
 
-def _parse(kind: str, raw: str) -> Value:
+def _parse(kind: str, raw: str) -> settings.Value:
     if kind == 'int':
         return int(raw)
     if kind == 'float':
@@ -515,7 +205,7 @@
     return raw
 
 
-def _checked(row: Setting, value: Value) -> Value:
+def _checked(row: settings.Setting, value: settings.Value) -> settings.Value:
     if row.low is not None and value < row.low:
         raise ValueError(f'{value} is below {row.low:g} {row.unit}'.strip())
     if row.high is not None and value > row.high:
--- a/damaskpier/operator/config.py
+++ b/damaskpier/operator/config.py
@@ -10,6 +10,7 @@
 from damaskpier.operator import command
 from damaskpier.operator import exits
 from damaskpier.operator import output
+from damaskpier import settings
 
 
 class ConfigCheck(command.Command):
@@ -25,7 +26,7 @@
         cfg = config.load(path)
         rows = []
         values: dict[str, dict[str, config.Value]] = {}
-        for row in config.TABLE:
+        for row in settings.TABLE:
             value = cfg[row.section, row.name]
             shown = ', '.join(value) if isinstance(value, tuple) else value
             rows.append((row.section, row.name, shown, row.unit))
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING
 
 from damaskpier.cmd import cli
-from damaskpier import config
 from damaskpier import errors
 from damaskpier.operator import exits
+from damaskpier import settings
 
 if TYPE_CHECKING:
     from cleo.commands import command as cleo_command
@@ -54,8 +54,8 @@
         'An unknown section or setting, a wrong type and a value out of range',
         'are refused at the start with a result code that names the line.',
     ]
-    for section in dict.fromkeys(row.section for row in config.TABLE):
-        rows = [row for row in config.TABLE if row.section == section]
+    for section in dict.fromkeys(row.section for row in settings.TABLE):
+        rows = [row for row in settings.TABLE if row.section == section]
         lines += ['', f'## [{section}]', '']
         lines += _table(
             ('setting', 'type', 'default', 'range', 'meaning'),
@@ -180,15 +180,15 @@
     return '' if option.is_flag() else ' VALUE'  # type: ignore[attr-defined]
 
 
-def _default(row: config.Setting) -> str:
-    if row.default is config.REQUIRED:
+def _default(row: settings.Setting) -> str:
+    if row.default is settings.REQUIRED:
         return 'required'
     if row.default in ('', ()):
         return 'empty'
     return f'{row.default} {row.unit}'.strip()
 
 
-def _range(row: config.Setting) -> str:
+def _range(row: settings.Setting) -> str:
     if row.choices:
         return ', '.join(row.choices)
     if row.low is None and row.high is None:
