Move what the adapter decided into the product

Cause: the adapter's folder is to translate only. It held the loop that follows objects over outages and lost history, and the decision whether a node is ready, which an event then told back to the planned stop. Change: fleet/follow.py follows objects through an abstract reader, which the adapter implements with its two calls; the ingress answers a readiness probe and counts those that found the node leaving, so that the events unready-probed and node-draining go.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -84,7 +84,6 @@
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         self._unready_probes = 0
         self._requested_at = 0.0
-        app.events.connect('unready-probed', self._probed)
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -100,7 +99,6 @@
     async def stop(self) -> None:
         """Leave without interrupting a request."""
         began = self._clock()
-        self._app.events.emit('node-draining')
         self.server.leave()
         await self._callers_gone(began + WORKER_PART * self._grace_s)
         # The worker serves other nodes until now: its slots are missed when
@@ -123,6 +121,20 @@
             )
         await peers.finish(until)
 
+    def probed(self) -> bool:
+        """Tell a readiness probe whether callers may come."""
+        if self.server.leaving:
+            self._unready_probes += 1
+            return False
+        if self._app.service('configuration').current() is None:
+            return False
+        # A node that restarts while the store is away learns of the others
+        # by their messages.
+        return (
+            self._app.service('exchange').registered
+            or len(self._app.service('membership').nodes()) > 1
+        )
+
     async def _callers_gone(self, until: float) -> None:
         """Wait until the callers have gone, or until a time."""
         while self._clock() < until:
@@ -133,9 +145,6 @@
                 return
             await asyncio.sleep(LEAVE_POLL_S)
 
-    def _probed(self) -> None:
-        self._unready_probes += 1
-
     def _limits(self) -> server.Limits:
         cfg = self._app.service('configuration').current()
         limits = model.CallerLimits() if cfg is None else cfg.limits
--- a/damaskpier/platform/control.py
+++ b/damaskpier/platform/control.py
@@ -36,15 +36,13 @@
 
 
 class Control(registry.Service):
-    """Takes heartbeats and tells whether the node is ready."""
+    """Takes heartbeats and answers readiness probes."""
 
     def __init__(self, app: application.Application) -> None:
         self._app = app
-        self._draining = False
         self._heartbeats = server.Server(self._control)
         self._health = server.Server(self._ready)
         self._metrics = server.Server(self._show_metrics)
-        app.events.connect('node-draining', self._drains)
 
     async def start(self) -> None:
         """Listen on the three addresses."""
@@ -62,25 +60,11 @@
         for part in (self._heartbeats, self._health, self._metrics):
             await part.stop(0.0)
 
-    def _drains(self) -> None:
-        self._draining = True
-
     async def _ready(self, request: messages.Request) -> messages.Response:
         if request.path != READY_PATH:
             return messages.Response(404)
-        if self._draining:
-            self._app.events.emit('unready-probed')
-        # A node that restarts while the store is away learns of the others
-        # by their messages.
-        ready = (
-            not self._draining
-            and self._app.service('configuration').current() is not None
-            and (
-                self._app.service('exchange').registered
-                or len(self._app.service('membership').nodes()) > 1
-            )
-        )
-        return messages.Response(200 if ready else 503)
+        may_come = self._app.service('ingress').probed()
+        return messages.Response(200 if may_come else 503)
 
     async def _show_metrics(
         self, request: messages.Request
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from damaskpier import errors
+from damaskpier.fleet import follow
 from damaskpier.fleet import model
 from damaskpier.fleet import source
 from damaskpier.http1 import client
@@ -30,12 +31,6 @@
 # Longest wait that the store accepts for a watch.
 WATCH_WAIT_MS = 30_000
 WATCH_MARGIN_S = 2.0
-# Part of the time by which a configuration has to be in force that may
-# pass between two calls of a watch, so that changes in quick succession
-# share a call.
-WATCH_PAUSE_PART = 0.4
-BACKOFF_FIRST_S = 0.2
-BACKOFF_MAX_S = 2.0
 
 _NOT_DONE = {
     429: errors.PLATFORM_LIMITED,
@@ -61,7 +56,7 @@
         self._rng = rng or random.Random()
         self._host = str(address)
         self._pool = client.Pool(address.host, address.port, max_idle=2)
-        self._pause_s = WATCH_PAUSE_PART * app.cfg.number('fleet', 'apply')
+        self._apply_s = app.cfg.number('fleet', 'apply')
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -139,45 +134,20 @@
 
     async def directory(self) -> list[model.NodeAddress] | errors.Refusal:
         """Return all nodes that are registered."""
-        found = await self._list(objects.NODE_KIND)
+        found = await self.list_objects(objects.NODE_KIND)
         if isinstance(found, errors.Refusal):
             return found
-        nodes = [_read(objects.read_node, obj) for obj in found[0]]
+        nodes = [_read(objects.read_node, obj) for obj in found.items]
         return [node for node in nodes if node is not None]
 
-    async def _follow(
+    def _follow(
         self, kind: str
     ) -> AsyncIterator[list[objects.Object] | errors.Refusal]:
-        """Yield the objects of a kind, and then those that change."""
-        loop = asyncio.get_running_loop()
-        revision: int | None = None
-        backoff_s = BACKOFF_FIRST_S
-        while True:
-            began = loop.time()
-            if revision is None:
-                found = await self._list(kind)
-            else:
-                found = await self._watch(kind, revision)
-            if isinstance(found, errors.Refusal):
-                # Reading the objects takes one short call; a watch could
-                # wait for long on a store that does not answer.
-                revision = None
-                if found.code is errors.PLATFORM_HISTORY_LOST:
-                    continue
-                yield found
-                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
-                continue
-            backoff_s = BACKOFF_FIRST_S
-            items, revision = found
-            if items:
-                yield items
-                spent_s = loop.time() - began
-                await asyncio.sleep(max(0.0, self._pause_s - spent_s))
-
-    async def _list(
-        self, kind: str
-    ) -> tuple[list[objects.Object], int] | errors.Refusal:
+        reader = _Objects(self, kind)
+        return follow.changes(reader, self._apply_s, self._rng)
+
+    async def list_objects(self, kind: str) -> follow.Page | errors.Refusal:
+        """Return all objects of a kind."""
         items: list[objects.Object] = []
         after = ''
         while True:
@@ -190,12 +160,13 @@
             page = answer.body.get('items') or []
             items += page
             if not answer.body.get('hasMore') or not page:
-                return items, int(answer.body['currentRev'])
+                return follow.Page(items, int(answer.body['currentRev']))
             after = objects.name_of(page[-1])
 
-    async def _watch(
+    async def watch_objects(
         self, kind: str, revision: int
-    ) -> tuple[list[objects.Object], int] | errors.Refusal:
+    ) -> follow.Page | errors.Refusal:
+        """Wait for objects of a kind that change, and return them."""
         query = parse.urlencode({'watch': revision, 'waitMs': WATCH_WAIT_MS})
         answer = await self._call(
             'GET',
@@ -216,7 +187,7 @@
             for event in answer.body.get('events') or []
             if not event.get('deleted')
         ]
-        return changed, int(answer.body['currentRev'])
+        return follow.Page(changed, int(answer.body['currentRev']))
 
     async def _call(
         self,
@@ -254,6 +225,22 @@
         return _Answer(outcome.status, decoded)
 
 
+class _Objects(follow.Reader):
+    """Objects of one kind."""
+
+    def __init__(self, source_: PlatformSource, kind: str) -> None:
+        self._source = source_
+        self._kind = kind
+
+    async def read(self) -> follow.Page | errors.Refusal:
+        """Return all objects."""
+        return await self._source.list_objects(self._kind)
+
+    async def watch(self, revision: int) -> follow.Page | errors.Refusal:
+        """Wait for objects that change after a revision and return them."""
+        return await self._source.watch_objects(self._kind, revision)
+
+
 def _path(kind: str, name: str = '') -> str:
     path = f'/objects/{kind}'
     return f'{path}/{parse.quote(name, safe="")}' if name else path
--- a/tests/test_fleet/test_leaving.py
+++ b/tests/test_fleet/test_leaving.py
@@ -48,9 +48,10 @@
     async def stop(node: conftest.Node) -> asyncio.Task[None]:
         ingress = node.app.service('ingress')
         ingress._grace_s = 10 * conftest.LONG_S
-        for _ in range(2):
-            node.app.events.emit('unready-probed')
         stopping = asyncio.create_task(ingress.stop())
+        await conftest.until(lambda: ingress.server.leaving)
+        for _ in range(2):
+            assert not ingress.probed()
         peers = node.app.service('peer-server')
         await conftest.until(lambda: peers.server.leaving)
         # Whatever does not wait for the requests that run happens now.
@@ -181,7 +182,7 @@
     assert not membership.local().draining
     assert (await caller.request()).body == b'i-1'
     for _ in range(2):
-        other.app.events.emit('unready-probed')
+        assert not ingress.probed()
     # Callers are quiet for this long, and the time to serve is not up.
     now[0] += ingress_module.QUIET_S
     await stopping
@@ -251,3 +252,18 @@
         lambda: caller.app.service('membership').get(lost.name).gone
     )
     assert kept.upstream.ran
+
+
+async def test_callers_may_come_to_a_node_that_can_serve_them(fleet):
+    fleet.store.is_down = True
+    node = await fleet.add()
+    ingress = node.app.service('ingress')
+    assert not ingress.probed()
+    # With a configuration but neither the store nor another node it would
+    # find no worker but its own.
+    node.app.service('configuration').offer(conftest.make_configuration())
+    assert not ingress.probed()
+    node.app.service('exchange').registered = True
+    assert ingress.probed()
+    ingress.server.leave()
+    assert not ingress.probed()
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from damaskpier import errors
+from damaskpier.fleet import follow
 from damaskpier.fleet import model
 from damaskpier.platform import store
 
@@ -19,8 +20,8 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
     """Shorten the pauses."""
-    monkeypatch.setattr(store, 'BACKOFF_FIRST_S', 0.01)
-    monkeypatch.setattr(store, 'BACKOFF_MAX_S', 0.02)
+    monkeypatch.setattr(follow, 'BACKOFF_FIRST_S', 0.01)
+    monkeypatch.setattr(follow, 'BACKOFF_MAX_S', 0.02)
 
 
 async def _next(found):
