Log what a node received while a peer was silent

Change: the reason gives the bytes that arrived on the node's other connections since the peer was last heard, and how late the timer ran; the metric bytes_received counts all bytes received over HTTP.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
 from damaskpier.http1 import server
@@ -72,11 +73,15 @@
         self._node_id = app.cfg.text('node', 'id')
 
     async def start(self) -> None:
-        """Register the gauge of opened connections."""
-        self._app.service('metrics').register_gauge(
+        """Register the gauges of connections and received bytes."""
+        metrics_service = self._app.service('metrics')
+        metrics_service.register_gauge(
             'peer_connections_opened',
             lambda: sum(pool.opened_count for pool in self._pools.values()),
         )
+        metrics_service.register_gauge(
+            'bytes_received', lambda: byte_counter.RECEIVED.total
+        )
 
     async def stop(self) -> None:
         """Close the idle connections."""
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -189,6 +190,8 @@
         self._options = Options(0.0)
         self._timers: list[asyncio.TimerHandle] = []
         self._last_received_at = 0.0
+        self._received_by_all = 0
+        self._silence_check_at = 0.0
         self._init_parser()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -233,13 +236,13 @@
         self._options = options
         self._response = loop.create_future()
         self._last_received_at = loop.time()
+        self._received_by_all = byte_counter.RECEIVED.total
         self._transport.write(data)
         self._timers = [loop.call_at(options.deadline, self._on_deadline)]
         if options.silence_timeout_s:
+            self._silence_check_at = loop.time() + options.silence_timeout_s
             self._timers.append(
-                loop.call_later(
-                    options.silence_timeout_s, self._on_silence_timer
-                )
+                loop.call_at(self._silence_check_at, self._on_silence_timer)
             )
         return self._response
 
@@ -259,11 +262,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data of the server."""
+        byte_counter.RECEIVED.total += len(data)
         if self._response is None:
             # There is no request that the data could belong to.
             self.close()
             return
         self._last_received_at = asyncio.get_running_loop().time()
+        self._received_by_all = byte_counter.RECEIVED.total
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -370,16 +375,30 @@
         if self._response is None:
             return
         loop = asyncio.get_running_loop()
-        idle_s = loop.time() - self._last_received_at
+        now = loop.time()
+        idle_s = now - self._last_received_at
         left_s = self._options.silence_timeout_s - idle_s
         if left_s <= 0:
             self._fail(
-                f'nothing was heard for {idle_s:.2f} s',
+                self._describe_silence(idle_s, now - self._silence_check_at),
                 timed_out=True,
                 silent=True,
             )
             return
-        self._timers[1] = loop.call_later(left_s, self._on_silence_timer)
+        self._silence_check_at = now + left_s
+        self._timers[1] = loop.call_at(
+            self._silence_check_at, self._on_silence_timer
+        )
+
+    def _describe_silence(self, idle_s: float, lateness_s: float) -> str:
+        # Many bytes on other connections point to a full link of this node, a
+        # late timer to its event loop. Neither is a fault of the peer.
+        others = byte_counter.RECEIVED.total - self._received_by_all
+        return (
+            f'nothing was heard for {idle_s:.2f} s while {others} bytes '
+            f'arrived on other connections, timer {lateness_s * 1000:.0f} ms '
+            'late'
+        )
 
     def _cancel_timers(self) -> None:
         for timer in self._timers:
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -188,6 +189,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data of the client."""
+        byte_counter.RECEIVED.total += len(data)
         if self._is_closed:
             return
         if not self._is_in_message:
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -212,6 +212,42 @@
     assert not pool._idle
 
 
+async def test_silence_states_what_arrived_on_other_connections(
+    scripted, options, monkeypatch
+):
+    """The reason tells a silent peer from a full link of this node.
+
+    Without the bytes of the other connections, both look the same in a log.
+    """
+    loop = asyncio.get_running_loop()
+    real_time = loop.time
+    passed_s = 0.0
+    monkeypatch.setattr(loop, 'time', lambda: real_time() + passed_s)
+    asked = asyncio.Event()
+
+    async def script(reader, writer):
+        request = await reader.readuntil(b'\r\n\r\n')
+        if b'/other' in request:
+            writer.write(OK)
+        else:
+            asked.set()
+        await reader.read()
+
+    pool = await scripted(script)
+    silent = asyncio.create_task(
+        pool.request(
+            conftest.GET,
+            options(deadline=loop.time() + 1000.0, silence_timeout_s=100.0),
+        )
+    )
+    await asked.wait()
+    other = conftest.GET.replace(b'GET /', b'GET /other')
+    assert (await pool.request(other, options())).body == b'ok'
+    passed_s = 100.0
+    outcome = await silent
+    assert f'{len(OK)} bytes arrived on other connections' in outcome.reason
+
+
 async def test_interim_responses_keep_a_request_alive(
     scripted, options, monkeypatch
 ):
