Keep requests whose node can not be heard

Cause: the node took 0.6 s without data from another node as the end of the attempt. The worker was at work; the interim responses waited in the queue of a full link. Class: silence is taken as proof that the other side has failed. Ruled out: a longer time limit, because a link can be full for longer and a node without power would be noticed later. Change: silence only starts a question for the attempt on another connection (fleet/peer_call.py). The worker's node (fleet/attempts.py) answers with the reply when the attempt ends, or refuses an attempt that it has not received, which then never runs, so that it may run elsewhere whatever its kind. Without an answer, a request that may be repeated gets a second attempt while the first goes on, and the first answer counts; any other request waits for its connection, which the kernel closes if the peer acknowledges nothing, or for its deadline. Tests: tests/test_fleet/test_silence.py and test_attempts.py.

--- /dev/null
+++ b/damaskpier/fleet/peer_call.py
@@ -0,0 +1,184 @@
+"""One attempt on the worker of another node, over one or more connections."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.http1 import client
+from damaskpier.http1 import messages as http_messages
+from damaskpier.traffic import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOG = logging.getLogger(__name__)
+
+# The node asks for an attempt whose connection is silent for this time; a
+# running attempt sends interim responses more often than twice in it.
+SILENCE_TIMEOUT_S = 0.45
+# Pause between two questions for an attempt.
+QUESTION_INTERVAL_S = 0.2
+# A question that was sent before the connection of the attempt was lost may
+# still be answered within this time.
+LAST_QUESTION_S = 0.6
+
+
+class Exchange(NamedTuple):
+    """Encoded messages of an attempt and the decoder of its replies.
+
+    ``question`` returns the encoded question for the attempt, given its age
+    in seconds. ``decode_found`` returns None for a response that is not an
+    answer to the question.
+    """
+
+    request: bytes
+    question: Callable[[float], bytes]
+    decode: Callable[[http_messages.Response], messages.Reply]
+    decode_found: Callable[[http_messages.Response], messages.Reply | None]
+
+
+class PeerCall:
+    """One attempt on the worker of another node.
+
+    Silence does not end the attempt, because the worker may be at work behind
+    a link that is full or a connection that has been lost without a reset.
+    After a silence, the reply may also come over another connection.
+
+    :param pool: connections to the other node
+    :param name: names the attempt in log lines
+    :param deadline: time of the loop's clock in seconds
+    :param is_head: whether the request is a ``HEAD`` request
+    :param on_stall: called once, when the other node answers neither on the
+        connection of the attempt nor on another one
+    """
+
+    def __init__(
+        self,
+        pool: client.Pool,
+        exchange: Exchange,
+        name: str,
+        deadline: float,
+        *,
+        is_head: bool = False,
+        on_stall: Callable[[], None] | None = None,
+    ) -> None:
+        self._pool = pool
+        self._exchange = exchange
+        self._name = name
+        self._deadline = deadline
+        self._is_head = is_head
+        self._on_stall = on_stall
+        self._silent = asyncio.Event()
+        self._sent_at = 0.0
+
+    async def run(self) -> messages.Reply:
+        """Send the request and return the reply, from either connection."""
+        self._sent_at = _time_with_suspension()
+        direct = asyncio.ensure_future(self._send())
+        found = asyncio.ensure_future(self._find())
+        try:
+            await asyncio.wait(
+                (direct, found), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not direct.done():
+                return found.result()
+            outcome = direct.result()
+            if isinstance(outcome, http_messages.Response):
+                return self._exchange.decode(outcome)
+            if self._silent.is_set() and not outcome.timed_out:
+                await asyncio.wait((found,), timeout=LAST_QUESTION_S)
+            if found.done():
+                return found.result()
+            return messages.Reply(refusal_from_failure(outcome))
+        finally:
+            direct.cancel()
+            found.cancel()
+
+    async def _send(self) -> http_messages.Response | http_messages.Failure:
+        return await self._pool.request(
+            self._exchange.request,
+            client.Options(
+                deadline=self._deadline,
+                is_head=self._is_head,
+                silence_timeout_s=SILENCE_TIMEOUT_S,
+                on_silence=self._note_silence,
+            ),
+        )
+
+    def _note_silence(self, reason: str) -> None:
+        LOG.info('peers: %s: %s', self._name, reason)
+        self._silent.set()
+
+    async def _find(self) -> messages.Reply:
+        """Ask for the attempt until there is an answer.
+
+        Returns only with the reply: as long as there is none, the connection
+        of the attempt and the deadline decide.
+        """
+        await self._silent.wait()
+        while True:
+            response = await self._ask()
+            if response is not None:
+                break
+            self._note_stall()
+            await asyncio.sleep(QUESTION_INTERVAL_S)
+        reply = self._exchange.decode_found(response)
+        LOG.info(
+            'peers: %s: asked for on another connection: %s after %d ms',
+            self._name,
+            'no record' if reply is None else _describe(reply),
+            (_time_with_suspension() - self._sent_at) * 1000,
+        )
+        if reply is None:
+            self._note_stall()
+            await asyncio.Event().wait()
+        return reply
+
+    async def _ask(self) -> http_messages.Response | None:
+        age_s = _time_with_suspension() - self._sent_at
+        outcome = await self._pool.request(
+            self._exchange.question(age_s),
+            client.Options(
+                deadline=self._deadline, silence_timeout_s=SILENCE_TIMEOUT_S
+            ),
+        )
+        if isinstance(outcome, http_messages.Response):
+            return outcome
+        LOG.info(
+            'peers: %s: no answer on another connection: %s',
+            self._name,
+            outcome.reason,
+        )
+        return None
+
+    def _note_stall(self) -> None:
+        on_stall, self._on_stall = self._on_stall, None
+        if on_stall is not None:
+            on_stall()
+
+
+def refusal_from_failure(failure: http_messages.Failure) -> errors.Refusal:
+    """Return the refusal for a request that got no response."""
+    if not failure.sent:
+        return errors.Refusal(errors.CALL_CONNECT, failure.reason)
+    code = errors.CALL_UNKNOWN
+    if failure.timed_out:
+        code = errors.CALL_DEADLINE
+    return errors.Refusal(code, failure.reason, errors.RunState.UNKNOWN)
+
+
+def _describe(reply: messages.Reply) -> str:
+    result = reply.result
+    if isinstance(result, errors.Refusal):
+        return str(result)
+    return f'status {result.status}'
+
+
+def _time_with_suspension() -> float:
+    # Unlike the monotonic clock, this one runs while the host is suspended.
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import secrets
 import time
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import attempts
+from damaskpier.fleet import peer_call
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
@@ -35,13 +39,17 @@
 REPEATABLE = 'Damaskpier-Repeatable'
 REPEAT = 'Damaskpier-Repeat'
 LOAD = 'Damaskpier-Load'
+# Token of an attempt, in its request, in a question for it and in the answer
+# to the question.
+ATTEMPT = 'Damaskpier-Attempt'
+AGE = 'Damaskpier-Age-Ms'
 # Path of gossip, as opposed to callers' requests.
 EXCHANGE_PATH = '/damaskpier/exchange'
+# Path of questions for an attempt that another connection carried.
+ATTEMPT_PATH = '/damaskpier/attempt'
 
 # A node that is running a request sends interim responses at this interval.
-# The caller's node closes a connection that is silent for SILENCE_TIMEOUT_S.
 PROGRESS = server.Progress(initial_delay_s=0.15, interval_s=0.2)
-SILENCE_TIMEOUT_S = 0.6
 # The peer gets a deadline this much earlier, so that its refusal, which
 # contains the run state, arrives before the caller's node times out.
 RESPONSE_MARGIN_S = 0.02
@@ -54,6 +62,7 @@
 # takes 8 ms between regions, and a lost packet is retransmitted within 0.4 s.
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.01
+TOKEN_PREFIX_BYTES = 8
 
 
 class Peers(registry.Service):
@@ -71,6 +80,8 @@
         self._clock = clock
         self._pools: dict[tuple[str, int], client.Pool] = {}
         self._node_id = app.cfg.text('node', 'id')
+        self._token_prefix = secrets.token_hex(TOKEN_PREFIX_BYTES)
+        self._token_numbers = itertools.count()
 
     async def start(self) -> None:
         """Register the gauges of connections and received bytes."""
@@ -89,29 +100,29 @@
             pool.close_idle()
 
     async def call(
-        self, record: model.NodeRecord, request: messages.Request
+        self,
+        record: model.NodeRecord,
+        request: messages.Request,
+        on_stall: Callable[[], None] | None = None,
     ) -> messages.Reply:
-        """Run a request on the worker of a node, which may be this one."""
+        """Run a request on the worker of a node, which may be this one.
+
+        :param on_stall: called when the node does not answer at all while the
+            attempt goes on
+        """
         if record.node_id == self._node_id:
             return await self._app.service('worker').call(request)
         now = self._clock()
-        deadline = request.deadline - now
-        outcome = await self.pool(record).request(
-            http_messages.encode_request(
-                request.method,
-                request.target,
-                _encode_headers(request, now),
-                request.body,
-            ),
-            client.Options(
-                deadline=asyncio.get_running_loop().time() + deadline,
-                is_head=request.method == 'HEAD',
-                silence_timeout_s=SILENCE_TIMEOUT_S,
-            ),
+        token = f'{self._token_prefix}-{next(self._token_numbers)}'
+        call = peer_call.PeerCall(
+            self.pool(record),
+            _make_exchange(request, record.host, token, now),
+            f'{request.request_id} on {record.node_id}',
+            asyncio.get_running_loop().time() + request.deadline - now,
+            is_head=request.method == 'HEAD',
+            on_stall=on_stall,
         )
-        if isinstance(outcome, http_messages.Failure):
-            return messages.Reply(_refusal_from_failure(outcome))
-        return _decode_reply(outcome)
+        return await call.run()
 
     def pool(self, record: model.NodeRecord) -> client.Pool:
         """Return the connection pool of a node."""
@@ -147,6 +158,7 @@
     ) -> None:
         self._app = app
         self._clock = clock
+        self._attempts = attempts.Attempts(self._call_worker, clock)
         self.server = server.Server(self._handle, progress=PROGRESS)
 
     async def start(self) -> None:
@@ -183,10 +195,62 @@
         if request.path == EXCHANGE_PATH:
             body = self._app.service('exchange').received(request.body)
             return http_messages.Response(200, (), body)
+        token = request.header(ATTEMPT.lower())
+        if request.path == ATTEMPT_PATH:
+            return await self._find_attempt(request, token)
         parsed = _decode_request(request, self._clock())
         if isinstance(parsed, errors.Refusal):
             return _encode_reply(messages.Reply(parsed))
-        return _encode_reply(await self._app.service('worker').call(parsed))
+        if not token:
+            return _encode_reply(await self._call_worker(parsed))
+        return _encode_reply(await self._attempts.run(token, parsed))
+
+    async def _find_attempt(
+        self, request: http_messages.Request, token: str
+    ) -> http_messages.Response:
+        age = request.header(AGE.lower())
+        if not token or not (age.isascii() and age.isdigit()):
+            return http_messages.Response(400)
+        reply = await self._attempts.find(token, int(age) / 1000)
+        if reply is None:
+            return http_messages.Response(404)
+        response = _encode_reply(reply)
+        return response._replace(headers=(*response.headers, (ATTEMPT, token)))
+
+    async def _call_worker(self, request: messages.Request) -> messages.Reply:
+        return await self._app.service('worker').call(request)
+
+
+def _make_exchange(
+    request: messages.Request, host: str, token: str, now: float
+) -> peer_call.Exchange:
+    attempt = (ATTEMPT, token)
+
+    def encode_question(age_s: float) -> bytes:
+        age_ms = str(int(age_s * 1000))
+        fields = (('Host', host), attempt, (AGE, age_ms))
+        return http_messages.encode_request('GET', ATTEMPT_PATH, fields, b'')
+
+    def decode_found(
+        response: http_messages.Response,
+    ) -> messages.Reply | None:
+        # A node of an older build takes the question for a request and
+        # refuses it as not run, although the attempt may have run.
+        if response.header(ATTEMPT.lower()) != token:
+            return None
+        return _decode_reply(response)
+
+    return peer_call.Exchange(
+        http_messages.encode_request(
+            request.method,
+            request.target,
+            (*_encode_headers(request, now), attempt),
+            request.body,
+        ),
+        encode_question,
+        _decode_reply,
+        decode_found,
+    )
 
 
 def _encode_headers(
@@ -314,15 +378,6 @@
     return messages.Reply(errors.Refusal(code, reason, run), load)
 
 
-def _refusal_from_failure(failure: http_messages.Failure) -> errors.Refusal:
-    if not failure.sent:
-        return errors.Refusal(errors.CALL_CONNECT, failure.reason)
-    code = errors.CALL_UNKNOWN
-    if failure.timed_out and not failure.silent:
-        code = errors.CALL_DEADLINE
-    return errors.Refusal(code, failure.reason, errors.RunState.UNKNOWN)
-
-
 def setup(app: application.Application) -> None:
     """Register the services ``peers`` and ``peer-server``."""
     app.add_service('peers', Peers(app), after=('metrics', 'worker'))
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 import time
@@ -43,6 +44,13 @@
 DEFAULT_RESPONSE_BYTES = 2000.0
 RESPONSE_SIZE_WEIGHT = 0.1
 
+# Stands for the result of an attempt whose node does not answer.
+_STALL = errors.Refusal(
+    errors.CALL_UNKNOWN,
+    'the node does not answer',
+    errors.RunState.UNKNOWN,
+)
+
 
 class Outcome(NamedTuple):
     """Result of a request.
@@ -63,6 +71,7 @@
 
     def __init__(self, request: messages.Request) -> None:
         self.request = request
+        # Nodes of the attempts, those that are running included.
         self.tried: list[str] = []
         # Number of attempts that may have run, and whether one failed.
         self.runs = 0
@@ -73,12 +82,13 @@
             f'no worker of {request.service} {request.version} is ready',
         )
         self._run_state = errors.RunState.NOT_RUN
+        self._last_worker = ''
 
     def add_result(
         self, worker: str, result: messages.Answer | errors.Refusal
     ) -> None:
         """Record the result of an attempt."""
-        self.tried.append(worker)
+        self._last_worker = worker
         if isinstance(result, messages.Answer):
             self._answer = result
             self._run_state = errors.RunState.RUN
@@ -91,6 +101,10 @@
             self.has_failed |= result.run is not errors.RunState.NOT_RUN
         self.runs += _may_have_run(result)
 
+    def is_answered(self) -> bool:
+        """Return whether an upstream has answered."""
+        return self._answer is not None
+
     def is_answered_successfully(self) -> bool:
         """Return whether there is an answer that needs no retry."""
         return self._answer is not None and self._answer.status < 500
@@ -101,10 +115,18 @@
             self._answer or self._refusal,
             self.request.version,
             len(self.tried),
-            self.tried[-1] if self.tried else '',
+            self._last_worker,
         )
 
 
+class _RunningAttempt(NamedTuple):
+    """Attempt that runs; ``stalled`` is done when its node does not answer."""
+
+    worker: base.WorkerState
+    task: asyncio.Task[messages.Answer | errors.Refusal]
+    stalled: asyncio.Future[None]
+
+
 class _SelectorEntry:
     """Selector for one version of a service, with its last refresh."""
 
@@ -160,33 +182,117 @@
         selector_: selector.Selector,
         attempts: _Attempts,
     ) -> None:
+        """Make attempts until one is answered or no other one is allowed.
+
+        An attempt whose node does not answer goes on while another one runs,
+        because its worker may be at work; the first answer counts.
+        """
         request = attempts.request
-        budget = self._budget(request.service)
-        budget.record_request()
+        self._budget(request.service).record_request()
         size = self._response_bytes.get(
             route.name, DEFAULT_RESPONSE_BYTES
         ) + len(request.body)
-        while True:
-            worker = selector_.pick(size, attempts.tried)
-            if worker is None:
-                return
-            attempt_request = request._replace(
-                max_wait_s=self._max_wait_s(route, selector_, attempts.tried),
-                is_repeat=attempts.runs > 0,
-            )
-            result = await self._attempt(selector_, worker, attempt_request)
-            attempts.add_result(worker.key, result)
-            if attempts.is_answered_successfully():
-                self._record_response_size(route, result)
-                return
-            remaining_s = request.deadline - self._clock()
-            if not _may_repeat(route, attempts, result, remaining_s):
-                return
-            if _reached_worker(result) and not budget.try_acquire(
-                is_repeat=_may_have_run(result)
+        running: list[_RunningAttempt] = []
+        try:
+            while True:
+                worker = selector_.pick(size, attempts.tried)
+                if worker is not None:
+                    max_wait_s = self._max_wait_s(
+                        route, selector_, attempts.tried
+                    )
+                    is_repeat = attempts.runs + len(running) > 0
+                    attempts.tried.append(worker.key)
+                    running.append(
+                        self._start_attempt(
+                            selector_,
+                            worker,
+                            request._replace(
+                                max_wait_s=max_wait_s, is_repeat=is_repeat
+                            ),
+                        )
+                    )
+                if not await self._wait_for_repeat(route, attempts, running):
+                    return
+                self._app.service('metrics').increment('retries')
+        finally:
+            for attempt in running:
+                attempt.task.cancel()
+
+    def _start_attempt(
+        self,
+        selector_: selector.Selector,
+        worker: base.WorkerState,
+        request: messages.Request,
+    ) -> _RunningAttempt:
+        stalled = asyncio.get_running_loop().create_future()
+        task = asyncio.ensure_future(
+            self._attempt(selector_, worker, request, stalled)
+        )
+        return _RunningAttempt(worker, task, stalled)
+
+    async def _wait_for_repeat(
+        self,
+        route: model.Route,
+        attempts: _Attempts,
+        running: list[_RunningAttempt],
+    ) -> bool:
+        """Wait until another attempt is needed and allowed.
+
+        :param running: attempts that run; ended ones are removed
+        :returns: False if the request is answered, or if no attempt runs and
+            no other one is allowed
+        """
+        while running:
+            if attempts.is_answered() and all(
+                attempt.stalled.done() for attempt in running
             ):
-                return
-            self._app.service('metrics').increment('retries')
+                # A failure of an upstream is not held back for attempts that
+                # may get no answer at all.
+                return False
+            # A stall calls for one other attempt, so that only that of the
+            # latest attempt is waited for.
+            newest = running[-1]
+            waited = {attempt.task for attempt in running}
+            if not newest.stalled.done():
+                waited.add(newest.stalled)
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            for attempt in [item for item in running if item.task.done()]:
+                running.remove(attempt)
+                result = attempt.task.result()
+                attempts.add_result(attempt.worker.key, result)
+                if attempts.is_answered_successfully():
+                    self._record_response_size(route, result)
+                    return False
+                if self._may_start(route, attempts, len(running), result):
+                    return True
+            if (
+                newest in running
+                and newest.stalled.done()
+                and self._may_start(route, attempts, len(running), _STALL)
+            ):
+                return True
+        return False
+
+    def _may_start(
+        self,
+        route: model.Route,
+        attempts: _Attempts,
+        running: int,
+        result: messages.Answer | errors.Refusal,
+    ) -> bool:
+        """Return whether another attempt may start, and count it if so.
+
+        :param running: number of attempts that run
+        :param result: result of the attempt that calls for another one
+        """
+        remaining_s = attempts.request.deadline - self._clock()
+        if not _may_repeat(route, attempts, running, result, remaining_s):
+            return False
+        if not _reached_worker(result):
+            return True
+        return self._budget(attempts.request.service).try_acquire(
+            is_repeat=_may_have_run(result)
+        )
 
     def _max_wait_s(
         self,
@@ -207,13 +313,20 @@
         selector_: selector.Selector,
         worker: base.WorkerState,
         request: messages.Request,
+        stalled: asyncio.Future[None],
     ) -> messages.Answer | errors.Refusal:
         selector_.record_start(worker)
         began = self._clock()
         reply = None
+
+        def on_stall() -> None:
+            selector_.record_stall(worker)
+            self._app.service('exchange').check_node(worker.record)
+            stalled.set_result(None)
+
         try:
             reply = await self._app.service('peers').call(
-                worker.record, request
+                worker.record, request, on_stall
             )
         finally:
             if reply is None:
@@ -336,13 +449,14 @@
 def _may_repeat(
     route: model.Route,
     attempts: _Attempts,
+    running: int,
     result: messages.Answer | errors.Refusal,
     remaining_s: float,
 ) -> bool:
     """Return whether another attempt is allowed, apart from the budget."""
     if len(attempts.tried) >= MAX_ATTEMPTS or remaining_s < MIN_REMAINING_S:
         return False
-    if attempts.runs >= route.max_attempts:
+    if attempts.runs + running >= route.max_attempts:
         return False
     if _may_have_run(result):
         return route.repeatable
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import logging
 import re
 import socket
@@ -42,9 +43,10 @@
     ``deadline`` is a time of the loop's clock in seconds. A connection that
     was idle for longer than ``max_idle_s`` is not used. ``id_header`` names
     the header in which the server echoes the ``request_id``; a response with
-    another value belongs to an earlier request and is dropped. The request
-    fails when the peer sends nothing, not even an interim response, for
-    ``silence_timeout_s``; 0 turns this timeout off.
+    another value belongs to an earlier request and is dropped. When the peer
+    sends nothing, not even an interim response, for ``silence_timeout_s``,
+    ``on_silence`` is called with a description and the request goes on;
+    without it, the request fails. 0 turns this timeout off.
     """
 
     deadline: float
@@ -53,6 +55,7 @@
     id_header: str = ''
     request_id: str = ''
     silence_timeout_s: float = 0.0
+    on_silence: Callable[[str], None] | None = None
 
 
 class Pool:
@@ -379,10 +382,8 @@
         idle_s = now - self._last_received_at
         left_s = self._options.silence_timeout_s - idle_s
         if left_s <= 0:
-            self._fail(
-                self._describe_silence(idle_s, now - self._silence_check_at),
-                timed_out=True,
-                silent=True,
+            self._report_silence(
+                self._describe_silence(idle_s, now - self._silence_check_at)
             )
             return
         self._silence_check_at = now + left_s
@@ -390,6 +391,14 @@
             self._silence_check_at, self._on_silence_timer
         )
 
+    def _report_silence(self, reason: str) -> None:
+        if self._options.on_silence is None:
+            self._fail(reason, timed_out=True, silent=True)
+            return
+        # The cause may affect the idle connections too.
+        self._pool.close_idle()
+        self._options.on_silence(reason)
+
     def _describe_silence(self, idle_s: float, lateness_s: float) -> str:
         # Many bytes on other connections point to a full link of this node, a
         # late timer to its event loop. Neither is a fault of the peer.
--- /dev/null
+++ b/tests/test_fleet/test_silence.py
@@ -0,0 +1,255 @@
+"""Requests to nodes that can not be heard.
+
+The tests guard against requests that are given up while their upstream runs
+them, as in docs/incidents/cedarline-grown-lost.md, and against "not run" for
+a request that runs later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from damaskpier.fleet import attempts
+from damaskpier.fleet import peer_call
+from damaskpier.fleet import peers
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+
+from tests.test_fleet import conftest
+from tests.test_fleet import relay as relay_module
+
+
+@pytest.fixture
+async def relay(monkeypatch) -> AsyncIterator[relay_module.Relay]:
+    """Yield a relay; silence is noticed soon, after several messages."""
+    monkeypatch.setattr(peer_call, 'SILENCE_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(peer_call, 'QUESTION_INTERVAL_S', 0.01)
+    monkeypatch.setattr(peers, 'PROGRESS', server.Progress(0.005, 0.005))
+    # The nodes of the tests have just started.
+    monkeypatch.setattr(attempts, 'MAX_QUESTION_DELAY_S', 0.0)
+    made = relay_module.Relay()
+    yield made
+    await made.stop()
+
+
+def _pause_upstream(node: conftest.Node) -> asyncio.Event:
+    """Make an upstream wait for the returned event before it answers."""
+    resume = asyncio.Event()
+
+    async def wait(request: messages.Request) -> messages.Response:
+        await resume.wait()
+        return node.upstream.signed(200, node.upstream.instance.encode())
+
+    node.upstream.answer = wait
+    return resume
+
+
+@pytest.mark.parametrize('target', ['/read/1', '/write/1'])
+async def test_silence_does_not_end_a_request_that_its_upstream_runs(
+    fleet, relay, target
+):
+    """A request must get the answer of its upstream after any silence.
+
+    All data between the nodes is held back while the upstream is at work, as
+    on a link that is full.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = _pause_upstream(other)
+    task = asyncio.create_task(caller.request(target, 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silent = True
+    relay.silence()
+    opened = relay.opened
+    await conftest.wait_until(lambda: relay.opened > opened + 1 or task.done())
+    resume.set()
+    relay.resume()
+    assert (await task).body == b'i-1'
+    assert len(other.upstream.ran) == 1
+
+
+async def test_answer_arrives_over_another_connection(fleet, relay):
+    """A connection that is silent for good must not cost the answer."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = _pause_upstream(other)
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    resume.set()
+    assert (await task).body == b'i-1'
+    assert len(other.upstream.ran) == 1
+
+
+async def test_request_that_was_not_received_runs_on_another_worker(
+    fleet, relay
+):
+    """A request that never arrived may run elsewhere, whatever its kind.
+
+    It must not run when it arrives late.
+    """
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    third = await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    relay.silent = True
+    await relay.insert(caller, other)
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: relay.opened)
+    relay.silent = False
+    assert (await task).body == b'i-2'
+    relay.resume()
+    # The late request has been read when a later one has been answered.
+    assert (await caller.request('/write/2', 'POST')).status == 200
+    assert all(item.target == '/write/2' for item in other.upstream.ran)
+    assert third.upstream.ran[0].target == '/write/1'
+
+
+async def test_late_request_is_refused_after_it_was_reported_as_not_received(
+    fleet, relay
+):
+    """ "Not run" must stay true when the request arrives after all."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    relay.silent = True
+    await relay.insert(caller, other)
+    records = other.app.service('peer-server')._attempts
+    refused = []
+    run = records.run
+
+    async def observe(token, request):
+        reply = await run(token, request)
+        refused.append(reply.result)
+        return reply
+
+    records.run = observe
+    peers_service = caller.app.service('peers')
+    held = peers_service.pool(caller.app.service('membership').get(other.name))
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: relay.opened)
+    relay.silent = False
+    response = await task
+    assert response.status == 503
+    # The request arrives on a connection that its sender has closed.
+    relay.resume()
+    held.close_idle()
+    await conftest.wait_until(lambda: refused)
+    assert not other.upstream.ran
+
+
+async def test_repeatable_request_runs_elsewhere_while_its_node_is_silent(
+    fleet, relay
+):
+    """A node without power must not hold a request that may run again."""
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    relay.silent = True
+    await relay.insert(caller, other)
+    assert (await caller.request('/read/1')).body == b'i-2'
+    assert not other.upstream.ran
+
+
+async def test_request_that_must_not_run_twice_waits_for_its_deadline(
+    fleet, relay
+):
+    """Without an answer the caller learns that the request may have run."""
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    third = await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    task = asyncio.create_task(
+        caller.request('/write/1', 'POST', deadline_ms=400)
+    )
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silent = True
+    relay.silence()
+    assert (await task).status == 504
+    assert not third.upstream.ran
+
+
+async def test_failed_answer_is_not_held_back_for_a_silent_node(fleet, relay):
+    """The answer of another worker is passed on although it is a failure.
+
+    The deadline, an hour from now, does not end the wait.
+    """
+    fleet.store.put(
+        conftest.make_configuration(
+            2, (conftest.make_route(timeout_s=3600.0),)
+        )
+    )
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    third = await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+
+    async def fail(request):
+        return third.upstream.signed(500, b'failed')
+
+    third.upstream.answer = fail
+    relay.silent = True
+    await relay.insert(caller, other)
+    response = await caller.request('/read/1', deadline_ms=3_600_000)
+    assert (response.status, response.body) == (500, b'failed')
+
+
+async def test_caller_that_leaves_during_a_silence_cancels_its_request(
+    fleet, relay
+):
+    """The upstream must not work on for a caller that has left."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    opened = relay.opened
+    relay.silence()
+    # The attempt is asked for on another connection, and found.
+    await conftest.wait_until(lambda: relay.opened > opened)
+    task.cancel()
+    relay.resume()
+    await conftest.wait_until(lambda: other.upstream.cancelled == 1)
+
+
+async def test_older_node_that_refuses_the_question_ends_no_request(
+    fleet, relay
+):
+    """The refusal of a node of an older build says "not run" wrongly.
+
+    It does not know the question and refuses it as a request without route.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = _pause_upstream(other)
+    asked = asyncio.Event()
+
+    async def refuse(request, token):
+        asked.set()
+        return messages.Response(
+            503, (('Damaskpier-Result', '3003'), ('Damaskpier-Run', 'not-run'))
+        )
+
+    other.app.service('peer-server')._find_attempt = refuse
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        await asked.wait()
+    resume.set()
+    relay.resume()
+    assert (await task).body == b'i-1'
