Keep idle connections and wait longer after a silence

Cause: a link of this site is silent for 0.45 s in normal operation. Idle connections are closed only when another connection was answered, which shows that the old ones are the cause. The question has 2 s to connect. A second attempt starts only after 1.2 s without any data, on the connection of the attempt or of the question. Tests: tests/test_fleet and tests/test_http1, 326 passed.

--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -19,8 +19,14 @@
 LOG = logging.getLogger(__name__)
 
 # The node asks for an attempt whose connection is silent for this time; a
-# running attempt sends interim responses more often than twice in it.
-SILENCE_TIMEOUT_S = 0.45
+# running attempt sends about three interim responses in it.
+SILENCE_TIMEOUT_S = 0.6
+# An attempt counts as stalled when nothing was heard for this time, neither
+# on its connection nor on that of the question.
+STALL_TIMEOUT_S = 1.2
+# A question is given up after this time without data. It is long, because a
+# new connection takes long where a full link is the cause.
+QUESTION_TIMEOUT_S = 2.0
 # Pause between two questions for an attempt.
 QUESTION_INTERVAL_S = 0.2
 # A question that was sent before the connection of the attempt was lost may
@@ -42,6 +48,17 @@
     decode_found: Callable[[http_messages.Response], messages.Reply | None]
 
 
+class Observer(NamedTuple):
+    """Functions that are called once, while an attempt goes on.
+
+    ``on_silence`` is called when its connection is silent, ``on_stall`` when
+    the other node can not be reached on another connection either.
+    """
+
+    on_silence: Callable[[], None]
+    on_stall: Callable[[], None]
+
+
 class PeerCall:
     """One attempt on the worker of another node.
 
@@ -53,8 +70,7 @@
     :param name: names the attempt in log lines
     :param deadline: time of the loop's clock in seconds
     :param is_head: whether the request is a ``HEAD`` request
-    :param on_stall: called once, when the other node answers neither on the
-        connection of the attempt nor on another one
+    :param observer: learns of silence
     """
 
     def __init__(
@@ -65,20 +81,24 @@
         deadline: float,
         *,
         is_head: bool = False,
-        on_stall: Callable[[], None] | None = None,
+        observer: Observer | None = None,
     ) -> None:
         self._pool = pool
         self._exchange = exchange
         self._name = name
         self._deadline = deadline
         self._is_head = is_head
-        self._on_stall = on_stall
+        self._observer = observer
+        self._activity = client.Activity(0.0)
         self._silent = asyncio.Event()
+        self._has_stalled = False
+        self._stall_timer: asyncio.TimerHandle | None = None
         self._sent_at = 0.0
 
     async def run(self) -> messages.Reply:
         """Send the request and return the reply, from either connection."""
         self._sent_at = _time_with_suspension()
+        self._activity.heard_at = asyncio.get_running_loop().time()
         direct = asyncio.ensure_future(self._send())
         found = asyncio.ensure_future(self._find())
         try:
@@ -98,6 +118,8 @@
         finally:
             direct.cancel()
             found.cancel()
+            if self._stall_timer is not None:
+                self._stall_timer.cancel()
 
     async def _send(self) -> http_messages.Response | http_messages.Failure:
         return await self._pool.request(
@@ -107,12 +129,24 @@
                 is_head=self._is_head,
                 silence_timeout_s=SILENCE_TIMEOUT_S,
                 on_silence=self._note_silence,
+                activity=self._activity,
             ),
         )
 
     def _note_silence(self, reason: str) -> None:
         LOG.info('peers: %s: %s', self._name, reason)
         self._silent.set()
+        if self._observer is not None:
+            self._observer.on_silence()
+        self._check_stall()
+
+    def _check_stall(self) -> None:
+        loop = asyncio.get_running_loop()
+        stalls_at = self._activity.heard_at + STALL_TIMEOUT_S
+        if loop.time() >= stalls_at:
+            self._note_stall()
+        else:
+            self._stall_timer = loop.call_at(stalls_at, self._check_stall)
 
     async def _find(self) -> messages.Reply:
         """Ask for the attempt until there is an answer.
@@ -125,8 +159,10 @@
             response = await self._ask()
             if response is not None:
                 break
-            self._note_stall()
             await asyncio.sleep(QUESTION_INTERVAL_S)
+        # New connections work, unlike that of the attempt, and perhaps unlike
+        # the idle ones.
+        self._pool.close_idle()
         reply = self._exchange.decode_found(response)
         LOG.info(
             'peers: %s: asked for on another connection: %s after %d ms',
@@ -141,10 +177,17 @@
 
     async def _ask(self) -> http_messages.Response | None:
         age_s = _time_with_suspension() - self._sent_at
-        outcome = await self._pool.request(
+        pool = client.Pool(
+            *self._pool.address,
+            max_idle=0,
+            connect_timeout_s=QUESTION_TIMEOUT_S,
+        )
+        outcome = await pool.request(
             self._exchange.question(age_s),
             client.Options(
-                deadline=self._deadline, silence_timeout_s=SILENCE_TIMEOUT_S
+                deadline=self._deadline,
+                silence_timeout_s=QUESTION_TIMEOUT_S,
+                activity=self._activity,
             ),
         )
         if isinstance(outcome, http_messages.Response):
@@ -157,9 +200,9 @@
         return None
 
     def _note_stall(self) -> None:
-        on_stall, self._on_stall = self._on_stall, None
-        if on_stall is not None:
-            on_stall()
+        if self._observer is not None and not self._has_stalled:
+            self._observer.on_stall()
+        self._has_stalled = True
 
 
 def refusal_from_failure(failure: http_messages.Failure) -> errors.Refusal:
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -103,12 +103,12 @@
         self,
         record: model.NodeRecord,
         request: messages.Request,
-        on_stall: Callable[[], None] | None = None,
+        observer: peer_call.Observer | None = None,
     ) -> messages.Reply:
         """Run a request on the worker of a node, which may be this one.
 
-        :param on_stall: called when the node does not answer at all while the
-            attempt goes on
+        :param observer: learns when the node is not heard while the attempt
+            goes on
         """
         if record.node_id == self._node_id:
             return await self._app.service('worker').call(request)
@@ -120,7 +120,7 @@
             f'{request.request_id} on {record.node_id}',
             asyncio.get_running_loop().time() + request.deadline - now,
             is_head=request.method == 'HEAD',
-            on_stall=on_stall,
+            observer=observer,
         )
         return await call.run()
 
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -14,6 +14,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import model
+from damaskpier.fleet import peer_call
 from damaskpier.fleet import selector
 from damaskpier import registry
 from damaskpier.rollout import model as rollout_model
@@ -319,14 +320,17 @@
         began = self._clock()
         reply = None
 
-        def on_stall() -> None:
-            selector_.record_stall(worker)
+        def on_silence() -> None:
+            selector_.record_silence(worker)
             self._app.service('exchange').check_node(worker.record)
-            stalled.set_result(None)
 
         try:
             reply = await self._app.service('peers').call(
-                worker.record, request, on_stall
+                worker.record,
+                request,
+                peer_call.Observer(
+                    on_silence, lambda: stalled.set_result(None)
+                ),
             )
         finally:
             if reply is None:
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -152,8 +152,8 @@
         """Record that an attempt ended without a result."""
         worker.outstanding -= 1
 
-    def record_stall(self, worker: WorkerState) -> None:
-        """Record that a worker's node does not answer during an attempt."""
+    def record_silence(self, worker: WorkerState) -> None:
+        """Record that a worker's node is not heard during an attempt."""
         worker.last_result_at = self._clock()
         self._ejector.record_no_answer(worker.key)
         self._record_reliability(worker, succeeded=False)
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -37,6 +37,18 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
+class Activity:
+    """Time at which data last arrived, for one or more requests.
+
+    :param heard_at: time of the loop's clock in seconds
+    """
+
+    __slots__ = ('heard_at',)
+
+    def __init__(self, heard_at: float) -> None:
+        self.heard_at = heard_at
+
+
 class Options(NamedTuple):
     """Options of a request.
 
@@ -46,7 +58,8 @@
     another value belongs to an earlier request and is dropped. When the peer
     sends nothing, not even an interim response, for ``silence_timeout_s``,
     ``on_silence`` is called with a description and the request goes on;
-    without it, the request fails. 0 turns this timeout off.
+    without it, the request fails. 0 turns this timeout off. ``activity``
+    records when data arrives.
     """
 
     deadline: float
@@ -56,6 +69,7 @@
     request_id: str = ''
     silence_timeout_s: float = 0.0
     on_silence: Callable[[str], None] | None = None
+    activity: Activity | None = None
 
 
 class Pool:
@@ -272,6 +286,8 @@
             return
         self._last_received_at = asyncio.get_running_loop().time()
         self._received_by_all = byte_counter.RECEIVED.total
+        if self._options.activity is not None:
+            self._options.activity.heard_at = self._last_received_at
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -394,10 +410,8 @@
     def _report_silence(self, reason: str) -> None:
         if self._options.on_silence is None:
             self._fail(reason, timed_out=True, silent=True)
-            return
-        # The cause may affect the idle connections too.
-        self._pool.close_idle()
-        self._options.on_silence(reason)
+        else:
+            self._options.on_silence(reason)
 
     def _describe_silence(self, idle_s: float, lateness_s: float) -> str:
         # Many bytes on other connections point to a full link of this node, a
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -26,6 +26,8 @@
 async def relay(monkeypatch) -> AsyncIterator[relay_module.Relay]:
     """Yield a relay; silence is noticed soon, after several messages."""
     monkeypatch.setattr(peer_call, 'SILENCE_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(peer_call, 'STALL_TIMEOUT_S', 0.1)
+    monkeypatch.setattr(peer_call, 'QUESTION_TIMEOUT_S', 0.1)
     monkeypatch.setattr(peer_call, 'QUESTION_INTERVAL_S', 0.01)
     monkeypatch.setattr(peers, 'PROGRESS', server.Progress(0.005, 0.005))
     # The nodes of the tests have just started.
