Answer requests that outlast the stop of their node

Change: before that, the router ends all requests; those with a running attempt get 502, run unknown. Test: test_request_that_outlasts_the_stop_gets_a_failure. Before the change its request ends with 'the connection was lost: closed'. tests/test_fleet, test_http1 and test_docs pass.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -41,6 +41,8 @@
 DRAIN_POLL_S = 0.05
 # Running requests have to end within this part of the grace period.
 FINISH_GRACE_RATIO = 0.87
+# Time for the responses to requests that have not ended by then.
+LAST_RESPONSES_S = 0.1
 # Time limit of a request for which neither the caller nor the route sets one.
 DEFAULT_DEADLINE_S = 5.0
 # Retry-After of a refused request: about as long as a request occupies a slot
@@ -125,10 +127,13 @@
             self._unready_probes,
         )
         until = began + FINISH_GRACE_RATIO * self._grace_s
-        if not await self.server.stop(until - self._clock()):
-            LOG.warning(
-                'ingress: %d requests were still running', self.server.running
-            )
+        remaining_s = until - self._clock()
+        timer = asyncio.get_running_loop().call_later(
+            remaining_s, self._abandon_requests
+        )
+        if not await self.server.stop(remaining_s + LAST_RESPONSES_S):
+            LOG.warning('ingress: %d requests were cut', self.server.running)
+        timer.cancel()
         await peer_server.drain(until)
 
     def check_readiness(self) -> bool:
@@ -148,6 +153,13 @@
             or len(self._app.service('membership').nodes()) > 1
         )
 
+    def _abandon_requests(self) -> None:
+        LOG.warning(
+            'ingress: %d requests are still running and get a failure',
+            self.server.running,
+        )
+        self._app.service('router').abandon_requests()
+
     async def _wait_for_callers(self, until: float) -> None:
         """Wait until the callers have stopped sending.
 
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -51,6 +51,12 @@
     'the node does not answer',
     errors.RunState.UNKNOWN,
 )
+# Result of an attempt that is cancelled because its request has ended.
+_GIVEN_UP = errors.Refusal(
+    errors.CALL_UNKNOWN,
+    'the attempt was given up while it ran',
+    errors.RunState.UNKNOWN,
+)
 
 
 class Outcome(NamedTuple):
@@ -155,8 +161,19 @@
         self._selectors: dict[tuple[str, str], _SelectorEntry] = {}
         self._budgets: dict[str, retry.FleetRetryBudget] = {}
         self._response_bytes: dict[str, float] = {}
+        # Done when the running requests are to end without further waiting.
+        self._abandoned: asyncio.Future[None] | None = None
         app.events.connect('workers-changed', self._workers_changed)
 
+    async def start(self) -> None:
+        """Start without requests to abandon."""
+        self._abandoned = asyncio.get_running_loop().create_future()
+
+    def abandon_requests(self) -> None:
+        """End all requests with what is known of them."""
+        if not self._abandoned.done():
+            self._abandoned.set_result(None)
+
     async def route(
         self, route: model.Route, request: messages.Request
     ) -> Outcome:
@@ -218,6 +235,8 @@
         finally:
             for attempt in running:
                 attempt.task.cancel()
+                if not attempts.is_answered():
+                    attempts.add_result(attempt.worker.key, _GIVEN_UP)
 
     def _start_attempt(
         self,
@@ -240,8 +259,8 @@
         """Wait until another attempt is needed and allowed.
 
         :param running: attempts that run; ended ones are removed
-        :returns: False if the request is answered, or if no attempt runs and
-            no other one is allowed
+        :returns: False if the request is answered or abandoned, or if no
+            attempt runs and no other one is allowed
         """
         while running:
             if attempts.is_answered() and all(
@@ -254,6 +273,7 @@
             # latest attempt is waited for.
             newest = running[-1]
             waited = {attempt.task for attempt in running}
+            waited.add(self._abandoned)
             if not newest.stalled.done():
                 waited.add(newest.stalled)
             await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
@@ -264,8 +284,12 @@
                 if attempts.is_answered_successfully():
                     self._record_response_size(route, result)
                     return False
-                if self._may_start(route, attempts, len(running), result):
+                if not self._abandoned.done() and self._may_start(
+                    route, attempts, len(running), result
+                ):
                     return True
+            if self._abandoned.done():
+                return False
             if (
                 newest in running
                 and newest.stalled.done()
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -205,6 +205,24 @@
     )
 
 
+async def test_request_that_outlasts_the_stop_gets_a_failure(fleet):
+    """A node must not close a connection without an answer when it stops.
+
+    The upstream still runs the request at the end of the grace period.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    paused = _pause_upstream(other)
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await paused.running.wait()
+    await caller.app.service('ingress').stop()
+    response = await task
+    assert isinstance(response, messages.Response)
+    assert response.status == 502
+    await conftest.wait_until(lambda: other.upstream.cancelled == 1)
+
+
 async def test_stop_of_a_node_finishes_requests_of_other_nodes(
     fleet, stop_until_left
 ):
