Allow for slow questions before an attempt is reported as not received

Cause: a question for an attempt has 2 s to connect and 2 s to be answered, and its age is computed before both, but the worker's node allowed for 2 s in all. A node that had restarted meanwhile could have reported an attempt as not received that its earlier process ran. Change: the bound is derived from the timeout of a question. Test: test_attempt_from_before_the_start_of_the_node_is_not_known fails with the bound of 2 s.

--- a/damaskpier/fleet/attempts.py
+++ b/damaskpier/fleet/attempts.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import peer_call
 from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
@@ -28,8 +29,9 @@
 MAX_BYTES = 4 * 1024 * 1024
 MAX_ENDED_COUNT = 20_000
 # Upper bound of the time between the moment at which a node computes the age
-# of an attempt and the moment at which the question for it is read.
-MAX_QUESTION_DELAY_S = 2.0
+# of an attempt and the moment at which the question for it is read: it has one
+# timeout to connect and one to be answered.
+MAX_QUESTION_DELAY_S = 2 * peer_call.QUESTION_TIMEOUT_S + 1.0
 
 _NOT_RECEIVED = errors.Refusal(
     errors.CALL_CONNECT, 'the attempt was not received and is refused now'
--- a/tests/test_fleet/test_attempts.py
+++ b/tests/test_fleet/test_attempts.py
@@ -12,6 +12,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import attempts
+from damaskpier.fleet import peer_call
 from damaskpier.traffic import messages
 
 REQUEST = messages.Request(
@@ -109,10 +110,12 @@
 async def test_attempt_from_before_the_start_of_the_node_is_not_known(worker):
     """The earlier process of a restarted node may have run the attempt."""
     records = attempts.Attempts(worker.call, lambda: worker.now)
-    worker.now += 5.0
-    assert await records.find('t1', 6.0) is None
-    # The question may have been under way for a while.
-    assert await records.find('t1', 4.5) is None
+    worker.now += 10.0
+    assert await records.find('t1', 11.0) is None
+    # The question may have been under way for a while: a node has two
+    # timeouts for it.
+    slowest_s = 2 * peer_call.QUESTION_TIMEOUT_S
+    assert await records.find('t1', 10.0 - slowest_s) is None
     assert await records.find('t1', 1.0) is not None
 
 
