Accept late answers in the check of a silent node

Cause: a check gave up its first message after 0.6 s and then needed an answer to the second one in 0.6 s. Gossip that arrived from the node during the check was not taken into account. The answer to a check also contained the records of all nodes that differ, and possibly the configuration.

Ruled out: asking a third node before the mark. A longer time for each message: a node without power would stay in routing for longer.

Change: a check lasts 1.2 s instead of 1.35 s, and both of its messages may be answered until its end. The second message uses a new connection, as the open ones may transport nothing any more. A message that the node sends ends the check too. The messages of a check ask for nothing but an answer. A lost node whose connections hang is found after 1.2 s instead of 0.95 s, one that is silent on an open connection after 1.2 s instead of 1.35 s, and one that resets connections after 0.15 s as before.

Evidence: python -m pytest tests/test_fleet/test_exchange.py: 4 passed.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -43,10 +43,13 @@
 # Changes within this time are sent in one message.
 BATCH_DELAY_S = 0.02
 MESSAGE_TIMEOUT_S = 0.6
-# A node is marked as gone when this many checks fail in a row.
-MAX_FAILED_CHECKS = 2
-# Pause between the two checks of a node that may be unreachable.
+# A node is marked as gone when nothing was received from it for this time
+# after the first of two messages. Both may be answered until then, because an
+# answer over a link that is full takes longer than MESSAGE_TIMEOUT_S.
+CHECK_DURATION_S = 1.2
+# Pause between the two messages of a check.
 RECHECK_DELAY_S = 0.15
+MAX_CHECKS = 9
 # A node that was marked as gone is contacted at this interval, and for this
 # time, by the node before it in the ring, because a node that restarts while
 # the store is unreachable has no addresses of other nodes. The time is that of
@@ -94,7 +97,9 @@
         self._batch_timer: asyncio.TimerHandle | None = None
         # Nodes whose changed records have not been sent yet.
         self._unsent_node_ids: set[str] = set()
-        self._checking_node_ids: set[str] = set()
+        # Per node that is being checked, a future that is done as soon as
+        # something was received from it.
+        self._checks: dict[str, asyncio.Future[None]] = {}
         self._config_applied_at = 0.0
         self._encoded_config: tuple[int, bytes] = (0, b'')
         app.events.connect('membership-delta', self._membership_changed)
@@ -172,16 +177,14 @@
     def check_node(self, record: mesh_model.NodeRecord) -> None:
         """Check a node in the background after it failed to answer.
 
-        Does nothing if the node is being checked or more than 8 checks are
+        Does nothing if the node is being checked or ``MAX_CHECKS`` checks are
         running.
         """
-        if (
-            record.node_id in self._checking_node_ids
-            or len(self._checking_node_ids) > 8
-        ):
+        if record.node_id in self._checks or len(self._checks) >= MAX_CHECKS:
             return
-        self._checking_node_ids.add(record.node_id)
-        self._spawn(self._check_reachable(record))
+        heard = asyncio.get_running_loop().create_future()
+        self._checks[record.node_id] = heard
+        self._spawn(self._check_reachable(record, heard))
 
     async def _register(self) -> None:
         local = self._app.service('membership').local_record()
@@ -297,25 +300,74 @@
         if not await self._sync(record) and not record.gone:
             self.check_node(record)
 
-    async def _check_reachable(self, record: mesh_model.NodeRecord) -> None:
+    async def _check_reachable(
+        self, record: mesh_model.NodeRecord, heard: asyncio.Future[None]
+    ) -> None:
+        sending = asyncio.ensure_future(self._send_check_messages(record))
         try:
-            for attempt in range(MAX_FAILED_CHECKS):
-                if attempt:
-                    await asyncio.sleep(RECHECK_DELAY_S)
-                if await self._sync(record):
-                    return
-            membership = self._app.service('membership')
-            current = membership.get(record.node_id)
-            if current is not None and not current.gone:
-                LOG.warning(
-                    'exchange: %s at %s does not answer; its worker is '
-                    'removed from routing',
-                    record.node_id,
-                    record.host,
-                )
-                membership.mark_gone([record.node_id])
+            await asyncio.wait(
+                {heard, sending}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not heard.done():
+                # Raises the error if sending failed because of one.
+                await sending
+                self._mark_gone(record)
         finally:
-            self._checking_node_ids.discard(record.node_id)
+            sending.cancel()
+            del self._checks[record.node_id]
+
+    async def _send_check_messages(
+        self, record: mesh_model.NodeRecord
+    ) -> None:
+        """Send two messages and wait until both have ended."""
+        deadline = asyncio.get_running_loop().time() + CHECK_DURATION_S
+        gossip = mesh_pb2.Gossip()
+        await asyncio.gather(
+            self._request(
+                self._app.service('peers').pool(record),
+                record,
+                gossip,
+                deadline,
+            ),
+            self._send_second_check_message(record, gossip, deadline),
+        )
+
+    async def _send_second_check_message(
+        self,
+        record: mesh_model.NodeRecord,
+        gossip: mesh_pb2.Gossip,
+        deadline: float,
+    ) -> None:
+        """Send a message on a new connection.
+
+        The existing ones may transport nothing any more.
+        """
+        await asyncio.sleep(RECHECK_DELAY_S)
+        pool = client.Pool(
+            record.host,
+            record.rpc_port,
+            max_idle=0,
+            connect_timeout_s=CHECK_DURATION_S,
+        )
+        await self._request(pool, record, gossip, deadline)
+
+    def _mark_gone(self, record: mesh_model.NodeRecord) -> None:
+        membership = self._app.service('membership')
+        current = membership.get(record.node_id)
+        if current is not None and not current.gone:
+            LOG.warning(
+                'exchange: %s at %s does not answer; its worker is removed '
+                'from routing',
+                record.node_id,
+                record.host,
+            )
+            membership.mark_gone([record.node_id])
+
+    def _heard_from(self, node_id: str) -> None:
+        """Record that a node is alive, which ends a check of it."""
+        heard = self._checks.get(node_id)
+        if heard is not None and not heard.done():
+            heard.set_result(None)
 
     async def _sync(self, record: mesh_model.NodeRecord) -> bool:
         """Run an anti-entropy round with another node.
@@ -387,7 +439,9 @@
         membership = self._app.service('membership')
         records, _ = wire.delta_from_pb(gossip.membership)
         if gossip.HasField('sender'):
-            records.append(wire.record_from_pb(gossip.sender))
+            sender = wire.record_from_pb(gossip.sender)
+            self._heard_from(sender.node_id)
+            records.append(sender)
         if records:
             membership.merge(records, gossip)
         rollouts = self._app.service('rollouts')
@@ -462,28 +516,40 @@
     ) -> bytes | None:
         """Send a message to a node.
 
+        :returns: encoded reply; None if there was none
+        """
+        return await self._request(
+            self._app.service('peers').pool(record),
+            record,
+            gossip,
+            asyncio.get_running_loop().time() + MESSAGE_TIMEOUT_S,
+        )
+
+    async def _request(
+        self,
+        pool: client.Pool,
+        record: mesh_model.NodeRecord,
+        gossip: mesh_pb2.Gossip,
+        deadline: float,
+    ) -> bytes | None:
+        """Send a message over a connection of a pool.
+
+        :param deadline: time of the loop's clock in seconds
         :returns: encoded reply; None if there was none
         """
         body = self._add_sender(gossip).SerializeToString()
-        outcome = (
-            await self._app.service('peers')
-            .pool(record)
-            .request(
-                http_messages.encode_request(
-                    'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
-                ),
-                client.Options(
-                    deadline=asyncio.get_running_loop().time()
-                    + MESSAGE_TIMEOUT_S,
-                    silence_timeout_s=MESSAGE_TIMEOUT_S,
-                ),
-            )
+        outcome = await pool.request(
+            http_messages.encode_request(
+                'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
+            ),
+            client.Options(deadline),
         )
         if isinstance(outcome, http_messages.Failure):
             LOG.debug(
                 'exchange: no reply from %s: %s', record.node_id, outcome
             )
             return None
+        self._heard_from(record.node_id)
         return outcome.body
 
     def _add_sender(self, gossip: mesh_pb2.Gossip) -> mesh_pb2.Gossip:
--- /dev/null
+++ b/tests/test_fleet/test_exchange.py
@@ -0,0 +1,145 @@
+"""Checks of nodes that may be unreachable.
+
+The tests guard against a running node that is marked as gone, because that
+removes its worker from routing on all nodes, and against a lost node that
+stays in routing for long.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from damaskpier.fleet import exchange
+
+from tests.test_fleet import conftest
+
+# Time within which a lost node was found before the messages of a check were
+# given the whole time of the check.
+DETECTION_LIMIT_S = 1.4
+
+
+@pytest.fixture(autouse=True)
+def no_anti_entropy(monkeypatch):
+    """Leave the messages between nodes to the tests."""
+    monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 1000.0)
+
+
+async def _make_quiet_pair(fleet):
+    """Return two nodes that have sent all their messages to each other."""
+    nodes = [await fleet.add() for _ in range(2)]
+    await fleet.wait_converged()
+    services = [node.app.service('exchange') for node in nodes]
+    await conftest.wait_until(
+        lambda: all(
+            service.is_registered
+            and service._batch_timer is None
+            and not service._tasks
+            for service in services
+        )
+    )
+    return nodes
+
+
+def _record(first, second):
+    return first.app.service('membership').get(second.name)
+
+
+async def _check(first, record):
+    """Run a check of a node to its end."""
+    service = first.app.service('exchange')
+    service.check_node(record)
+    await conftest.wait_until(lambda: not service._checks)
+
+
+def _answer_with(node, answer):
+    """Let a node answer messages only when a coroutine function returns.
+
+    :param answer: called with the number of the message
+    """
+    server = node.app.service('peer-server').server
+    handle = server.handler
+    count = 0
+
+    async def wait_and_handle(request):
+        nonlocal count
+        count += 1
+        await answer(count)
+        return await handle(request)
+
+    server.handler = wait_and_handle
+
+
+async def test_answer_after_the_second_message_is_accepted(fleet):
+    """Answers over a link that is full take longer than usual.
+
+    A check that gives up its first message before it sends the second one
+    would need an answer in the shorter time.
+    """
+    first, second = await _make_quiet_pair(fleet)
+    second_arrived = asyncio.Event()
+
+    async def answer_first_after_second(number):
+        if number > 1:
+            second_arrived.set()
+            await asyncio.Event().wait()
+        await second_arrived.wait()
+
+    _answer_with(second, answer_first_after_second)
+    await _check(first, _record(first, second))
+    assert second_arrived.is_set()
+    assert not _record(first, second).gone
+
+
+async def test_node_that_sends_a_message_is_not_marked_as_gone(fleet):
+    """A message of the node during the check shows that it is running."""
+    first, second = await _make_quiet_pair(fleet)
+
+    async def send_but_never_answer(number):
+        second.app.service('membership').republish_local()
+        await asyncio.Event().wait()
+
+    _answer_with(second, send_but_never_answer)
+    await _check(first, _record(first, second))
+    assert not _record(first, second).gone
+
+
+@contextlib.contextmanager
+def _silent_port(accepts):
+    """Yield a port at which nothing answers.
+
+    :param accepts: whether the kernel still accepts connections there; if
+        not, connecting hangs as it does to a node without power
+    """
+    with contextlib.ExitStack() as stack:
+        sock = stack.enter_context(socket.socket())
+        sock.bind((conftest.HOST, 0))
+        sock.listen(100 if accepts else 0)
+        port = sock.getsockname()[1]
+        if not accepts:
+            # Fills the queue of connections.
+            stack.enter_context(
+                socket.create_connection((conftest.HOST, port))
+            )
+        yield port
+
+
+@pytest.mark.parametrize('accepts', [True, False])
+async def test_lost_node_is_marked_as_gone_in_time(fleet, accepts):
+    """A node without power must not stay in routing for longer."""
+    first, second = await _make_quiet_pair(fleet)
+    with _silent_port(accepts) as port:
+        record = _record(first, second)._replace(rpc_port=port)
+        check = asyncio.ensure_future(_check(first, record))
+        limit = asyncio.ensure_future(asyncio.sleep(DETECTION_LIMIT_S))
+        gone_at_end = []
+        check.add_done_callback(
+            lambda _: gone_at_end.append(_record(first, second).gone)
+        )
+        await asyncio.wait({check, limit}, return_when=asyncio.FIRST_COMPLETED)
+        assert check.done()
+        await check
+    assert gone_at_end == [True]
