Wait longer for answers while this node gets few

Cause: a node takes each silence as a fault of the other node, also while nearly all nodes are silent to it because its own link is full.

Ruled out: counting the silent nodes. The ratio tells these cases apart.

Change: exchange records how long its messages to nodes take that are neither marked as gone nor being checked. While more than half of those of the last 3 s, and at least four, took 0.3 s or longer, a check takes 2.4 s instead of 1.2 s. The idea is that of Lifeguard (Dadgar et al., 2018).

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -518,12 +518,22 @@
 
         :returns: encoded reply; None if there was none
         """
-        return await self._request(
+        began = self._clock()
+        body = await self._request(
             self._app.service('peers').pool(record),
             record,
             gossip,
             asyncio.get_running_loop().time() + MESSAGE_TIMEOUT_S,
         )
+        # A node that may be lost says nothing about the link of this one.
+        current = self._app.service('membership').get(record.node_id)
+        if (
+            current is not None
+            and not current.gone
+            and record.node_id not in self._checks
+        ):
+            self._check_timing.record_message(self._clock() - began)
+        return body
 
     async def _request(
         self,
--- a/tests/test_fleet/test_exchange.py
+++ b/tests/test_fleet/test_exchange.py
@@ -29,9 +29,9 @@
     monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 1000.0)
 
 
-async def _make_quiet_pair(fleet):
-    """Return two nodes that have sent all their messages to each other."""
-    nodes = [await fleet.add() for _ in range(2)]
+async def _make_quiet_nodes(fleet, count=2):
+    """Return nodes that have sent all their messages to each other."""
+    nodes = [await fleet.add() for _ in range(count)]
     await fleet.wait_converged()
     await _wait_quiet(nodes)
     return nodes
@@ -84,7 +84,7 @@
     A check that gives up its first message before it sends the second one
     would need an answer in the shorter time.
     """
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
     second_arrived = asyncio.Event()
 
     async def answer_first_after_second(number):
@@ -101,7 +101,7 @@
 
 async def test_node_that_sends_a_message_is_not_marked_as_gone(fleet):
     """A message of the node during the check shows that it is running."""
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
 
     async def send_but_never_answer(number):
         second.app.service('membership').republish_local()
@@ -135,7 +135,7 @@
 @pytest.mark.parametrize('accepts', [True, False])
 async def test_lost_node_is_marked_as_gone_in_time(fleet, accepts):
     """A node without power must not stay in routing for longer."""
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
     with _silent_port(accepts) as port:
         record = _record(first, second)._replace(rpc_port=port)
         check = asyncio.ensure_future(_check(first, record))
@@ -162,7 +162,7 @@
 
 async def test_node_that_refuted_a_tombstone_gets_more_time(fleet):
     """A node behind a full link is silent again soon after its refutation."""
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
     membership = first.app.service('membership')
     membership.mark_gone([second.name])
     await conftest.wait_until(lambda: not _record(first, second).gone)
@@ -174,7 +174,7 @@
 
 async def test_restarted_node_gets_the_usual_time(fleet):
     """The start of a lost node says nothing about its link."""
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
     membership = first.app.service('membership')
     record = _record(first, second)
     membership.mark_gone([second.name])
@@ -186,7 +186,7 @@
 
 async def test_time_after_a_refutation_is_limited(fleet, monkeypatch):
     """A node that refuted long ago must be found as fast as others."""
-    first, second = await _make_quiet_pair(fleet)
+    first, second = await _make_quiet_nodes(fleet)
     monkeypatch.setattr(check_timing, 'REFUTATION_MEMORY_S', 0.0)
     membership = first.app.service('membership')
     membership.mark_gone([second.name])
@@ -195,3 +195,39 @@
     _answer_late(second, 1.5)
     await _check(first, _record(first, second))
     assert _record(first, second).gone
+
+
+async def test_node_that_gets_few_answers_waits_longer(fleet):
+    """A node behind a full link must not blame the others.
+
+    All of them seem silent to it, while they hear each other.
+    """
+    first, second, third = await _make_quiet_nodes(fleet, 3)
+    service = first.app.service('exchange')
+    _answer_late(second, 1.5)
+    _answer_late(third, 1.5)
+    answered = await asyncio.gather(
+        *(service._sync(_record(first, third)) for _ in range(5))
+    )
+    assert not any(answered)
+    await _check(first, _record(first, second))
+    assert not _record(first, second).gone
+
+
+async def test_lost_nodes_do_not_extend_checks(fleet):
+    """After a failure of many nodes, all of them must be found in time.
+
+    Messages to nodes that are being checked or are marked as gone say nothing
+    about the link of this node.
+    """
+    first, second, third = await _make_quiet_nodes(fleet, 3)
+    service = first.app.service('exchange')
+    _answer_late(second, 1.5)
+    _answer_late(third, 1.5)
+    membership = first.app.service('membership')
+    membership.merge([_record(first, third)._replace(gone=True)], object())
+    await asyncio.gather(
+        *(service._sync(_record(first, third)) for _ in range(5))
+    )
+    await _check(first, _record(first, second))
+    assert _record(first, second).gone
