Go on with a read of the store while bytes arrive

Callers would see an old configuration for longer: a node whose link is full can not read the configuration and says "can not reach the store".

Cause: a read of all objects was given up 1.5 s after its start, whether or not bytes arrived. The configuration of this site has about 250 kB, which is 0.2 s of a free link of 10 Mbit/s. The next attempt starts with the first byte and fills the link again.

Ruled out: a longer time for all calls, with which a node would notice a store that is cut off later.

Change: a read ends after 1.5 s without a byte, or after 10 s. Writes and watches are unchanged.

Before, test_read_goes_on_while_bytes_arrive fails with a refusal ("assert not True"); test_read_ends_when_no_more_bytes_arrive keeps the limit for a silent store.

--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -28,6 +28,10 @@
 LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.5
+# A read of all objects ends after CALL_TIMEOUT_S without a byte, or after this
+# time. Over a link that is full, a configuration takes longer than other
+# calls, and a read that is given up starts again with the first byte.
+READ_TIMEOUT_S = 10.0
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
@@ -167,7 +171,12 @@
         after = ''
         while True:
             query = '?' + parse.urlencode({'after': after}) if after else ''
-            answer = await self._call('GET', _object_path(kind) + query)
+            answer = await self._call(
+                'GET',
+                _object_path(kind) + query,
+                timeout_s=READ_TIMEOUT_S,
+                silence_timeout_s=CALL_TIMEOUT_S,
+            )
             if isinstance(answer, errors.Refusal):
                 return answer
             if answer.status != 200:
@@ -213,6 +222,7 @@
         target: str,
         content: objects.Object | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        silence_timeout_s: float = 0.0,
     ) -> _Response | errors.Refusal:
         fields: messages.Headers = (('Host', self._host),)
         body = b''
@@ -223,7 +233,11 @@
         now = asyncio.get_running_loop().time()
         outcome = await self._pool.request(
             messages.encode_request(method, target, fields, body),
-            client.Options(deadline=now + timeout_s, max_idle_s=5.0),
+            client.Options(
+                deadline=now + timeout_s,
+                max_idle_s=5.0,
+                silence_timeout_s=silence_timeout_s,
+            ),
         )
         if isinstance(outcome, messages.Failure):
             code = errors.PLATFORM_UNAVAILABLE
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -144,18 +144,23 @@
     await made.server.stop(0.0)
 
 
-@pytest.fixture
-def client(fake: FakeStore) -> store.PlatformStore:
-    """Return a client of the store."""
+def make_client(port: int) -> store.PlatformStore:
+    """Return a client of the store at a port."""
     cfg = config.loads(
         '[node]\nid = n\nregion = r\nfailure_domain = d\n'
-        f'[platform]\naddress = {HOST}:{fake.server.port}\n'
+        f'[platform]\naddress = {HOST}:{port}\n'
         '[fleet]\napply = 0.1\n'
     )
     app = application.make_application(cfg, (metrics.setup, store.setup))
     return app.service('store')
 
 
+@pytest.fixture
+def client(fake: FakeStore) -> store.PlatformStore:
+    """Return a client of the store."""
+    return make_client(fake.server.port)
+
+
 @pytest.fixture
 def operator_config() -> Callable[..., dict]:
     """Return a function that makes a configuration as operators do."""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -127,6 +127,69 @@
     assert (await _next_good(found)).version == 15
 
 
+class _SlowStore:
+    """Store that sends a list of objects in parts with pauses.
+
+    :param sent_parts: number of parts after which nothing more is sent
+    """
+
+    PART_COUNT = 10
+    PAUSE_S = 0.2
+
+    def __init__(self, sent_parts: int = PART_COUNT) -> None:
+        self.ended = asyncio.Event()
+        self._sent_parts = sent_parts
+
+    async def answer(self, reader, writer):
+        """Answer one request."""
+        await reader.readuntil(b'\r\n\r\n')
+        body = b'{"items":[],"hasMore":false,"currentRev":7}'.ljust(1000)
+        response = b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n' + body
+        size = -(-len(response) // self.PART_COUNT)
+        for number in range(self._sent_parts):
+            writer.write(response[number * size : (number + 1) * size])
+            await asyncio.sleep(self.PAUSE_S)
+        await reader.read()
+        writer.close()
+        await writer.wait_closed()
+        self.ended.set()
+
+
+async def _read_from(slow):
+    """Read all objects of a kind and return the result."""
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        listener = await asyncio.start_server(slow.answer, conftest.HOST, 0)
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            client = conftest.make_client(port)
+            found = await client.list_objects('config')
+            await client.stop()
+            await slow.ended.wait()
+            return found
+
+
+async def test_read_goes_on_while_bytes_arrive():
+    """A configuration takes long over a link that is full.
+
+    A read that is given up by its duration starts again with the first byte,
+    and fills the link even more.
+    """
+    assert _SlowStore.PART_COUNT * _SlowStore.PAUSE_S > store.CALL_TIMEOUT_S
+    found = await _read_from(_SlowStore())
+    assert not isinstance(found, errors.Refusal)
+    assert found.revision == 7
+
+
+async def test_read_ends_when_no_more_bytes_arrive():
+    """A store that is cut off must not hold a read to its longest time."""
+    reading = asyncio.ensure_future(_read_from(_SlowStore(sent_parts=2)))
+    longest = asyncio.ensure_future(asyncio.sleep(store.READ_TIMEOUT_S / 2))
+    await asyncio.wait({reading, longest}, return_when=asyncio.FIRST_COMPLETED)
+    assert not longest.done()
+    longest.cancel()
+    assert isinstance(await reading, errors.Refusal)
+
+
 async def test_invalid_object_is_skipped(fake, client, operator_config):
     fake.put('rollouts', 's1', {'service': 's1'})
     fake.put('rollouts', 's2', {**ORDER, 'service': 's2'})
