Keep a leave notice that precedes the first heartbeat

Cause: sidecar-richmond-c-9 restarted at 17.599 s. The leave notice of its worker i-43e49cae7a came at 17.723 s, before any heartbeat. The notice has no start time, so the node took it from the last announcement; as there was none, it recorded the start 0. A delayed heartbeat at 20.987 s, with a real start time, then counted as one of a later process, and the worker was published as ready. The same happened to a worker known only from the health check, whose result has no start time.

Ruled out: the startup check; it got 503 at 17.895 s and did not use the worker. Loss of the node's state by its restart; the process that acknowledged the notice is the one that sent the request. A router with an old view; the node's own record said ready since 20.987 s.

Change: a notice whose start is neither in it nor in an announcement concerns every start before its arrival, by the host's wall clock. A start in the body of the notice (`born`) is used, and a notice of an earlier start does not drain a later process of the same instance. Each notice is logged; the missing line made this trace longer.

Failed before: `python -m pytest tests/test_fleet/test_draining.py tests/test_platform/test_translation.py` with the old worker.py and endpoints.py: 6 failed. test_leave_notice_before_the_first_heartbeat_ is_kept and ..._after_the_health_check_is_kept fail because the delayed heartbeat is applied. The others fail because `left` takes no start and `decode_leave` is missing.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -62,6 +62,8 @@
 
     :param codec: translates headers for the upstream
     :param clock: returns the time in seconds
+    :param wall: returns the time in seconds since the epoch, by the clock from
+        which the upstream on the same host takes the time of its start
     """
 
     def __init__(
@@ -69,13 +71,17 @@
         app: application.Application,
         codec: header_codec.HeaderCodec,
         clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self.admission = admission.Admission(clock)
         self.announcement: model.Announcement | None = None
         self._app = app
         self._codec = codec
         self._clock = clock
+        self._wall = wall
         self._pool: client.Pool | None = None
+        # Latest start of each instance that has left. Announcements of this
+        # start and of earlier ones are ignored.
         self._left_started_ms: dict[str, int] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._refusal_timer: asyncio.TimerHandle | None = None
@@ -154,19 +160,39 @@
             )
         )
 
-    def left(self, instance: str) -> None:
+    def left(self, instance: str, started_ms: int = 0) -> None:
         """Start draining for good because the upstream is leaving.
 
         Later announcements of the same start of the instance are ignored.
+
+        :param started_ms: start of the leaving upstream since the epoch; 0 if
+            the leave notice does not contain it
         """
         known = self.announcement
-        started_ms = 0
+        LOG.info(
+            'worker: %s, started at %d ms, is leaving; last announcement of '
+            '%s, started at %d ms',
+            instance,
+            started_ms,
+            known.instance if known else '-',
+            known.started_ms if known else 0,
+        )
         if known is not None and known.instance == instance:
-            started_ms = known.started_ms
-            self.announcement = known._replace(draining=True)
-            self._start_draining(known, 'left')
-            self._publish()
-        self._left_started_ms[instance] = started_ms
+            if not started_ms:
+                started_ms = known.started_ms
+            # A restarted upstream may keep its instance. The notice of an
+            # earlier start does not concern it.
+            if started_ms >= known.started_ms:
+                self.announcement = known._replace(draining=True)
+                self._start_draining(known, 'left')
+                self._publish()
+        if not started_ms:
+            # The start is unknown, for example because this node started
+            # after the upstream's last announcement, but it is in the past.
+            started_ms = int(self._wall() * 1000)
+        self._left_started_ms[instance] = max(
+            started_ms, self._left_started_ms.get(instance, 0)
+        )
 
     def drain_node(self) -> None:
         """Announce the worker to other nodes as draining."""
--- a/damaskpier/platform/endpoints.py
+++ b/damaskpier/platform/endpoints.py
@@ -100,7 +100,7 @@
             return messages.Response(404)
         worker = self._app.service('worker')
         if call == LEAVE_CALL:
-            worker.left(instance)
+            worker.left(instance, _decode_leave_start(instance, request.body))
             return messages.Response(200)
         if call != HEARTBEAT_CALL:
             return messages.Response(404)
@@ -143,6 +143,30 @@
     )
 
 
+def decode_leave(body: bytes) -> int:
+    """Return the start of the upstream in a leave notice.
+
+    :returns: milliseconds since the epoch; 0 if the notice has no body
+    :raises: one of :data:`DECODE_ERRORS` if the body is not a leave notice
+    """
+    if not body:
+        return 0
+    notice: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
+    return _require_count(notice.get('born', 0))
+
+
+def _decode_leave_start(instance: str, body: bytes) -> int:
+    try:
+        return decode_leave(body)
+    except DECODE_ERRORS as exc:
+        # The instance is in the query, and an upstream whose notice is refused
+        # leaves anyway.
+        LOG.warning(
+            'platform: can not decode a leave notice of %s: %r', instance, exc
+        )
+        return 0
+
+
 def _require_text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f'{value!r} is not a non-empty string')
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -13,6 +13,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import ingress as ingress_module
+from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.fleet import worker
 from damaskpier.http1 import messages
@@ -117,6 +118,44 @@
     assert not service.announcement.draining
 
 
+async def test_leave_notice_before_the_first_heartbeat_is_kept(fleet):
+    """A restarted node has heard no heartbeat when its worker leaves.
+
+    A delayed heartbeat must not restore the worker afterwards.
+    """
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    service._wall = lambda: 100.0
+    service.left('i-0')
+    assert not node.announce(started_ms=100_000)
+    assert service.announcement is None
+    # The same instance with a later start is a new process.
+    assert node.announce(started_ms=100_001)
+
+
+async def test_leave_notice_after_the_health_check_is_kept(fleet):
+    """The result of the health check does not contain the start."""
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    service._wall = lambda: 100.0
+    service.apply_health(model.Health('i-0', 4))
+    service.left('i-0')
+    assert not node.announce(started_ms=100_000)
+    assert service.announcement.draining
+
+
+async def test_leave_notice_of_an_earlier_start_is_ignored(fleet):
+    """A worker may start again with the instance that it had."""
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    assert node.announce(started_ms=50)
+    service.left('i-0', started_ms=40)
+    assert not service.announcement.draining
+    assert node.announce(started_ms=50)
+    service.left('i-0', started_ms=50)
+    assert service.announcement.draining
+
+
 async def test_heartbeat_of_an_earlier_worker_is_ignored(fleet):
     node = await fleet.add()
     node.announce(started_ms=50)
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -97,6 +97,20 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [(b'', 0), (b'{}', 0), (b'{"born":1700000000123}', 1700000000123)],
+)
+def test_leave_notice_is_translated(body: bytes, expected: int):
+    assert endpoints.decode_leave(body) == expected
+
+
+@pytest.mark.parametrize('body', [b'\xff\xfe', b'[]', b'{"born":1.5}'])
+def test_invalid_leave_notice_is_refused(body: bytes):
+    with pytest.raises(endpoints.DECODE_ERRORS):
+        endpoints.decode_leave(body)
+
+
 @pytest.mark.parametrize(
     'body',
     [
