Ignore delayed heartbeats of a removed draining worker

Cause: a node removes a draining worker from routing when it can not be reached, acknowledges nothing or is silent for three heartbeats. With the announcement it forgot the sequence number, so a heartbeat that the worker had sent before it was draining, and that arrived late, was applied, and the worker was routable again.

Ruled out: the leave notice; its start is kept apart from the announcement and outlives it.

Change: the removal of a draining worker records its start, as a leave notice does.

Failed before: `python -m pytest tests/test_fleet/test_draining.py` with the old worker.py: 1 failed, test_delayed_heartbeat_does_not_restore_a_ removed_worker, because the delayed heartbeat is applied.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -186,13 +186,7 @@
                 self.announcement = known._replace(draining=True)
                 self._start_draining(known, 'left')
                 self._publish()
-        if not started_ms:
-            # The start is unknown, for example because this node started
-            # after the upstream's last announcement, but it is in the past.
-            started_ms = int(self._wall() * 1000)
-        self._left_started_ms[instance] = max(
-            started_ms, self._left_started_ms.get(instance, 0)
-        )
+        self._record_left(instance, started_ms)
 
     def drain_node(self) -> None:
         """Announce the worker to other nodes as draining."""
@@ -245,6 +239,15 @@
             and announcement.sequence <= known.sequence
         )
 
+    def _record_left(self, instance: str, started_ms: int) -> None:
+        if not started_ms:
+            # The start is unknown, for example because this node started
+            # after the upstream's last announcement, but it is in the past.
+            started_ms = int(self._wall() * 1000)
+        self._left_started_ms[instance] = max(
+            started_ms, self._left_started_ms.get(instance, 0)
+        )
+
     def _set_up_instance(self, announcement: model.Announcement) -> None:
         LOG.info(
             'worker: %s of %s %s announced itself with %d slots',
@@ -303,6 +306,10 @@
             'worker: %s %s; removed from routing', known.instance, reason
         )
         self.announcement = None
+        if known.draining:
+            # Without the announcement, the sequence number of a delayed one
+            # can not be compared.
+            self._record_left(known.instance, known.started_ms)
         self.admission.refuse_queued(_missing_refusal())
         self._publish()
 
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -144,6 +144,23 @@
     assert service.announcement.draining
 
 
+async def test_delayed_heartbeat_does_not_restore_a_removed_worker(fleet):
+    """A draining worker may be removed from routing before it ends.
+
+    A heartbeat that it sent before it was draining may arrive after that.
+    """
+    node = await fleet.add()
+    service = node.app.service('worker')
+    node.announce(draining=True)
+    service._handle_failure(
+        messages.Failure('timed out', True, unacknowledged=True)
+    )
+    node.upstream.sequence = 0
+    assert not node.announce()
+    assert service.announcement is None
+    assert node.announce(started_ms=2)
+
+
 async def test_leave_notice_of_an_earlier_start_is_ignored(fleet):
     """A worker may start again with the instance that it had."""
     node = await fleet.add(announces=False)
