Tell a restarted node that its worker has left

Cause: a node keeps nothing on disk. The node is still bound by its acknowledgement.

Ruled out: a decision by the health check of the worker alone. A worker may fail health checks although it serves, and a busy one refuses them, so a failed check does not tell a leaving worker from others.

Change: a node's record contains the instance that has left most recently, with its start. Other nodes keep these fields when the record of the restarted node replaces the one before, and return its record in their reply to a node that does not have them. The node then treats the instance as after a leave notice.

Failed before: `python -m pytest tests/test_fleet/test_draining.py` with the old damaskpier/: 3 failed, test_restarted_node_learns_that_its_ worker_has_left[draining] and [left], because the delayed heartbeat is applied, and test_restarted_node_stops_using_a_worker_that_has_left, which waits in vain.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -352,6 +352,14 @@
         reply = self._add_sender(mesh_pb2.Gossip())
         if domains:
             reply.membership.CopyFrom(wire.delta_to_pb(records, domains))
+        sender = membership.get(message.sender.node_id)
+        if (
+            sender is not None
+            and sender.left_instance
+            and not message.sender.left_instance
+        ):
+            # The sender has restarted since its worker left.
+            reply.receiver.CopyFrom(wire.record_to_pb(sender))
         reply.moves.extend(
             rollout_wire.state_to_message(state)
             for state in self._app.service('rollouts').states()
@@ -388,6 +396,8 @@
         records, _ = wire.delta_from_pb(gossip.membership)
         if gossip.HasField('sender'):
             records.append(wire.record_from_pb(gossip.sender))
+        if gossip.HasField('receiver'):
+            records.append(wire.record_from_pb(gossip.receiver))
         if records:
             membership.merge(records, gossip)
         rollouts = self._app.service('rollouts')
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -92,6 +92,7 @@
         self._recent_retries = 0
         self._node_draining = False
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
+        app.events.connect('left-worker-learned', self.left)
 
     async def start(self) -> None:
         """Register the gauges of the load."""
@@ -135,6 +136,9 @@
             self._set_slots(announcement.slots)
         if announcement.draining:
             self._start_draining(announcement, 'draining')
+            self._app.service('membership').set_left_worker(
+                announcement.instance, announcement.started_ms
+            )
         self._publish()
         return True
 
@@ -244,9 +248,9 @@
             # The start is unknown, for example because this node started
             # after the upstream's last announcement, but it is in the past.
             started_ms = int(self._wall() * 1000)
-        self._left_started_ms[instance] = max(
-            started_ms, self._left_started_ms.get(instance, 0)
-        )
+        started_ms = max(started_ms, self._left_started_ms.get(instance, 0))
+        self._left_started_ms[instance] = started_ms
+        self._app.service('membership').set_left_worker(instance, started_ms)
 
     def _set_up_instance(self, announcement: model.Announcement) -> None:
         LOG.info(
--- a/damaskpier/mesh/membership.py
+++ b/damaskpier/mesh/membership.py
@@ -29,7 +29,9 @@
     Emits ``workers-changed(service)`` when the routable workers of a
     service change, and ``membership-delta(records, source)`` with every
     record that is newer than the stored one. ``source`` is the argument of
-    :meth:`merge`, and None for changes of the local record.
+    :meth:`merge`, and None for changes of the local record. Emits
+    ``left-worker-learned(instance, started_ms)`` when another node knows a
+    worker that left before this node restarted.
 
     :param clock: returns the monotonic time in seconds
     :param wall: returns the time in seconds since the epoch, from which the
@@ -218,6 +220,13 @@
         self._draining = True
         self._update_local(draining=True)
 
+    def set_left_worker(self, instance: str, started_ms: int) -> None:
+        """Publish the instance that has left most recently.
+
+        :param started_ms: start of the instance since the epoch
+        """
+        self._update_local(left_instance=instance, left_started_ms=started_ms)
+
     def republish_local(self) -> None:
         """Increment the local sequence number to send the record again."""
         self._publish_local(self._local)
@@ -254,13 +263,17 @@
         newer = []
         for record in records:
             if record.node_id == self._local.node_id:
+                self._learn_left_worker(record)
                 self._refute(record)
                 continue
             current = self._records.get(record.node_id)
-            if current is not None and (
-                (record.order, record.gone) <= (current.order, current.gone)
-            ):
-                continue
+            if current is not None:
+                if (record.order, record.gone) <= (
+                    current.order,
+                    current.gone,
+                ):
+                    continue
+                record = _keep_left_worker(record, current)
             self._store_record(record)
             newer.append(record)
         self._emit_delta(newer, source)
@@ -312,6 +325,19 @@
         )
         self._publish_local(self._local)
 
+    def _learn_left_worker(self, record: model.NodeRecord) -> None:
+        own = self._local
+        if record.left_instance and not own.left_instance:
+            LOG.info(
+                'mesh: %s left before this node started',
+                record.left_instance,
+            )
+            self._app.events.emit(
+                'left-worker-learned',
+                record.left_instance,
+                record.left_started_ms,
+            )
+
     def _store_record(self, record: model.NodeRecord) -> None:
         old = self._records.get(record.node_id)
         if old is not None:
@@ -368,6 +394,21 @@
             self._app.events.emit('workers-changed', service)
 
 
+def _keep_left_worker(
+    record: model.NodeRecord, current: model.NodeRecord
+) -> model.NodeRecord:
+    """Return a record with the left worker of the one that it replaces.
+
+    A node that has restarted does not know the worker that left before.
+    """
+    if record.left_instance:
+        return record
+    return record._replace(
+        left_instance=current.left_instance,
+        left_started_ms=current.left_started_ms,
+    )
+
+
 def setup(
     app: application.Application,
     timing: timing_module.Timing | None = None,
--- a/damaskpier/mesh/model.py
+++ b/damaskpier/mesh/model.py
@@ -11,7 +11,9 @@
     Records of one node are ordered by ``(incarnation, seq)``. ``gone`` marks
     a tombstone. ``service`` is empty if no upstream has announced itself.
     ``instance`` identifies one run of the worker if the upstream's
-    announcement contains it.
+    announcement contains it. ``left_instance`` is the instance that has left
+    most recently, and ``left_started_ms`` its start since the epoch; a node
+    that restarts learns of it from the other nodes.
     """
 
     node_id: str
@@ -29,6 +31,8 @@
     ready: bool = False
     draining: bool = False
     instance: str = ''
+    left_instance: str = ''
+    left_started_ms: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/damaskpier/mesh/wire.py
+++ b/damaskpier/mesh/wire.py
@@ -42,6 +42,8 @@
         msg.ready,
         msg.draining,
         msg.instance,
+        msg.left_instance,
+        msg.left_started_ms,
     )
 
 
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -256,9 +256,27 @@
         upstream = Upstream(f'i-{len(self.nodes)}', service, version)
         upstream.is_healthy = is_healthy
         await upstream.server.listen(HOST, 0)
+        node = await self._start_node(name, domain, upstream)
+        self.nodes.append(node)
+        if announces:
+            node.announce()
+        return node
+
+    async def restart(self, node: Node) -> Node:
+        """Start a node again beside its upstream, which keeps running."""
+        await _stop_node(node)
+        domain = node.app.cfg.text('node', 'failure_domain')
+        restarted = await self._start_node(node.name, domain, node.upstream)
+        self.nodes[self.nodes.index(node)] = restarted
+        return restarted
+
+    async def _start_node(
+        self, name: str, domain: str, upstream: Upstream
+    ) -> Node:
         cfg = config.loads(
             f'[node]\nid = {name}\nregion = r\nfailure_domain = {domain}\n'
-            f'service = {service}\n[platform]\naddress = 127.0.0.1:1\n'
+            f'service = {upstream.service}\n'
+            '[platform]\naddress = 127.0.0.1:1\n'
             '[fleet]\ngrace = 0.5\nheartbeat = 60\nretry_slack = 1000\n'
             f'[upstream]\naddress = {HOST}:{upstream.server.port}\n'
         )
@@ -284,11 +302,7 @@
             ),
         )
         await app.start()
-        node = Node(app, memory, upstream)
-        self.nodes.append(node)
-        if announces:
-            node.announce()
-        return node
+        return Node(app, memory, upstream)
 
     async def wait_converged(self) -> None:
         """Wait until all nodes have all workers and the configuration."""
@@ -309,12 +323,16 @@
     async def stop(self) -> None:
         """Stop all nodes and upstreams."""
         for node in self.nodes:
-            node.app.service('ingress')._grace_s = 0.0
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(node.app.stop(), 2.0)
+            await _stop_node(node)
             await node.upstream.server.stop(0.0)
 
 
+async def _stop_node(node: Node) -> None:
+    node.app.service('ingress')._grace_s = 0.0
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(node.app.stop(), 2.0)
+
+
 def _known(node: Node) -> set[str]:
     return {
         record.instance
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -161,6 +161,48 @@
     assert node.announce(started_ms=2)
 
 
+@pytest.mark.parametrize('notice', ['draining', 'left'])
+async def test_restarted_node_learns_that_its_worker_has_left(fleet, notice):
+    """A node keeps nothing on disk, but it has acknowledged the notice.
+
+    A delayed heartbeat must not restore the worker after the restart.
+    """
+    node = await fleet.add(announces=False)
+    other = await fleet.add(domain='b')
+    node.announce(started_ms=50)
+    await fleet.wait_converged()
+    if notice == 'draining':
+        node.announce(draining=True, started_ms=50)
+    else:
+        node.app.service('worker').left('i-0')
+    membership = other.app.service('membership')
+    await conftest.wait_until(lambda: membership.get(node.name).draining)
+    node = await fleet.restart(node)
+    exchange = node.app.service('exchange')
+    await conftest.wait_until(lambda: exchange.is_registered)
+    node.upstream.sequence = 0
+    assert not node.announce(started_ms=50)
+    assert node.announce(started_ms=51)
+
+
+async def test_restarted_node_stops_using_a_worker_that_has_left(fleet):
+    """The delayed heartbeat may come before the first contact to others."""
+    node = await fleet.add(announces=False)
+    other = await fleet.add(domain='b')
+    node.announce(started_ms=50)
+    await fleet.wait_converged()
+    node.app.service('worker').left('i-0')
+    membership = other.app.service('membership')
+    await conftest.wait_until(lambda: membership.get(node.name).draining)
+    fleet.store.is_down = True
+    node = await fleet.restart(node)
+    service = node.app.service('worker')
+    node.upstream.sequence = 0
+    assert node.announce(started_ms=50)
+    fleet.store.is_down = False
+    await conftest.wait_until(lambda: service.announcement.draining)
+
+
 async def test_leave_notice_of_an_earlier_start_is_ignored(fleet):
     """A worker may start again with the instance that it had."""
     node = await fleet.add(announces=False)
