Send the responses before a stopping node ends

Callers saw: attempts on stopping nodes end with "the connection was lost: closed", although the node had waited for its requests. A download had to run again, and a request that must not be repeated got 502.

Cause: a request counts as ended when its handler returns. The response may still wait in the transport's buffer then, because links of 10 Mbit/s and small windows take a download of 90 kB in tens of milliseconds at best. The stop of the server closed the transports, and the process ended before they had sent the rest.

Ruled out: a request that was running when the time to finish passed; the nodes ended after 3.1 and 2.7 s of 6 s and logged none. Requests that arrived after the drain; these were sent 1.6 and 0.4 s before the end.

Change: Server.stop and PeerServer.drain also wait, within the same time limits, until the kernel has taken all responses.

Failed before: `python -m pytest tests/test_http1/test_server.py` with the old damaskpier/: 1 failed, test_stop_waits_until_the_responses_are_sent, because the stop is done while the client has not read. After: 51 passed in tests/test_http1 and tests/test_fleet/test_draining.py.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -127,7 +127,9 @@
         until = began + FINISH_GRACE_RATIO * self._grace_s
         if not await self.server.stop(until - self._clock()):
             LOG.warning(
-                'ingress: %d requests were still running', self.server.running
+                'ingress: %d requests were still running or a response was '
+                'not sent',
+                self.server.running,
             )
         await peer_server.drain(until)
 
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -153,7 +153,7 @@
         self._app.service('membership').set_ports(rpc_port=self.server.port)
 
     async def drain(self, until: float) -> None:
-        """Wait until the running requests of other nodes have ended.
+        """Wait until the requests of other nodes have been answered.
 
         The first call also waits until other nodes have learned that this
         one is draining.
@@ -165,7 +165,7 @@
             await asyncio.sleep(
                 max(0.0, min(DRAIN_NOTICE_S, until - self._clock()))
             )
-        while self.server.running and self._clock() < until:
+        while self.server.is_busy() and self._clock() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -105,19 +105,29 @@
         """Close each connection after its next response."""
         self.draining = True
 
+    def is_busy(self) -> bool:
+        """Return whether a request runs or a response is not sent yet."""
+        return self.running > 0 or any(
+            conn.has_unsent_data() for conn in self._connections
+        )
+
     async def stop(self, timeout_s: float) -> bool:
         """Stop accepting, wait for running requests, close all connections.
 
-        :param timeout_s: longest wait for running requests in seconds
-        :returns: whether all of them ended in time
+        The responses are waited for too: what the kernel has not taken yet is
+        lost when the process ends.
+
+        :param timeout_s: longest wait in seconds
+        :returns: whether all requests ended and all responses were sent in
+            time
         """
         self.draining = True
         if self._server is not None:
             self._server.close()
         until = self.clock() + timeout_s
-        while self.running and self.clock() < until:
+        while self.is_busy() and self.clock() < until:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        finished = not self.running
+        finished = not self.is_busy()
         for conn in list(self._connections):
             conn.close()
         if self._timeout_task is not None:
@@ -224,6 +234,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def has_unsent_data(self) -> bool:
+        """Return whether the kernel has not taken all written data yet."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle, or its request late, for long.
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -42,6 +42,28 @@
     assert (await raw.read_until(b'/b')).startswith(b'HTTP/1.1 200')
 
 
+async def test_stop_waits_until_the_responses_are_sent(serve, connect):
+    """The process ends after the stop, and unsent data is lost with it."""
+    # More than the socket buffers hold.
+    body = bytes(64 * 1024 * 1024)
+
+    async def handler(request):
+        return messages.Response(200, (), body)
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    await raw.read_until(b'\r\n\r\n')
+    stopping = asyncio.create_task(started.stop(20.0))
+    # Runs everything that does not wait for the client.
+    for _ in range(100):
+        await asyncio.sleep(0)
+    assert not started.running
+    assert not stopping.done()
+    assert await raw.read_to_end() == body
+    assert await stopping
+
+
 async def test_client_that_closes_cancels_its_request(serve, connect):
     """A client that closes its connection cancels its request."""
     running = asyncio.Event()
