Refuse late requests of other nodes at a planned stop

Cause: a stopping node announces its worker as draining, waits 0.5 s for the notice and then until no request of other nodes runs. It still took new ones. One from a node that learned late, behind a full link, was passed on to the worker; if it came after the last look at running requests, the server closed its connection STOP_TIMEOUT_S = 0.2 s later, while the worker was at work. The caller's node took that for a failed attempt: 502, run unknown, for a request that must not be repeated.

Ruled out: TCP_USER_TIMEOUT of 500 ms to the worker, failed connections and a new instance; none of them closes a connection on which a request runs, except one whose bytes the worker's host does not acknowledge. A reset by the worker and the deadline end a request that the worker has given up as well.

Only running requests are left, and their number only falls.

Failed before: `python -m pytest tests/test_fleet/test_draining.py` with the old peers.py: 1 failed, test_late_request_of_another_node_is_refused_ and_not_interrupted, because two requests reached the worker, not one.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -143,6 +143,7 @@
         self._app = app
         self._clock = clock
         self.server = server.Server(self._handle, progress=PROGRESS)
+        self._is_refusing = False
 
     async def start(self) -> None:
         """Listen for other nodes."""
@@ -156,7 +157,8 @@
         """Wait until the requests of other nodes have been answered.
 
         The first call also waits until other nodes have learned that this
-        one is draining.
+        one is draining. From then on, requests are refused: one that started
+        after the wait would be interrupted when the server stops.
 
         :param until: latest end, as a time of the clock in seconds
         """
@@ -165,6 +167,7 @@
             await asyncio.sleep(
                 max(0.0, min(DRAIN_NOTICE_S, until - self._clock()))
             )
+            self._is_refusing = True
         while self.server.is_busy() and self._clock() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -178,12 +181,19 @@
         if request.path == EXCHANGE_PATH:
             body = self._app.service('exchange').received(request.body)
             return http_messages.Response(200, (), body)
+        if self._is_refusing:
+            # The sender has not learned yet that this node is draining.
+            return _encode_reply(messages.Reply(_stopping_refusal()))
         parsed = _decode_request(request, self._clock())
         if isinstance(parsed, errors.Refusal):
             return _encode_reply(messages.Reply(parsed))
         return _encode_reply(await self._app.service('worker').call(parsed))
 
 
+def _stopping_refusal() -> errors.Refusal:
+    return errors.Refusal(errors.CALL_DRAINING, 'the node is stopping')
+
+
 def _encode_headers(
     request: messages.Request, now: float
 ) -> http_messages.Headers:
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -17,6 +17,8 @@
 from damaskpier.fleet import peers
 from damaskpier.fleet import worker
 from damaskpier.http1 import messages
+from damaskpier.platform import headers
+from damaskpier.traffic import messages as traffic_messages
 
 from tests.test_fleet import conftest
 
@@ -46,6 +48,22 @@
     return paused
 
 
+def _make_request(deadline: float) -> traffic_messages.Request:
+    return traffic_messages.Request(
+        request_id='r2',
+        route='write',
+        service='reads',
+        version='',
+        method='POST',
+        target='/write/2',
+        headers=(('Host', 'h.example'), (headers.REQUEST_ID, 'r2')),
+        body=b'',
+        deadline=deadline,
+        depth=0,
+        repeatable=False,
+    )
+
+
 @pytest.fixture
 def stop_until_left(monkeypatch):
     """Return a function that stops a node without callers.
@@ -319,6 +337,40 @@
     await stopping
 
 
+async def test_late_request_of_another_node_is_refused_and_not_interrupted(
+    fleet, stop_until_left
+):
+    """Another node may learn late that this one is draining.
+
+    Its request would be interrupted on the upstream if it started just
+    before the server closes.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    record = other.app.service('membership').local_record()
+    paused = _pause_upstream(other)
+    first = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await paused.running.wait()
+    stopping = await stop_until_left(other)
+    loop = asyncio.get_running_loop()
+    late = asyncio.create_task(
+        caller.app.service('peers').call(
+            record, _make_request(loop.time() + conftest.TEST_TIMEOUT_S)
+        )
+    )
+    await conftest.wait_until(
+        lambda: late.done() or len(other.upstream.ran) > 1
+    )
+    paused.resume.set()
+    assert (await first).body == b'i-1'
+    refusal = (await late).result
+    assert len(other.upstream.ran) == 1
+    assert refusal.code is errors.CALL_DRAINING
+    assert refusal.run is errors.RunState.NOT_RUN
+    await stopping
+
+
 async def test_last_requests_of_a_worker_make_their_calls(
     fleet, stop_until_left
 ):
