Admit requests of an instance that has started again

Cause: a worker may start again under the instance that it had. The node set up an instance, and ended its refusal of requests, only when the name of the instance changed.

Ruled out: a later announcement of the same start; it does not end the drain, because the node is bound by its acknowledgement.

Change: the announcement of another start of a draining instance sets it up anew.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -130,7 +130,13 @@
         self.announcement = announcement
         self._connect_failures = 0
         self._restart_expiry()
-        if known is None or known.instance != announcement.instance:
+        if (
+            known is None
+            or known.instance != announcement.instance
+            # The instance has started again, and its predecessor's requests
+            # are refused.
+            or (known.draining and known.started_ms != announcement.started_ms)
+        ):
             self._set_up_instance(announcement)
         elif known.slots != announcement.slots:
             self._set_slots(announcement.slots)
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -233,6 +233,22 @@
     assert service.announcement.draining
 
 
+async def test_worker_that_starts_again_with_its_instance_serves(
+    fleet, monkeypatch
+):
+    """The node stops admission for good when an instance leaves.
+
+    A later start of the instance is admitted again.
+    """
+    monkeypatch.setattr(worker, 'LEAVING_ADMIT_S', 0.0)
+    node = await fleet.add()
+    service = node.app.service('worker')
+    service.left('i-0')
+    await conftest.wait_until(lambda: service.admission.draining)
+    assert node.announce(started_ms=2)
+    assert (await node.request()).body == b'i-0'
+
+
 async def test_heartbeat_of_an_earlier_worker_is_ignored(fleet):
     node = await fleet.add()
     node.announce(started_ms=50)
