Check whose response ends with the connection

Cause: a worker may send an extra response to an earlier request where the next response is due. The request identifier in it was compared only when the parser had seen the end of the message. A response without a length ends with its connection, and was then taken for the answer to the running request, together with all bytes after it.

Ruled out: a response with a length or in chunks; its identifier is compared, and the test for that was there.

Change: the identifier is compared at the end of the connection too. The request fails as sent, because it is unknown whether it ran.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -209,7 +209,7 @@
         if self._response is None:
             return
         if exc is None and self._is_ended_by_close:
-            self._complete()
+            self._complete_at_end()
             return
         self._fail(
             f'the connection was lost: {exc or "closed"}',
@@ -219,7 +219,7 @@
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection."""
         if self._response is not None and self._is_ended_by_close:
-            self._complete()
+            self._complete_at_end()
         return False
 
     def send(
@@ -332,6 +332,12 @@
     def _address(self) -> tuple[str, int]:
         return self._pool.address
 
+    def _complete_at_end(self) -> None:
+        if self._answers_request():
+            self._complete()
+        else:
+            self._fail('the connection ended with the response to another')
+
     def _complete(self) -> None:
         fut, self._response = self._response, None
         self._cancel_timers()
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -290,6 +290,29 @@
         await closed.wait()
 
 
+async def test_late_response_that_ends_with_the_connection_is_no_answer(
+    options, scripted
+):
+    """A response without a length may belong to an earlier request too."""
+
+    async def script(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_named(b'one', b'1'))
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n1')
+
+    pool = await scripted(script)
+    first = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='one')
+    )
+    assert first.body == b'1'
+    second = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='two')
+    )
+    assert isinstance(second, messages.Failure)
+    assert second.sent
+
+
 async def test_refused_connection_was_not_sent(options, scripted):
     """A request whose connection is refused is reported as not sent."""
 
