--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -132,7 +132,10 @@
             remaining_s, self._abandon_requests
         )
         if not await self.server.stop(remaining_s + LAST_RESPONSES_S):
-            LOG.warning('ingress: %d requests were cut', self.server.running)
+            LOG.warning(
+                'ingress: %d requests were cut or a response was not sent',
+                self.server.running,
+            )
         timer.cancel()
         await peer_server.drain(until)
 
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -160,6 +160,7 @@
         self._clock = clock
         self._attempts = attempts.Attempts(self._call_worker, clock)
         self.server = server.Server(self._handle, progress=PROGRESS)
+        self._is_refusing = False
 
     async def start(self) -> None:
         """Listen for other nodes."""
@@ -170,10 +171,11 @@
         self._app.service('membership').set_ports(rpc_port=self.server.port)
 
     async def drain(self, until: float) -> None:
-        """Wait until the running requests of other nodes have ended.
+        """Wait until the requests of other nodes have been answered.
 
         The first call also waits until other nodes have learned that this
-        one is draining.
+        one is draining. From then on, requests are refused: one that started
+        after the wait would be interrupted when the server stops.
 
         :param until: latest end, as a time of the clock in seconds
         """
@@ -182,7 +184,8 @@
             await asyncio.sleep(
                 max(0.0, min(DRAIN_NOTICE_S, until - self._clock()))
             )
-        while self.server.running and self._clock() < until:
+            self._is_refusing = True
+        while self.server.is_busy() and self._clock() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
@@ -198,6 +201,9 @@
         token = request.header(ATTEMPT.lower())
         if request.path == ATTEMPT_PATH:
             return await self._find_attempt(request, token)
+        if self._is_refusing:
+            # The sender has not learned yet that this node is draining.
+            return _encode_reply(messages.Reply(_stopping_refusal()))
         parsed = _decode_request(request, self._clock())
         if isinstance(parsed, errors.Refusal):
             return _encode_reply(messages.Reply(parsed))
@@ -253,6 +259,10 @@
     )
 
 
+def _stopping_refusal() -> errors.Refusal:
+    return errors.Refusal(errors.CALL_DRAINING, 'the node is stopping')
+
+
 def _encode_headers(
     request: messages.Request, now: float
 ) -> http_messages.Headers:
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -13,9 +13,12 @@
 
 from damaskpier import errors
 from damaskpier.fleet import ingress as ingress_module
+from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.fleet import worker
 from damaskpier.http1 import messages
+from damaskpier.platform import headers
+from damaskpier.traffic import messages as traffic_messages
 
 from tests.test_fleet import conftest
 
@@ -45,6 +48,22 @@
     return paused
 
 
+def _make_request(deadline: float) -> traffic_messages.Request:
+    return traffic_messages.Request(
+        request_id='r2',
+        route='write',
+        service='reads',
+        version='',
+        method='POST',
+        target='/write/2',
+        headers=(('Host', 'h.example'), (headers.REQUEST_ID, 'r2')),
+        body=b'',
+        deadline=deadline,
+        depth=0,
+        repeatable=False,
+    )
+
+
 @pytest.fixture
 def stop_until_left(monkeypatch):
     """Return a function that stops a node without callers.
@@ -117,6 +136,119 @@
     assert not service.announcement.draining
 
 
+async def test_leave_notice_before_the_first_heartbeat_is_kept(fleet):
+    """A restarted node has heard no heartbeat when its worker leaves.
+
+    A delayed heartbeat must not restore the worker afterwards.
+    """
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    service._wall = lambda: 100.0
+    service.left('i-0')
+    assert not node.announce(started_ms=100_000)
+    assert service.announcement is None
+    # The same instance with a later start is a new process.
+    assert node.announce(started_ms=100_001)
+
+
+async def test_leave_notice_after_the_health_check_is_kept(fleet):
+    """The result of the health check does not contain the start."""
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    service._wall = lambda: 100.0
+    service.apply_health(model.Health('i-0', 4))
+    service.left('i-0')
+    assert not node.announce(started_ms=100_000)
+    assert service.announcement.draining
+
+
+async def test_delayed_heartbeat_does_not_restore_a_removed_worker(fleet):
+    """A draining worker may be removed from routing before it ends.
+
+    A heartbeat that it sent before it was draining may arrive after that.
+    """
+    node = await fleet.add()
+    service = node.app.service('worker')
+    node.announce(draining=True)
+    service._handle_failure(
+        messages.Failure('timed out', True, unacknowledged=True)
+    )
+    node.upstream.sequence = 0
+    assert not node.announce()
+    assert service.announcement is None
+    assert node.announce(started_ms=2)
+
+
+@pytest.mark.parametrize('notice', ['draining', 'left'])
+async def test_restarted_node_learns_that_its_worker_has_left(fleet, notice):
+    """A node keeps nothing on disk, but it has acknowledged the notice.
+
+    A delayed heartbeat must not restore the worker after the restart.
+    """
+    node = await fleet.add(announces=False)
+    other = await fleet.add(domain='b')
+    node.announce(started_ms=50)
+    await fleet.wait_converged()
+    if notice == 'draining':
+        node.announce(draining=True, started_ms=50)
+    else:
+        node.app.service('worker').left('i-0')
+    membership = other.app.service('membership')
+    await conftest.wait_until(lambda: membership.get(node.name).draining)
+    node = await fleet.restart(node)
+    exchange = node.app.service('exchange')
+    await conftest.wait_until(lambda: exchange.is_registered)
+    node.upstream.sequence = 0
+    assert not node.announce(started_ms=50)
+    assert node.announce(started_ms=51)
+
+
+async def test_restarted_node_stops_using_a_worker_that_has_left(fleet):
+    """The delayed heartbeat may come before the first contact to others."""
+    node = await fleet.add(announces=False)
+    other = await fleet.add(domain='b')
+    node.announce(started_ms=50)
+    await fleet.wait_converged()
+    node.app.service('worker').left('i-0')
+    membership = other.app.service('membership')
+    await conftest.wait_until(lambda: membership.get(node.name).draining)
+    fleet.store.is_down = True
+    node = await fleet.restart(node)
+    service = node.app.service('worker')
+    node.upstream.sequence = 0
+    assert node.announce(started_ms=50)
+    fleet.store.is_down = False
+    await conftest.wait_until(lambda: service.announcement.draining)
+
+
+async def test_leave_notice_of_an_earlier_start_is_ignored(fleet):
+    """A worker may start again with the instance that it had."""
+    node = await fleet.add(announces=False)
+    service = node.app.service('worker')
+    assert node.announce(started_ms=50)
+    service.left('i-0', started_ms=40)
+    assert not service.announcement.draining
+    assert node.announce(started_ms=50)
+    service.left('i-0', started_ms=50)
+    assert service.announcement.draining
+
+
+async def test_worker_that_starts_again_with_its_instance_serves(
+    fleet, monkeypatch
+):
+    """The node stops admission for good when an instance leaves.
+
+    A later start of the instance is admitted again.
+    """
+    monkeypatch.setattr(worker, 'LEAVING_ADMIT_S', 0.0)
+    node = await fleet.add()
+    service = node.app.service('worker')
+    service.left('i-0')
+    await conftest.wait_until(lambda: service.admission.draining)
+    assert node.announce(started_ms=2)
+    assert (await node.request()).body == b'i-0'
+
+
 async def test_heartbeat_of_an_earlier_worker_is_ignored(fleet):
     node = await fleet.add()
     node.announce(started_ms=50)
@@ -239,6 +371,40 @@
     await stopping
 
 
+async def test_late_request_of_another_node_is_refused_and_not_interrupted(
+    fleet, stop_until_left
+):
+    """Another node may learn late that this one is draining.
+
+    Its request would be interrupted on the upstream if it started just
+    before the server closes.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    record = other.app.service('membership').local_record()
+    paused = _pause_upstream(other)
+    first = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await paused.running.wait()
+    stopping = await stop_until_left(other)
+    loop = asyncio.get_running_loop()
+    late = asyncio.create_task(
+        caller.app.service('peers').call(
+            record, _make_request(loop.time() + conftest.TEST_TIMEOUT_S)
+        )
+    )
+    await conftest.wait_until(
+        lambda: late.done() or len(other.upstream.ran) > 1
+    )
+    paused.resume.set()
+    assert (await first).body == b'i-1'
+    refusal = (await late).result
+    assert len(other.upstream.ran) == 1
+    assert refusal.code is errors.CALL_DRAINING
+    assert refusal.run is errors.RunState.NOT_RUN
+    await stopping
+
+
 async def test_last_requests_of_a_worker_make_their_calls(
     fleet, stop_until_left
 ):
