Ask three nodes for the configuration at a start

Cause: a starting node contacts all others at once, and each reply contained the whole configuration as long as the node had none. In 10 of 58 starting nodes registered before they had applied one. Change: only the first three messages of the registration ask for it. Ruled out: one message after the other, which makes a start with lost nodes slow. Test: test_starting_node_gets_the_configuration_from_few_nodes; with the change undone it gets 8 configurations from 8 nodes. tests/test_fleet: 321 passed.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -60,6 +60,11 @@
 # store has had this time to deliver it.
 CONFIG_SEND_DELAY_S = 0.7
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
+# Nodes from which a starting node asks for the configuration.
+CONFIG_SOURCE_COUNT = 3
+# Stated instead of the version by a node that wants no configuration in the
+# reply; it is above all versions.
+NO_CONFIG_WANTED = 2**63 - 1
 
 _CONFIG_ENCODER = msgspec.msgpack.Encoder()
 _CONFIG_DECODER = msgspec.msgpack.Decoder(model.Configuration)
@@ -211,19 +216,27 @@
             delay_s = min(2 * delay_s, MAX_REGISTER_BACKOFF_S)
         others = [entry for entry in found if entry.node_id != self._node_id]
         LOG.info('exchange: registered; %d other nodes', len(others))
+        self._rng.shuffle(others)
         await asyncio.gather(
-            *(self._sync_with_entry(entry) for entry in others)
+            *(
+                self._sync_with_entry(
+                    entry, wants_config=number < CONFIG_SOURCE_COUNT
+                )
+                for number, entry in enumerate(others)
+            )
         )
         self.is_registered = True
 
-    async def _sync_with_entry(self, entry: model.NodeAddress) -> None:
+    async def _sync_with_entry(
+        self, entry: model.NodeAddress, *, wants_config: bool
+    ) -> None:
         membership = self._app.service('membership')
         record = membership.get(entry.node_id)
         if record is None:
             record = membership.local_record()._replace(
                 node_id=entry.node_id, host=entry.host, rpc_port=entry.port
             )
-        await self._sync(record)
+        await self._sync(record, wants_config=wants_config)
 
     async def _run_anti_entropy(self) -> None:
         while True:
@@ -368,16 +381,21 @@
         if heard is not None and not heard.done():
             heard.set_result(None)
 
-    async def _sync(self, record: mesh_model.NodeRecord) -> bool:
+    async def _sync(
+        self, record: mesh_model.NodeRecord, *, wants_config: bool = True
+    ) -> bool:
         """Run an anti-entropy round with another node.
 
+        :param wants_config: whether the reply may contain the configuration
         :returns: whether the other node answered
         """
         membership = self._app.service('membership')
         gossip = mesh_pb2.Gossip(
             digests=wire.digests_to_pb(membership.digests())
             or [mesh_pb2.MembershipDigest()],
-            config_version=self._app.service('configuration').version(),
+            config_version=self._app.service('configuration').version()
+            if wants_config
+            else NO_CONFIG_WANTED,
             moves=[
                 rollout_wire.state_to_message(state)
                 for state in self._app.service('rollouts').states()
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -152,6 +152,35 @@
     assert service._batch_timer is None
 
 
+async def test_starting_node_gets_the_configuration_from_few_nodes(
+    fleet, monkeypatch
+):
+    """A start must not fill the link of a node with whole configurations.
+
+    A starting node contacts all others at once, and none of them knows that
+    the others send the configuration too. The store delivers nothing.
+    """
+    monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 1000.0)
+    for _ in range(8):
+        await fleet.add()
+    await fleet.wait_converged()
+    sent = []
+    encode = exchange.Exchange._encode_config
+
+    def count(service):
+        sent.append(service)
+        return encode(service)
+
+    monkeypatch.setattr(exchange.Exchange, '_encode_config', count)
+    fleet.store.configuration = None
+    node = await fleet.add(announces=False)
+    await conftest.wait_until(
+        lambda: node.app.service('exchange').is_registered
+    )
+    assert node.app.service('configuration').current() is not None
+    assert 1 <= len(sent) <= exchange.CONFIG_SOURCE_COUNT
+
+
 async def test_lost_node_is_contacted_again(fleet, monkeypatch):
     """A node that restarts without the store has no addresses of others.
 
