Log and count configurations that the store delivers

Operators of a grown fleet saw thousands of attempts end with "nothing was heard" while configurations changed, and no line or metric told whether the link was full of bytes from the store, of messages between nodes, or whether a node was late.

Cause: a call to the store logged neither its size nor its duration, and only the number of calls was counted. Ruled out: the duration of the whole call, because a watch waits up to 30 s for a change and this says nothing about the link. Change: responses carry the time from their first to their last byte. Failed before: pytest tests/test_platform/test_store.py tests/test_http1/test_client.py -k "deliveries or transfer_time" against the code without the change: 3 failed (no lines and counts, no transfer_s).

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -189,6 +189,7 @@
         self._options = Options(0.0)
         self._timers: list[asyncio.TimerHandle] = []
         self._last_received_at = 0.0
+        self._began_at = 0.0
         self._init_parser()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -277,6 +278,7 @@
         """Start a message, which may follow a complete response."""
         if self._response is None:
             self.is_reusable = False
+        self._began_at = asyncio.get_running_loop().time()
         self._headers = []
         self._body = []
         self._is_ended_by_close = False
@@ -336,15 +338,19 @@
         fut, self._response = self._response, None
         self._cancel_timers()
         headers = tuple(self._headers)
+        now = asyncio.get_running_loop().time()
         response = messages.Response(
-            self._parser.get_status_code(), headers, b''.join(self._body)
+            self._parser.get_status_code(),
+            headers,
+            b''.join(self._body),
+            now - self._began_at,
         )
         if self._is_ended_by_close or not self._parser.should_keep_alive():
             self.is_reusable = False
         if self._transport.get_write_buffer_size():
             # The server has answered before it received the whole request.
             self.is_reusable = False
-        self.idle_since = asyncio.get_running_loop().time()
+        self.idle_since = now
         self._set_expiry(response)
         if not fut.done():
             fut.set_result(response)
--- a/damaskpier/http1/messages.py
+++ b/damaskpier/http1/messages.py
@@ -44,12 +44,15 @@
 class Response(NamedTuple):
     """Complete response.
 
-    ``Content-Length`` is added when the response is encoded.
+    ``Content-Length`` is added when the response is encoded. ``transfer_s``
+    is the time from the first to the last byte of a received response in
+    seconds.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = b''
+    transfer_s: float = 0.0
 
     def header(self, name: str, default: str = '') -> str:
         """Return the value of the first header with a name.
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -40,8 +40,16 @@
 
 
 class _Response(NamedTuple):
+    """Decoded response.
+
+    ``size`` is the length of the encoded body in bytes; ``transfer_s`` is
+    the time from the first to the last byte of the response in seconds.
+    """
+
     status: int
     body: dict[str, Any]
+    size: int
+    transfer_s: float
 
 
 class PlatformStore(store.FleetStore):
@@ -173,6 +181,7 @@
             if answer.status != 200:
                 return _unexpected_status(answer)
             page = answer.body.get('items') or []
+            self._record_delivery(kind, 'list', len(page), answer)
             items += page
             if not answer.body.get('hasMore') or not page:
                 return store_watch.Page(items, int(answer.body['currentRev']))
@@ -200,13 +209,31 @@
             )
         if answer.status != 200:
             return _unexpected_status(answer)
+        events = answer.body.get('events') or []
+        self._record_delivery(kind, 'watch', len(events), answer)
         changed = [
-            event['object']
-            for event in answer.body.get('events') or []
-            if not event.get('deleted')
+            event['object'] for event in events if not event.get('deleted')
         ]
         return store_watch.Page(changed, int(answer.body['currentRev']))
 
+    def _record_delivery(
+        self, kind: str, call: str, count: int, answer: _Response
+    ) -> None:
+        """Log and count a response that contains configurations."""
+        if kind != objects.CONFIG_KIND or not count:
+            return
+        metrics = self._app.service('metrics')
+        metrics.increment('store_configurations_received', count, call=call)
+        metrics.observe('store_configuration_transfer', answer.transfer_s)
+        LOG.info(
+            'platform: %s delivered %d configurations in %d bytes, '
+            'received in %.0f ms',
+            call,
+            count,
+            answer.size,
+            answer.transfer_s * 1000,
+        )
+
     async def _call(
         self,
         method: str,
@@ -219,7 +246,8 @@
         if content is not None:
             body = msgspec.json.encode(content)
             fields += (('Content-Type', 'application/json'),)
-        self._app.service('metrics').increment('store_calls', method=method)
+        metrics = self._app.service('metrics')
+        metrics.increment('store_calls', method=method)
         now = asyncio.get_running_loop().time()
         outcome = await self._pool.request(
             messages.encode_request(method, target, fields, body),
@@ -230,6 +258,7 @@
             if outcome.sent and method != 'GET':
                 code = errors.PLATFORM_UNKNOWN
             return errors.Refusal(code, f'{method} {target}: {outcome.reason}')
+        metrics.increment('store_bytes_received', len(outcome.body))
         if outcome.status in _CODE_BY_STATUS:
             return errors.Refusal(
                 _CODE_BY_STATUS[outcome.status], f'{method} {target}'
@@ -240,7 +269,9 @@
             return errors.Refusal(
                 errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
             )
-        return _Response(outcome.status, decoded)
+        return _Response(
+            outcome.status, decoded, len(outcome.body), outcome.transfer_s
+        )
 
 
 class _KindReader(store_watch.ObjectReader):
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -309,3 +309,29 @@
         len(body),
         body,
     )
+
+
+async def test_transfer_time_excludes_the_wait_for_the_first_byte(
+    scripted, options
+):
+    """The transfer time counts from the first byte to the last.
+
+    The wait of a watch for a change would otherwise look like a slow link.
+    """
+    wait_s = 0.05
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        await asyncio.sleep(wait_s)
+        writer.write(OK[:-1])
+        await asyncio.sleep(wait_s)
+        writer.write(OK[-1:])
+
+    pool = await scripted(script)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    response = await pool.request(conftest.GET, options())
+    elapsed_s = loop.time() - began
+    # Half of the waits leaves room for the resolution of the timers.
+    assert response.transfer_s > wait_s / 2
+    assert response.transfer_s < elapsed_s - wait_s / 2
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -145,17 +145,28 @@
 
 
 @pytest.fixture
-def client(fake: FakeStore) -> store.PlatformStore:
-    """Return a client of the store."""
+def app(fake: FakeStore) -> application.Application:
+    """Return an application with a client of the store."""
     cfg = config.loads(
         '[node]\nid = n\nregion = r\nfailure_domain = d\n'
         f'[platform]\naddress = {HOST}:{fake.server.port}\n'
         '[fleet]\napply = 0.1\n'
     )
-    app = application.make_application(cfg, (metrics.setup, store.setup))
+    return application.make_application(cfg, (metrics.setup, store.setup))
+
+
+@pytest.fixture
+def client(app: application.Application) -> store.PlatformStore:
+    """Return the application's client of the store."""
     return app.service('store')
 
 
+@pytest.fixture(name='metrics')
+def app_metrics(app: application.Application) -> metrics.Metrics:
+    """Return the application's metrics."""
+    return app.service('metrics')
+
+
 @pytest.fixture
 def operator_config() -> Callable[..., dict]:
     """Return a function that makes a configuration as operators do."""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
+import msgspec
 import pytest
 
 from damaskpier import errors
@@ -73,6 +75,47 @@
     assert len(fake.calls) == 2
 
 
+async def test_deliveries_of_configurations_are_logged_and_counted(
+    fake, client, metrics, operator_config, caplog
+):
+    """Links that configurations fill would otherwise have no visible cause."""
+    caplog.set_level(logging.INFO, store.LOG.name)
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    listed_bytes = metrics.counter_value('store_bytes_received')
+    size = len(msgspec.json.encode(fake.objects['config']['main']))
+    assert listed_bytes > size
+    fake.put('config', 'main', operator_config('0000000f'))
+    await _next(found)
+    received = 'store_configurations_received'
+    assert metrics.counter_value(received, call='list') == 1
+    assert metrics.counter_value(received, call='watch') == 1
+    assert metrics.counter_value('store_bytes_received') > listed_bytes + size
+    assert 'store_configuration_transfer_seconds_count 2' in metrics.render()
+    listed, watched = (
+        record.getMessage()
+        for record in caplog.records
+        if ' delivered ' in record.getMessage()
+    )
+    assert 'list delivered 1 configurations' in listed
+    assert f'in {listed_bytes:.0f} bytes' in listed
+    assert 'watch delivered 1 configurations' in watched
+
+
+async def test_deliveries_of_orders_are_not_taken_for_configurations(
+    fake, client, metrics
+):
+    """Counts of configurations must not rise with the statuses of orders."""
+    fake.put('rollouts', 's1', ORDER)
+    await _next(client.orders())
+    assert metrics.counter_value('store_bytes_received') > 0
+    assert (
+        metrics.counter_value('store_configurations_received', call='list')
+        == 0
+    )
+
+
 async def test_changes_in_quick_succession_share_a_call(
     fake, client, operator_config
 ):
