Read the latest configuration once per pause during a burst

Cause: a watch returns each version whole, and the next watch began from the previous revision after a pause of 1.2 s. A read of a burst may take 5 s, because a slow store would otherwise bring no change where a watch does. Orders are watched as before (ObjectReader.reads_bursts is false): they are small, and the write of their status follows each of them within the pause, so that a read would cost each node a call for each order.

--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -29,6 +29,11 @@
     return obj['metadata']['name']
 
 
+def object_revision(obj: Object) -> int:
+    """Return the revision of an object's last change."""
+    return int(obj['metadata']['rev'])
+
+
 def configuration_from_object(obj: Object) -> model.Configuration:
     """Return the configuration in an object.
 
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -28,6 +28,10 @@
 LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.5
+# Timeout of a read that takes the place of a watch. A read that is given up
+# while the store is slow would bring no change, where a watch would still
+# bring it.
+BURST_READ_TIMEOUT_S = 5.0
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
@@ -165,17 +169,29 @@
         self, kind: str
     ) -> AsyncIterator[list[objects.Object] | errors.Refusal]:
         reader = _KindReader(self, kind)
+        # Orders are small, and each one is soon followed by the write of its
+        # status, so that a read would cost a call and save nothing.
+        reader.reads_bursts = kind == objects.CONFIG_KIND
         return store_watch.changes(reader, self._apply_limit_s, self._rng)
 
     async def list_objects(
-        self, kind: str
+        self, kind: str, timeout_s: float | None = None
     ) -> store_watch.Page | errors.Refusal:
-        """Return all objects of a kind, reading page by page."""
+        """Return all objects of a kind, reading page by page.
+
+        :param timeout_s: timeout of each call, ``CALL_TIMEOUT_S`` by default
+        """
+        if timeout_s is None:
+            timeout_s = CALL_TIMEOUT_S
         items: list[objects.Object] = []
         after = ''
         while True:
             query = '?' + parse.urlencode({'after': after}) if after else ''
-            answer = await self._call('GET', _object_path(kind) + query)
+            answer = await self._call(
+                'GET',
+                _object_path(kind) + query,
+                timeout_s=timeout_s,
+            )
             if isinstance(answer, errors.Refusal):
                 return answer
             if answer.status != 200:
@@ -281,9 +297,23 @@
         self._store = store_
         self._kind = kind
 
-    async def read(self) -> store_watch.Page | errors.Refusal:
-        """Return all objects."""
-        return await self._store.list_objects(self._kind)
+    async def read(
+        self, changed_after: int = 0
+    ) -> store_watch.Page | errors.Refusal:
+        """Return the objects that have changed after a revision."""
+        if not changed_after:
+            return await self._store.list_objects(self._kind)
+        found = await self._store.list_objects(
+            self._kind, BURST_READ_TIMEOUT_S
+        )
+        if isinstance(found, errors.Refusal):
+            return found
+        changed = [
+            obj
+            for obj in found.items
+            if objects.object_revision(obj) > changed_after
+        ]
+        return store_watch.Page(changed, found.revision)
 
     async def watch(self, revision: int) -> store_watch.Page | errors.Refusal:
         """Wait for objects that change after a revision and return them."""
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -25,7 +25,8 @@
     """Store of objects by kind and name, with revisions and watches.
 
     ``refusals`` are statuses of the next responses. While ``silent`` is set,
-    calls get no answer. Watches from before ``first_kept`` fail with 410.
+    calls get no answer. Lists are answered after ``list_delay_s``. Watches
+    from before ``first_kept`` fail with 410.
     """
 
     def __init__(self) -> None:
@@ -37,6 +38,7 @@
         self.lost = 0
         self.refusals: list[int] = []
         self.silent = False
+        self.list_delay_s = 0.0
         self.first_kept = 0
         self.page = 500
         self.server = server.Server(self._handle)
@@ -84,6 +86,7 @@
         if request.method == 'GET' and 'watch' in fields:
             return await self._watch(kind, int(fields['watch']))
         if request.method == 'GET':
+            await asyncio.sleep(self.list_delay_s)
             return self._list(kind, fields.get('after', ''))
         content = msgspec.json.decode(request.body)
         known = self.objects.get(kind, {})
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -31,6 +31,12 @@
         return await anext(found)
 
 
+async def _wait_for_calls(fake, count):
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        while len(fake.calls) < count:
+            await asyncio.sleep(0.01)
+
+
 async def _next_good(found):
     while True:
         value = await _next(found)
@@ -132,6 +138,60 @@
     assert len(fake.calls) <= 4
 
 
+async def test_burst_is_read_with_each_object_once(
+    fake, client, operator_config
+):
+    """A read that finds nothing new yields nothing and ends the burst."""
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    for version in ('0000000e', '0000000f'):
+        fake.put('config', 'main', operator_config(version))
+        await _next(found)
+    waiting = asyncio.create_task(_next(found))
+    await _wait_for_calls(fake, 5)
+    is_watch = ['watch' in target for _, target in fake.calls]
+    assert is_watch[-2:] == [False, True]
+    assert not waiting.done()
+    fake.put('config', 'main', operator_config('00000010'))
+    assert (await waiting).version == 16
+
+
+async def test_read_of_a_burst_is_not_given_up_while_the_store_is_slow(
+    fake, client, operator_config, monkeypatch
+):
+    """A read with a short timeout would bring no change, as a watch would."""
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.05)
+    fake.list_delay_s = 0.2
+    for version in ('0000000e', '0000000f', '00000010'):
+        fake.put('config', 'main', operator_config(version))
+        value = await _next(found)
+        assert not isinstance(value, errors.Refusal)
+    assert value.version == 16
+
+
+async def test_order_and_its_status_cost_no_read(fake, client):
+    """Calls are priced, and each order is followed by its status."""
+    found = client.orders()
+    ask = asyncio.create_task(_next(found))
+    await _wait_for_calls(fake, 2)
+    fake.put('rollouts', 's1', ORDER)
+    (order,) = await ask
+    await client.write_phase(order, model.Phase.RUNNING)
+    (order,) = await _next(found)
+    assert order.has_status
+    ask.cancel()
+    lists = [
+        target
+        for method, target in fake.calls
+        if method == 'GET' and 'watch' not in target
+    ]
+    assert len(lists) == 1
+
+
 async def test_lost_history_is_read_again(fake, client, operator_config):
     fake.put('config', 'main', operator_config())
     found = client.configurations()
