--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -32,6 +32,10 @@
 # time. Over a link that is full, a configuration takes longer than other
 # calls, and a read that is given up starts again with the first byte.
 READ_TIMEOUT_S = 10.0
+# The same for a read that takes the place of a watch. A read that is given up
+# while the store is slow would bring no change, where a watch would still
+# bring it.
+BURST_SILENCE_TIMEOUT_S = 5.0
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
@@ -44,8 +48,16 @@
 
 
 class _Response(NamedTuple):
+    """Decoded response.
+
+    ``size`` is the length of the encoded body in bytes; ``transfer_s`` is
+    the time from the first to the last byte of the response in seconds.
+    """
+
     status: int
     body: dict[str, Any]
+    size: int
+    transfer_s: float
 
 
 class PlatformStore(store.FleetStore):
@@ -161,12 +173,21 @@
         self, kind: str
     ) -> AsyncIterator[list[objects.Object] | errors.Refusal]:
         reader = _KindReader(self, kind)
+        # Orders are small, and each one is soon followed by the write of its
+        # status, so that a read would cost a call and save nothing.
+        reader.reads_bursts = kind == objects.CONFIG_KIND
         return store_watch.changes(reader, self._apply_limit_s, self._rng)
 
     async def list_objects(
-        self, kind: str
+        self, kind: str, silence_timeout_s: float | None = None
     ) -> store_watch.Page | errors.Refusal:
-        """Return all objects of a kind, reading page by page."""
+        """Return all objects of a kind, reading page by page.
+
+        :param silence_timeout_s: time without a byte after which a call
+            fails, ``CALL_TIMEOUT_S`` by default
+        """
+        if silence_timeout_s is None:
+            silence_timeout_s = CALL_TIMEOUT_S
         items: list[objects.Object] = []
         after = ''
         while True:
@@ -175,13 +196,14 @@
                 'GET',
                 _object_path(kind) + query,
                 timeout_s=READ_TIMEOUT_S,
-                silence_timeout_s=CALL_TIMEOUT_S,
+                silence_timeout_s=silence_timeout_s,
             )
             if isinstance(answer, errors.Refusal):
                 return answer
             if answer.status != 200:
                 return _unexpected_status(answer)
             page = answer.body.get('items') or []
+            self._record_delivery(kind, 'list', len(page), answer)
             items += page
             if not answer.body.get('hasMore') or not page:
                 return store_watch.Page(items, int(answer.body['currentRev']))
@@ -209,13 +231,31 @@
             )
         if answer.status != 200:
             return _unexpected_status(answer)
+        events = answer.body.get('events') or []
+        self._record_delivery(kind, 'watch', len(events), answer)
         changed = [
-            event['object']
-            for event in answer.body.get('events') or []
-            if not event.get('deleted')
+            event['object'] for event in events if not event.get('deleted')
         ]
         return store_watch.Page(changed, int(answer.body['currentRev']))
 
+    def _record_delivery(
+        self, kind: str, call: str, count: int, answer: _Response
+    ) -> None:
+        """Log and count a response that contains configurations."""
+        if kind != objects.CONFIG_KIND or not count:
+            return
+        metrics = self._app.service('metrics')
+        metrics.increment('store_configurations_received', count, call=call)
+        metrics.observe('store_configuration_transfer', answer.transfer_s)
+        LOG.info(
+            'platform: %s delivered %d configurations in %d bytes, '
+            'received in %.0f ms',
+            call,
+            count,
+            answer.size,
+            answer.transfer_s * 1000,
+        )
+
     async def _call(
         self,
         method: str,
@@ -229,7 +269,8 @@
         if content is not None:
             body = msgspec.json.encode(content)
             fields += (('Content-Type', 'application/json'),)
-        self._app.service('metrics').increment('store_calls', method=method)
+        metrics = self._app.service('metrics')
+        metrics.increment('store_calls', method=method)
         now = asyncio.get_running_loop().time()
         outcome = await self._pool.request(
             messages.encode_request(method, target, fields, body),
@@ -244,6 +285,7 @@
             if outcome.sent and method != 'GET':
                 code = errors.PLATFORM_UNKNOWN
             return errors.Refusal(code, f'{method} {target}: {outcome.reason}')
+        metrics.increment('store_bytes_received', len(outcome.body))
         if outcome.status in _CODE_BY_STATUS:
             return errors.Refusal(
                 _CODE_BY_STATUS[outcome.status], f'{method} {target}'
@@ -254,7 +296,9 @@
             return errors.Refusal(
                 errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
             )
-        return _Response(outcome.status, decoded)
+        return _Response(
+            outcome.status, decoded, len(outcome.body), outcome.transfer_s
+        )
 
 
 class _KindReader(store_watch.ObjectReader):
@@ -264,9 +308,23 @@
         self._store = store_
         self._kind = kind
 
-    async def read(self) -> store_watch.Page | errors.Refusal:
-        """Return all objects."""
-        return await self._store.list_objects(self._kind)
+    async def read(
+        self, changed_after: int = 0
+    ) -> store_watch.Page | errors.Refusal:
+        """Return the objects that have changed after a revision."""
+        if not changed_after:
+            return await self._store.list_objects(self._kind)
+        found = await self._store.list_objects(
+            self._kind, BURST_SILENCE_TIMEOUT_S
+        )
+        if isinstance(found, errors.Refusal):
+            return found
+        changed = [
+            obj
+            for obj in found.items
+            if objects.object_revision(obj) > changed_after
+        ]
+        return store_watch.Page(changed, found.revision)
 
     async def watch(self, revision: int) -> store_watch.Page | errors.Refusal:
         """Wait for objects that change after a revision and return them."""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
+import msgspec
 import pytest
 
 from damaskpier import errors
@@ -29,6 +31,12 @@
         return await anext(found)
 
 
+async def _wait_for_calls(fake, count):
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        while len(fake.calls) < count:
+            await asyncio.sleep(0.01)
+
+
 async def _next_good(found):
     while True:
         value = await _next(found)
@@ -73,6 +81,47 @@
     assert len(fake.calls) == 2
 
 
+async def test_deliveries_of_configurations_are_logged_and_counted(
+    fake, client, metrics, operator_config, caplog
+):
+    """Links that configurations fill would otherwise have no visible cause."""
+    caplog.set_level(logging.INFO, store.LOG.name)
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    listed_bytes = metrics.counter_value('store_bytes_received')
+    size = len(msgspec.json.encode(fake.objects['config']['main']))
+    assert listed_bytes > size
+    fake.put('config', 'main', operator_config('0000000f'))
+    await _next(found)
+    received = 'store_configurations_received'
+    assert metrics.counter_value(received, call='list') == 1
+    assert metrics.counter_value(received, call='watch') == 1
+    assert metrics.counter_value('store_bytes_received') > listed_bytes + size
+    assert 'store_configuration_transfer_seconds_count 2' in metrics.render()
+    listed, watched = (
+        record.getMessage()
+        for record in caplog.records
+        if ' delivered ' in record.getMessage()
+    )
+    assert 'list delivered 1 configurations' in listed
+    assert f'in {listed_bytes:.0f} bytes' in listed
+    assert 'watch delivered 1 configurations' in watched
+
+
+async def test_deliveries_of_orders_are_not_taken_for_configurations(
+    fake, client, metrics
+):
+    """Counts of configurations must not rise with the statuses of orders."""
+    fake.put('rollouts', 's1', ORDER)
+    await _next(client.orders())
+    assert metrics.counter_value('store_bytes_received') > 0
+    assert (
+        metrics.counter_value('store_configurations_received', call='list')
+        == 0
+    )
+
+
 async def test_changes_in_quick_succession_share_a_call(
     fake, client, operator_config
 ):
@@ -89,6 +138,60 @@
     assert len(fake.calls) <= 4
 
 
+async def test_burst_is_read_with_each_object_once(
+    fake, client, operator_config
+):
+    """A read that finds nothing new yields nothing and ends the burst."""
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    for version in ('0000000e', '0000000f'):
+        fake.put('config', 'main', operator_config(version))
+        await _next(found)
+    waiting = asyncio.create_task(_next(found))
+    await _wait_for_calls(fake, 5)
+    is_watch = ['watch' in target for _, target in fake.calls]
+    assert is_watch[-2:] == [False, True]
+    assert not waiting.done()
+    fake.put('config', 'main', operator_config('00000010'))
+    assert (await waiting).version == 16
+
+
+async def test_read_of_a_burst_is_not_given_up_while_the_store_is_slow(
+    fake, client, operator_config, monkeypatch
+):
+    """A read with a short timeout would bring no change, as a watch would."""
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.05)
+    fake.list_delay_s = 0.2
+    for version in ('0000000e', '0000000f', '00000010'):
+        fake.put('config', 'main', operator_config(version))
+        value = await _next(found)
+        assert not isinstance(value, errors.Refusal)
+    assert value.version == 16
+
+
+async def test_order_and_its_status_cost_no_read(fake, client):
+    """Calls are priced, and each order is followed by its status."""
+    found = client.orders()
+    ask = asyncio.create_task(_next(found))
+    await _wait_for_calls(fake, 2)
+    fake.put('rollouts', 's1', ORDER)
+    (order,) = await ask
+    await client.write_phase(order, model.Phase.RUNNING)
+    (order,) = await _next(found)
+    assert order.has_status
+    ask.cancel()
+    lists = [
+        target
+        for method, target in fake.calls
+        if method == 'GET' and 'watch' not in target
+    ]
+    assert len(lists) == 1
+
+
 async def test_lost_history_is_read_again(fake, client, operator_config):
     fake.put('config', 'main', operator_config())
     found = client.configurations()
@@ -161,7 +264,7 @@
         listener = await asyncio.start_server(slow.answer, conftest.HOST, 0)
         async with listener:
             port = listener.sockets[0].getsockname()[1]
-            client = conftest.make_client(port)
+            client = conftest.make_app(port).service('store')
             found = await client.list_objects('config')
             await client.stop()
             await slow.ended.wait()
