Limit the size of responses in the HTTP/1.1 client

Callers saw: a worker, node or store that sent bytes without end, in a head or in a body, used up the memory of the node that called it. The node was killed, and all requests on it got a closed connection. Cause: the client kept everything until the response ended or the deadline passed. An idle connection also kept the body of its last response. Change: a response fails, with unknown run state, above 64 KiB or 1000 headers in its head, its trailers or the extension of one chunk, above 3000 interim responses, above 16 MiB in all, or at once if its Content-Length is above 16 MiB. All responses that a process receives at one time are limited to 48 MiB; the largest one fails first, so that small ones complete. The count ends with the response, its failure and its cancellation, and a complete body is no longer kept. Found sound: bytes behind a complete response or on an idle connection close it at once, and interim responses don't extend the deadline; both have tests now. Failed before: python -m pytest tests/test_http1/test_client.py with the new constants and an unused limit added to the old client: all 15 cases of test_response_without_end_fails_within_the_limits read all 24 MiB and failed only as the script closed (the case ended by close was taken for complete), and so failed test_stated_length_above_the_limit_fails_before_the_body, test_responses_of_all_connections_share_a_limit and test_completed_response_is_not_counted_or_kept.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from damaskpier.http1 import memory
 from damaskpier.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -31,7 +32,21 @@
 # An idle connection is reused only within this ratio of the idle timeout that
 # the server states.
 KEEP_ALIVE_USE_RATIO = 0.6
-
+# Limits of a response. A faulty server may send bytes without end, and a node
+# would keep them until it has no memory left.
+MAX_HEAD_BYTES = 64 * 1024
+# The objects of a short header take far more memory than its bytes.
+MAX_HEADER_COUNT = 1000
+# A node that runs a request sends five interim responses a second, so this
+# limit is reached after ten minutes.
+MAX_INTERIM_COUNT = 3000
+# The largest bodies are downloads of a few MB.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Limit of all responses that a process receives at one time. The smallest
+# nodes have 200 MB, and the body of a response is copied when it is complete.
+MAX_RECEIVED_BYTES = 48 * 1024 * 1024
+
+_RESPONSE_MEMORY = memory.MemoryLimit(MAX_RECEIVED_BYTES)
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
@@ -63,6 +78,9 @@
     :param connect_timeout_s: limit of the time to connect
     :param user_timeout_ms: time after which a connection is closed whose sent
         bytes the peer has not acknowledged
+    :param max_response_bytes: limit of a response, with its head and framing
+    :param memory_limit: limit of the responses that arrive at one time; by
+        default, all pools share one limit
     """
 
     def __init__(
@@ -72,8 +90,12 @@
         max_idle: int = 32,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
+        memory_limit: memory.MemoryLimit = _RESPONSE_MEMORY,
     ) -> None:
         self.user_timeout_ms = user_timeout_ms
+        self.max_response_bytes = max_response_bytes
+        self.memory = memory_limit
         self.address = (host, port)
         self.opened_count = 0
         self.in_use = 0
@@ -170,7 +192,7 @@
         return conn
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol, memory.Receiver):
     """One connection to a server.
 
     :param pool: pool that the connection belongs to
@@ -189,6 +211,10 @@
         self._options = Options(0.0)
         self._timers: list[asyncio.TimerHandle] = []
         self._last_received_at = 0.0
+        self._received_bytes = 0
+        # Bytes since the last part of a body or interim response.
+        self._framing_bytes = 0
+        self._interim_count = 0
         self._init_parser()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -232,6 +258,7 @@
         loop = asyncio.get_running_loop()
         self._options = options
         self._response = loop.create_future()
+        self._received_bytes = self._framing_bytes = self._interim_count = 0
         self._last_received_at = loop.time()
         self._transport.write(data)
         self._timers = [loop.call_at(options.deadline, self._on_deadline)]
@@ -254,6 +281,7 @@
         self.is_open = False
         self._cancel_timers()
         self._response = None
+        self._discard_message()
         if self._transport is not None:
             self._transport.abort()
 
@@ -264,12 +292,25 @@
             self.close()
             return
         self._last_received_at = asyncio.get_running_loop().time()
+        self._framing_bytes += len(data)
+        self._received_bytes += len(data)
+        self._pool.memory.add(self, len(data))
+        if self._received_bytes > self._pool.max_response_bytes:
+            self._fail_too_large(f'{self._pool.max_response_bytes} bytes')
+        if self._response is None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail('the server switched protocols')
         except httptools.HttpParserError as exc:
             self._fail(f'malformed response: {exc}')
+        if self._response is not None and self._framing_bytes > MAX_HEAD_BYTES:
+            self._fail_too_large(f'a head of {MAX_HEAD_BYTES} bytes')
+
+    def memory_exhausted(self) -> None:
+        """Fail the request, because too many bytes arrive at one time."""
+        self._fail('no memory for the response')
 
     # Callbacks of the HTTP parser.
 
@@ -277,25 +318,47 @@
         """Start a message, which may follow a complete response."""
         if self._response is None:
             self.is_reusable = False
-        self._headers = []
-        self._body = []
+        self._discard_message()
         self._is_ended_by_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header of the head or of the trailers."""
+        if self._response is None:
+            return
+        self._header_bytes += len(name) + len(value)
+        if (
+            self._header_bytes > MAX_HEAD_BYTES
+            or len(self._headers) >= MAX_HEADER_COUNT
+        ):
+            self._fail_too_large(
+                f'a head of {MAX_HEAD_BYTES} bytes or {MAX_HEADER_COUNT} '
+                'headers'
+            )
+            return
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is recognised."""
-        names = {name.lower() for name, _ in self._headers}
+        if self._response is None:
+            return
+        fields = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
-        self._is_ended_by_close = not (
+        has_body = not (
             status < 200
             or status in messages.STATUSES_WITHOUT_BODY
             or self._options.is_head
-            or 'content-length' in names
-            or 'transfer-encoding' in names
         )
+        self._is_ended_by_close = has_body and not (
+            'content-length' in fields or 'transfer-encoding' in fields
+        )
+        if (
+            has_body
+            and int(fields.get('content-length', 0))
+            > self._pool.max_response_bytes
+        ):
+            self._fail_too_large(
+                f'a Content-Length of {self._pool.max_response_bytes}'
+            )
         if self._options.is_head and status >= 200:
             # The parser would wait for a body of the stated length.
             self.is_reusable = False
@@ -303,11 +366,19 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
-        self._body.append(body)
+        self._framing_bytes = 0
+        if self._response is not None:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the request if the response belongs to it."""
-        if self._response is None or self._parser.get_status_code() < 200:
+        if self._response is None:
+            return
+        if self._parser.get_status_code() < 200:
+            self._interim_count += 1
+            self._framing_bytes = 0
+            if self._interim_count > MAX_INTERIM_COUNT:
+                self._fail_too_large(f'{MAX_INTERIM_COUNT} interim responses')
             return
         if not self._answers_request():
             LOG.info(
@@ -337,8 +408,9 @@
         self._cancel_timers()
         headers = tuple(self._headers)
         response = messages.Response(
-            self._parser.get_status_code(), headers, b''.join(self._body)
+            self._parser.get_status_code(), headers, bytes(self._body)
         )
+        self._discard_message()
         if self._is_ended_by_close or not self._parser.should_keep_alive():
             self.is_reusable = False
         if self._transport.get_write_buffer_size():
@@ -360,9 +432,20 @@
         fut, self._response = self._response, None
         self._cancel_timers()
         self.is_reusable = False
+        self._discard_message()
         if fut is not None and not fut.done():
             fut.set_result(messages.Failure(reason, True, **flags))
 
+    def _fail_too_large(self, limit: str) -> None:
+        self._fail(f'the response exceeds {limit}')
+
+    def _discard_message(self) -> None:
+        self._headers = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        if self._response is None:
+            self._pool.memory.release(self)
+
     def _on_deadline(self) -> None:
         self._fail('no response by the deadline', timed_out=True)
 
@@ -389,7 +472,8 @@
     def _init_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._body = bytearray()
         self._is_ended_by_close = False
 
 
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -6,18 +6,40 @@
 import socket
 import struct
 
+import pytest
+
 from damaskpier.http1 import client
+from damaskpier.http1 import memory
 from damaskpier.http1 import messages
 
 from tests.test_http1 import conftest
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# Most bytes that a script without end writes.
+FLOOD_BYTES = 24 * 1024 * 1024
+# Most bytes that asyncio passes to a connection at a time.
+MAX_READ_BYTES = 256 * 1024
 
 
 async def _read_request(reader: asyncio.StreamReader) -> None:
     await reader.readuntil(b'\r\n\r\n')
 
 
+@pytest.fixture
+def received(monkeypatch) -> list[int]:
+    """Return a list of the sizes of all data that the client receives."""
+    sizes = []
+    receive = client.Connection.data_received
+
+    def data_received(conn, data):
+        sizes.append(len(data))
+        receive(conn, data)
+
+    monkeypatch.setattr(client.Connection, 'data_received', data_received)
+    return sizes
+
+
 async def test_connection_is_used_again(scripted, options):
     """Consecutive requests reuse one connection."""
 
@@ -303,9 +325,303 @@
     assert not outcome.sent
 
 
+ENDLESS_CASES = [
+    pytest.param(b'HTTP/1.1 200 ', b'x', 'head', id='status-line'),
+    pytest.param(b'HTTP/1.1 200 OK\r\nName: ', b'x', 'head', id='header-line'),
+    pytest.param(b'HTTP/1.1 200 OK\r\nNa', b'm', 'head', id='header-name'),
+    pytest.param(b'HTTP/1.1 200 OK\r\n', b'A: b\r\n', 'head', id='headers'),
+    pytest.param(
+        b'HTTP/1.1 100 Continue\r\n', b'A: b\r\n', 'head', id='interim-head'
+    ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 102 Processing\r\n\r\n',
+        'interim responses',
+        id='interim-responses',
+    ),
+    pytest.param(
+        CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n', 'bytes', id='chunks'
+    ),
+    pytest.param(CHUNKED, b'1\r\nx\r\n', 'bytes', id='small-chunks'),
+    pytest.param(CHUNKED + b'1;', b'x', 'head', id='chunk-extension'),
+    pytest.param(
+        CHUNKED, b'1;' + b'e' * 9000 + b'\r\nx\r\n', 'bytes', id='extensions'
+    ),
+    pytest.param(
+        CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n', 'head', id='trailers'
+    ),
+    pytest.param(
+        CHUNKED + b'1\r\nx\r\n0\r\nName: ', b'x', 'head', id='trailer-line'
+    ),
+    pytest.param(
+        b'HTTP/1.1 200 OK\r\n\r\n', b'x', 'bytes', id='ended-by-close'
+    ),
+    pytest.param(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n',
+        b'x',
+        'Content-Length',
+        id='content-length',
+    ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok',
+        'bytes',
+        id='responses-to-other-requests',
+    ),
+]
+
+
+@pytest.mark.parametrize(('start', 'repeated', 'reason'), ENDLESS_CASES)
+async def test_response_without_end_fails_within_the_limits(
+    scripted, options, received, start, repeated, reason
+):
+    """A response without end fails, and its connection is closed.
+
+    The client would keep the bytes until the node runs out of memory. Nothing
+    of such a response may look complete.
+    """
+    cut = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(start)
+        await _flood(writer, repeated, cut)
+
+    pool = await scripted(script)
+    outcome = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='mine')
+    )
+    assert isinstance(outcome, messages.Failure)
+    assert outcome.sent
+    assert not outcome.timed_out
+    assert reason in outcome.reason
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await cut.wait()
+    limit = {
+        'bytes': client.MAX_RESPONSE_BYTES,
+        'interim responses': 27 * client.MAX_INTERIM_COUNT,
+    }.get(reason, client.MAX_HEAD_BYTES)
+    assert sum(received) <= limit + 2 * MAX_READ_BYTES
+    assert not pool.memory.used_bytes
+
+
+async def test_stated_length_above_the_limit_fails_before_the_body(
+    scripted, options
+):
+    """A stated length above the limit fails before a byte of the body."""
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n')
+        await reader.read()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert isinstance(outcome, messages.Failure)
+    assert not outcome.timed_out
+    assert 'Content-Length' in outcome.reason
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_head'),
+    [(b'200', True), (b'304', False)],
+    ids=['head', 'not-modified'],
+)
+async def test_stated_length_of_a_missing_body_is_no_failure(
+    scripted, options, status, is_head
+):
+    """The length of a body that is not sent may be above the limit."""
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(
+            b'HTTP/1.1 %s X\r\nContent-Length: 99999999\r\n\r\n' % status
+        )
+        await reader.read()
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options(is_head=is_head))
+    assert outcome.status == int(status)
+    assert outcome.body == b''
+
+
+@pytest.mark.parametrize('repeated', [b'x', OK], ids=['garbage', 'responses'])
+async def test_bytes_without_end_behind_a_response_are_not_kept(
+    scripted, options, received, repeated
+):
+    """A connection with bytes behind a complete response is closed at once."""
+    cut = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(OK)
+        await _flood(writer, repeated, cut)
+
+    pool = await scripted(script)
+    outcome = await pool.request(conftest.GET, options())
+    assert outcome.body == b'ok'
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await cut.wait()
+    assert sum(received) <= 2 * MAX_READ_BYTES
+    assert not pool._idle
+
+
+async def test_bytes_without_end_on_an_idle_connection_are_not_kept(
+    scripted, options, received
+):
+    """An idle connection on which bytes arrive is closed at once."""
+    idle = asyncio.Event()
+    cut = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(OK)
+        await idle.wait()
+        await _flood(writer, b'x', cut)
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    assert pool._idle
+    idle.set()
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await cut.wait()
+    assert sum(received) <= 2 * MAX_READ_BYTES
+    assert not pool._idle
+
+
+async def test_interim_responses_do_not_extend_the_deadline(
+    scripted, options, monkeypatch
+):
+    """Interim responses restart the silence timeout but not the deadline.
+
+    They arrive 60 s apart, with a deadline after 100 s.
+    """
+    loop = asyncio.get_running_loop()
+    real_time = loop.time
+    passed_s = 0.0
+    monkeypatch.setattr(loop, 'time', lambda: real_time() + passed_s)
+    heard = asyncio.Event()
+    receive = client.Connection.data_received
+
+    def data_received(conn, data):
+        receive(conn, data)
+        heard.set()
+
+    monkeypatch.setattr(client.Connection, 'data_received', data_received)
+
+    async def script(reader, writer):
+        nonlocal passed_s
+        await _read_request(reader)
+        for _ in range(4):
+            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            await heard.wait()
+            heard.clear()
+            passed_s += 60.0
+        await reader.read()
+
+    pool = await scripted(script)
+    outcome = await pool.request(
+        conftest.GET,
+        options(deadline=loop.time() + 100.0, silence_timeout_s=90.0),
+    )
+    assert isinstance(outcome, messages.Failure)
+    assert outcome.timed_out
+    assert not outcome.silent
+
+
+async def test_responses_of_all_connections_share_a_limit(scripted, options):
+    """The responses that arrive at one time share a memory limit.
+
+    Many responses that are each within their limit would still use up the
+    memory of the node. The largest one fails first, so that others complete.
+    """
+    arrived = 0
+
+    async def script(reader, writer):
+        nonlocal arrived
+        await _read_request(reader)
+        arrived += 1
+        if arrived > 4:
+            writer.write(OK)
+        else:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n')
+            writer.write(b'x' * 500_000 * arrived)
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    pool.memory = memory.MemoryLimit(3_000_000)
+    tasks = [
+        asyncio.create_task(pool.request(conftest.GET, options()))
+        for _ in range(4)
+    ]
+    done, waiting = await asyncio.wait(
+        tasks, return_when=asyncio.FIRST_COMPLETED
+    )
+    failure = done.pop().result()
+    assert isinstance(failure, messages.Failure)
+    assert failure.sent
+    assert not failure.timed_out
+    assert pool.memory.used_bytes <= 3_000_000
+    response = await pool.request(conftest.GET, options())
+    assert response.body == b'ok'
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+    assert not pool.memory.used_bytes
+
+
+async def test_completed_response_is_not_counted_or_kept(scripted, options):
+    """A completed response is neither counted nor kept by its connection.
+
+    Idle connections would keep the body of their last response.
+    """
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(_named(b'a', b'x' * 100_000))
+        await reader.read()
+
+    pool = await scripted(script)
+    response = await pool.request(conftest.GET, options())
+    assert len(response.body) == 100_000
+    assert not pool.memory.used_bytes
+    assert len(pool._idle[0]._body) == 0
+
+
+async def test_body_within_the_limit_arrives_whole(scripted, options):
+    """A long body in small chunks arrives whole."""
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(CHUNKED + b'8\r\nabcdefgh\r\n' * 500_000 + b'0\r\n\r\n')
+        await reader.read()
+
+    pool = await scripted(script)
+    response = await pool.request(conftest.GET, options())
+    assert response.body == b'abcdefgh' * 500_000
+
+
 def _named(request_id: bytes, body: bytes) -> bytes:
     return b'HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s' % (
         request_id,
         len(body),
         body,
     )
+
+
+async def _flood(
+    writer: asyncio.StreamWriter, repeated: bytes, cut: asyncio.Event
+) -> None:
+    """Write bytes until the client closes, which sets the event.
+
+    The number of bytes is limited, so that a client without limits does not
+    use up the memory of the machine.
+    """
+    block = repeated * (1 + 65536 // len(repeated))
+    try:
+        for _ in range(FLOOD_BYTES // len(block)):
+            writer.write(block)
+            await writer.drain()
+    except ConnectionError:
+        cut.set()
