Limit the memory for requests in the HTTP/1.1 server

Callers saw: a peer that sent trailers or the extension of a chunk without end, or callers that sent many large bodies at one time, used up the memory of the node, which was killed with all its requests. Cause: only the head and each single body were limited. Trailers and framing were not, and a connection could hold 32 bodies of 64 MiB. Change: trailers, target and framing count like a head, a head has 1000 headers at most, and a head above the limit is refused also if it arrives whole in one read. All requests that arrive or run in a process are limited to 24 MiB. Above that, the largest one that is arriving gets a 503 with Retry-After; it has not run. A body that could never fit gets a 413. Callbacks of the parser do nothing after a rejection. Found sound: targets and header lines without end, and a rejected request behind a running one, which was kept from running only by an exception in a callback; both have tests now.

--- a/damaskpier/http1/memory.py
+++ b/damaskpier/http1/memory.py
@@ -40,8 +40,8 @@
         while self.used_bytes > self.limit_bytes and self._sizes:
             largest = max(self._sizes, key=self._sizes.__getitem__)
             LOG.warning(
-                'http: discarding a message of %d bytes: all messages that '
-                'are being received have %d bytes, limit %d',
+                'http: discarding a message of %d bytes: all messages have '
+                '%d bytes, limit %d',
                 self._sizes[largest],
                 self.used_bytes,
                 self.limit_bytes,
@@ -52,3 +52,19 @@
     def release(self, receiver: Receiver) -> None:
         """Stop counting the bytes of a receiver's message."""
         self.used_bytes -= self._sizes.pop(receiver, 0)
+
+    def keep(self, receiver: Receiver) -> int:
+        """Count a complete message until :meth:`free` is called.
+
+        It is not discarded when the memory is exhausted.
+
+        :returns: size of the message in bytes
+        """
+        return self._sizes.pop(receiver, 0)
+
+    def free(self, size: int) -> None:
+        """Stop counting a complete message.
+
+        :param size: size that :meth:`keep` returned
+        """
+        self.used_bytes -= size
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -10,12 +10,14 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import logging
 import time
 from typing import NamedTuple
 
 import httptools
 
+from damaskpier.http1 import memory
 from damaskpier.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -25,6 +27,14 @@
 # Requests of one connection that run concurrently. Reading pauses when there
 # are that many.
 MAX_PIPELINED_COUNT = 32
+# The objects of a short header take far more memory than its bytes.
+MAX_HEADER_COUNT = 1000
+# Limit of all requests of a process, from their arrival to the end of their
+# handlers. The smallest nodes have 200 MB, and a body is copied twice when it
+# is passed on.
+MAX_REQUEST_BYTES = 24 * 1024 * 1024
+# Time after which a client may retry a request for which there was no memory.
+RETRY_AFTER_S = 0.2
 LISTEN_BACKLOG = 1024
 # Interval between checks of all connections for timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -32,6 +42,8 @@
 PROCESSING_RESPONSE = b'HTTP/1.1 102 Processing\r\n\r\n'
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+_REQUEST_MEMORY = memory.MemoryLimit(MAX_REQUEST_BYTES)
+
 
 class Limits(NamedTuple):
     """Limits for requests and connections of clients.
@@ -67,6 +79,8 @@
         open
     :param progress: times of interim responses, None for no such responses
     :param clock: returns the time in seconds
+    :param memory_limit: limit of the requests that arrive or run at one time;
+        by default, all servers share one limit
     """
 
     def __init__(
@@ -75,7 +89,9 @@
         limits: Callable[[], Limits] = Limits,
         progress: Progress | None = None,
         clock: Callable[[], float] = time.monotonic,
+        memory_limit: memory.MemoryLimit = _REQUEST_MEMORY,
     ) -> None:
+        self.memory = memory_limit
         self.handler = handler
         self.limits = limits
         self.progress = progress
@@ -141,19 +157,19 @@
 
 
 class _Exchange:
-    """One request and, as soon as there is one, its response."""
+    """State of one request and, as soon as there is one, its response."""
 
-    __slots__ = ('request', 'task', 'response', 'keep_alive', 'timer')
+    __slots__ = ('is_head', 'task', 'response', 'keep_alive', 'timer')
 
-    def __init__(self, request: messages.Request, keep_alive: bool) -> None:
-        self.request = request
+    def __init__(self, is_head: bool, keep_alive: bool) -> None:
+        self.is_head = is_head
         self.keep_alive = keep_alive
         self.task: asyncio.Task[None] | None = None
         self.response: messages.Response | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol, memory.Receiver):
     """One connection of a client.
 
     :param server: server that accepted the connection
@@ -168,8 +184,10 @@
         self._is_closed = False
         self._is_reading = True
         self._is_in_message = False
+        self._is_discarding = False
         self._waiting_since = server.clock()
-        self._header_bytes = 0
+        # Bytes since the last part of a message that the parser has reported.
+        self._framing_bytes = 0
         self._reset_message()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -180,6 +198,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handlers of the requests of the connection."""
         self._server.remove_connection(self)
+        self._server.memory.release(self)
         self._is_closed = True
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -192,8 +211,7 @@
             return
         if not self._is_in_message:
             self._waiting_since = self._server.clock()
-        if not self._has_headers:
-            self._header_bytes += len(data)
+        self._framing_bytes += len(data)
         self._is_in_message = True
         try:
             self._parser.feed_data(data)
@@ -205,9 +223,8 @@
             LOG.info('http: malformed request: %s', exc)
             self._reject(400, 'malformed request')
         if (
-            not self._is_closed
-            and not self._has_headers
-            and self._header_bytes > self._limits.header_bytes
+            not self._is_discarding
+            and self._framing_bytes > self._limits.header_bytes
         ):
             self._reject(431, 'request headers too large')
 
@@ -220,7 +237,7 @@
 
     def close(self) -> None:
         """Close the connection when all written data has been sent."""
-        self._is_closed = True
+        self._is_closed = self._is_discarding = True
         if self._transport is not None:
             self._transport.close()
 
@@ -239,6 +256,14 @@
         elif waited_s > self._limits.idle_timeout_s:
             self.close()
 
+    def memory_exhausted(self) -> None:
+        """Refuse the request, because there is no memory for it."""
+        self._reject(
+            503,
+            'no memory for the request',
+            (('Retry-After', str(RETRY_AFTER_S)),),
+        )
+
     # Callbacks of the HTTP parser.
 
     def on_message_begin(self) -> None:
@@ -250,52 +275,73 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header of the head or of the trailers."""
+        if self._is_discarding:
+            return
+        self._header_bytes += len(name) + len(value)
+        if (
+            self._header_bytes > self._limits.header_bytes
+            or len(self._headers) >= MAX_HEADER_COUNT
+        ):
+            self._reject(431, 'request headers too large')
+            return
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Request the body if the client waits for that, check its length."""
-        self._has_headers = True
+        if self._is_discarding:
+            return
+        self._framing_bytes = 0
+        self._server.memory.add(self, self._header_bytes)
         for name, value in self._headers:
             lower = name.lower()
             if lower == 'expect' and value.lower() == '100-continue':
                 if not self._exchanges:
                     self._transport.write(CONTINUE_RESPONSE)
             elif (
-                lower == 'content-length'
-                and int(value) > self._limits.body_bytes
+                lower == 'content-length' and int(value) > self._max_body_bytes
             ):
                 self._reject(413, 'request body too large')
+                return
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
+        if self._is_discarding:
+            return
+        self._framing_bytes = 0
+        self._body += body
+        if len(self._body) > self._max_body_bytes:
             self._reject(413, 'request body too large')
             return
-        self._body.append(body)
+        self._server.memory.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Start the handler of the request."""
         self._is_in_message = False
         self._waiting_since = self._server.clock()
-        if self._is_closed:
+        if self._is_discarding:
             return
         request = messages.Request(
             self._parser.get_method().decode('latin-1'),
             self._url.decode('latin-1'),
             tuple(self._headers),
-            b''.join(self._body),
+            bytes(self._body),
+        )
+        self._reset_message()
+        self._framing_bytes = 0
+        exchange = _Exchange(
+            request.method == 'HEAD', self._parser.should_keep_alive()
         )
-        self._has_headers = False
-        self._header_bytes = 0
-        exchange = _Exchange(request, self._parser.should_keep_alive())
         self._exchanges.append(exchange)
         self._server.running += 1
         exchange.task = asyncio.get_running_loop().create_task(
-            self._run(exchange)
+            self._run(exchange, request)
+        )
+        exchange.task.add_done_callback(
+            functools.partial(
+                self._on_handler_done, self._server.memory.keep(self)
+            )
         )
-        exchange.task.add_done_callback(self._on_handler_done)
         if not exchange.keep_alive:
             self._discard_input()
         elif len(self._exchanges) >= MAX_PIPELINED_COUNT and self._is_reading:
@@ -305,23 +351,31 @@
     def _reset_message(self) -> None:
         self._url = b''
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._has_headers = False
+        self._header_bytes = 0
+        self._body = bytearray()
+
+    @property
+    def _max_body_bytes(self) -> int:
+        return min(self._limits.body_bytes, self._server.memory.limit_bytes)
 
     def _discard_input(self) -> None:
         # The transport still reads, so that the end of the connection is
         # detected, but no more data is parsed.
         self._parser = _DiscardingParser()
+        self._is_discarding = True
+        self._reset_message()
+        self._server.memory.release(self)
 
-    async def _run(self, exchange: _Exchange) -> None:
+    async def _run(
+        self, exchange: _Exchange, request: messages.Request
+    ) -> None:
         progress = self._server.progress
         if progress is not None:
             exchange.timer = asyncio.get_running_loop().call_later(
                 progress.initial_delay_s, self._send_progress, exchange
             )
         try:
-            response = await self._server.handler(exchange.request)
+            response = await self._server.handler(request)
         except asyncio.CancelledError:
             raise
         except Exception:
@@ -333,8 +387,11 @@
         exchange.response = response
         self._write_ready()
 
-    def _on_handler_done(self, task: asyncio.Task[None]) -> None:
+    def _on_handler_done(
+        self, request_bytes: int, task: asyncio.Task[None]
+    ) -> None:
         self._server.running -= 1
+        self._server.memory.free(request_bytes)
         if not task.cancelled() and task.exception() is not None:
             LOG.error(
                 'http: unexpected error while sending a response',
@@ -363,7 +420,7 @@
             self._transport.write(
                 messages.encode_response(
                     exchange.response,
-                    is_head=exchange.request.method == 'HEAD',
+                    is_head=exchange.is_head,
                     close=close,
                 )
             )
@@ -386,13 +443,15 @@
         self._exchanges.clear()
         self.close()
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(
+        self, status: int, reason: str, fields: messages.Headers = ()
+    ) -> None:
         """Answer a request that can not be read, and close the connection."""
-        if self._is_closed:
+        if self._is_closed or (self._is_discarding and self._exchanges):
             return
         self._discard_input()
-        exchange = _Exchange(messages.Request('GET', '/', (), b''), False)
-        exchange.response = messages.Response(status, (), reason.encode())
+        exchange = _Exchange(False, False)
+        exchange.response = messages.Response(status, fields, reason.encode())
         self._exchanges.append(exchange)
         self._write_ready()
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
+from damaskpier.http1 import memory
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
 
+from tests.test_http1 import conftest
+
 GET_A = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 GET_B = b'GET /b HTTP/1.1\r\nHost: h\r\n\r\n'
+CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+# Most bytes that asyncio passes to a connection at a time.
+MAX_READ_BYTES = 256 * 1024
+# Most bytes that a client without end sends.
+FLOOD_BYTES = 24 * 1024 * 1024
 
 
 async def _echo(request: messages.Request) -> messages.Response:
@@ -102,8 +111,18 @@
             b'65\r\n' + b'x' * 101 + b'\r\n0\r\n\r\n',
             b'413',
         ),
+        (CHUNKED + b'1\r\nx\r\n0\r\n' + b'A: b\r\n' * 200, b'431'),
+        (b'GET /' + b'x' * 300, b'431'),
+        (b'GET / HTTP/1.1\r\n' + b'A: b\r\n' * 200 + b'\r\n', b'431'),
+    ],
+    ids=[
+        'headers',
+        'length',
+        'chunks',
+        'trailers',
+        'target',
+        'complete-head',
     ],
-    ids=['headers', 'length', 'chunks'],
 )
 async def test_request_over_the_limits_is_refused(
     serve, connect, data, status
@@ -257,3 +276,190 @@
     raw.send(b'HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n' + GET_B)
     answers = await raw.read_until(b'/b')
     assert b'/a' not in answers
+
+
+async def test_rejected_request_behind_a_running_one_is_not_run(
+    serve, connect
+):
+    """A request whose body is too large is not run with a part of its body.
+
+    Its rejection waits for the response to the request before it, and the end
+    of its body arrives in the meantime.
+    """
+    go_on = asyncio.Event()
+    ran = []
+
+    async def handler(request):
+        ran.append((request.target, request.body))
+        await go_on.wait()
+        return messages.Response(200)
+
+    started = await serve(handler, limits=lambda: server.Limits(200, 100))
+    raw = await connect(started.port)
+    raw.send(
+        GET_A
+        + b'POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + b'20\r\n'
+        + b'x' * 32
+        + b'\r\n65\r\n'
+        + b'y' * 101
+        + b'\r\n0\r\n\r\n'
+    )
+    await _until(
+        lambda: any(len(c._exchanges) > 1 for c in started._connections)
+    )
+    go_on.set()
+    answers = await raw.read_to_end()
+    assert ran == [('/a', b'')]
+    assert b'HTTP/1.1 413' in answers
+
+
+async def test_too_many_headers_are_refused(serve, connect):
+    """A request with too many headers is refused.
+
+    The objects of short headers take far more memory than their bytes.
+    """
+    started = await serve(_echo)
+    raw = await connect(started.port)
+    count = server.MAX_HEADER_COUNT + 1
+    raw.send(b'GET / HTTP/1.1\r\n' + b'A: b\r\n' * count + b'\r\n')
+    assert (await raw.read_to_end()).startswith(b'HTTP/1.1 431')
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'GET /', b'x'),
+        (b'GET / HTTP/1.1\r\nA: ', b'x'),
+        (b'GET / HTTP/1.1\r\n', b'A: b\r\n'),
+        (CHUNKED + b'1;', b'x'),
+        (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\nA: ', b'x'),
+    ],
+    ids=[
+        'target',
+        'header-line',
+        'headers',
+        'chunk-extension',
+        'trailers',
+        'trailer-line',
+    ],
+)
+async def test_request_head_without_end_is_not_kept(
+    serve, connect, monkeypatch, start, repeated
+):
+    """A head or trailers without end close the connection.
+
+    The server would keep the bytes until the node runs out of memory.
+    """
+    received = []
+    receive = server.Connection.data_received
+
+    def data_received(conn, data):
+        received.append(len(data))
+        receive(conn, data)
+
+    monkeypatch.setattr(server.Connection, 'data_received', data_received)
+    started = await serve(_echo)
+    raw = await connect(started.port)
+    raw.send(start)
+    block = repeated * (1 + 65536 // len(repeated))
+    # The number of bytes is limited, so that a server without limits does not
+    # use up the memory of the machine.
+    with pytest.raises(ConnectionError):
+        for _ in range(FLOOD_BYTES // len(block)):
+            raw.send(block)
+            await raw.writer.drain()
+    assert sum(received) <= server.Limits().header_bytes + 2 * MAX_READ_BYTES
+
+
+async def test_requests_that_arrive_share_a_memory_limit(serve, connect):
+    """The largest request is refused when the memory limit is exceeded.
+
+    Many bodies that are each within their limit would still use up the memory
+    of the node. The refused request can be retried, because it has not run.
+    """
+    limit = memory.MemoryLimit(1000)
+    started = await serve(_echo, memory_limit=limit)
+    large = await connect(started.port)
+    small = await connect(started.port)
+    large.send(_start_post(700, b'x' * 600))
+    await _until(lambda: limit.used_bytes >= 600)
+    small.send(_start_post(500, b'y' * 499))
+    refusal = await large.read_to_end()
+    assert refusal.startswith(b'HTTP/1.1 503')
+    assert b'Retry-After: ' in refusal
+    assert limit.used_bytes <= 1000
+    small.send(b'y')
+    await small.read_until(b'y' * 500)
+    assert not limit.used_bytes
+
+
+async def test_running_requests_count_towards_the_memory_limit(serve, connect):
+    """The bodies of running requests count until the handlers end.
+
+    Up to 32 of them run at a time on each connection.
+    """
+    limit = memory.MemoryLimit(1000)
+    go_on = asyncio.Event()
+    ran = []
+
+    async def handler(request):
+        ran.append(request.target)
+        await go_on.wait()
+        return messages.Response(200)
+
+    started = await serve(handler, memory_limit=limit)
+    first = await connect(started.port)
+    first.send(_start_post(450, b'x' * 450) * 2)
+    await _until(lambda: len(ran) == 2)
+    second = await connect(started.port)
+    second.send(_start_post(300, b'y' * 300))
+    assert (await second.read_to_end()).startswith(b'HTTP/1.1 503')
+    assert len(ran) == 2
+    go_on.set()
+    await first.read_until(b'200 OK\r\n')
+    await first.read_until(b'200 OK\r\n')
+    assert not limit.used_bytes
+
+
+async def test_closed_connection_releases_the_memory_of_its_requests(
+    serve, connect
+):
+    """Requests that end with their connection are no longer counted."""
+    limit = memory.MemoryLimit(1000)
+
+    async def handler(request):
+        await asyncio.Event().wait()
+
+    started = await serve(handler, memory_limit=limit)
+    raw = await connect(started.port)
+    raw.send(_start_post(300, b'x' * 300) + _start_post(300, b'y' * 200))
+    await _until(lambda: limit.used_bytes >= 500)
+    raw.writer.close()
+    await _until(lambda: not limit.used_bytes)
+
+
+async def test_body_above_the_memory_limit_is_too_large(serve, connect):
+    """A body that never fits into the memory limit is refused for good.
+
+    A refusal that allows a retry would be repeated without end.
+    """
+    limit = memory.MemoryLimit(1000)
+    started = await serve(_echo, memory_limit=limit)
+    raw = await connect(started.port)
+    raw.send(_start_post(1001, b''))
+    assert (await raw.read_to_end()).startswith(b'HTTP/1.1 413')
+
+
+def _start_post(length: int, body: bytes) -> bytes:
+    return b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s' % (
+        length,
+        body,
+    )
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0)
