Move the memory limit to the utilities

Clients that are based on libcurl will use it too. The fixture ``scripted`` closes the connections of its scripts at the end of a test: otherwise their destructors fail later, in an unrelated test.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -17,8 +17,8 @@
 
 import httptools
 
-from damaskpier.http1 import memory
 from damaskpier.http1 import messages
+from damaskpier.util import memory
 
 LOG = logging.getLogger(__name__)
 
--- a/tests/test_http1/conftest.py
+++ b/tests/test_http1/conftest.py
@@ -88,11 +88,13 @@
     The script serves each connection; the pool connects to that server.
     """
     servers = []
+    writers = []
 
     async def start(script: Script) -> client.Pool:
         async def run(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            writers.append(writer)
             with contextlib.suppress(ConnectionError):
                 await script(reader, writer)
             writer.close()
@@ -104,6 +106,8 @@
     yield start
     for started in servers:
         started.close()
+    for writer in writers:
+        writer.transport.abort()
 
 
 @pytest.fixture
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -9,8 +9,8 @@
 import pytest
 
 from damaskpier.http1 import client
-from damaskpier.http1 import memory
 from damaskpier.http1 import messages
+from damaskpier.util import memory
 
 from tests.test_http1 import conftest
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from damaskpier.http1 import memory
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
+from damaskpier.util import memory
 
 from tests.test_http1 import conftest
 
