Limit the memory for responses of the local upstream

Callers saw: each response was limited, but 32 or more connections with a body of up to 64 MiB each could use up the memory of the node, and a body whose stated length is above the limit was read up to the limit. Cause: Tornado's client counts the body of one transfer only. Change: all transfers of a process share a limit of 48 MiB. The largest one is ended first and fails with unknown run state; it can not look complete. The count ends with the transfer. libcurl refuses a stated length above the limit. Found sound, with tests now: libcurl ends a transfer with a status line, header line, headers, trailers or interim responses without end, and the limit of a body holds with chunks and without a length. The extension of a chunk without end is read until the deadline, but not kept.

--- a/damaskpier/traffic/curl_client.py
+++ b/damaskpier/traffic/curl_client.py
@@ -14,6 +14,8 @@
 from tornado import httpclient
 from tornado import httputil
 
+from damaskpier.util import limited_curl
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -46,7 +48,7 @@
     malformed: bool = False  # whether the request is invalid
 
 
-class UpstreamClient(curl_httpclient.CurlAsyncHTTPClient):
+class UpstreamClient(limited_curl.LimitedCurlClient):
     """Tornado's curl client with cancellation and connection limits.
 
     Tornado's ``fetch`` can not abort a transfer, so this class removes the
@@ -55,7 +57,10 @@
     """
 
     def initialize(  # type: ignore[override]
-        self, max_clients: int = 10, max_body_size: int = 1 << 22
+        self,
+        max_clients: int = 10,
+        max_body_size: int = 1 << 22,
+        **options: Any,
     ) -> None:
         """Create the handles.
 
@@ -65,7 +70,7 @@
         :param max_body_size: longest body of a response in bytes
         """
         super().initialize(
-            max_clients=max_clients, max_body_size=max_body_size
+            max_clients=max_clients, max_body_size=max_body_size, **options
         )
         self.set_connections(max_clients, max_clients)
 
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -7,9 +7,13 @@
 import pytest
 
 from damaskpier.traffic import curl_client
+from damaskpier.util import memory
 from tests.test_traffic import conftest
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# Most bytes that a server without end writes.
+FLOOD_BYTES = 24 * 1024 * 1024
 
 
 class Server:
@@ -51,6 +55,29 @@
     listener.close()
 
 
+@pytest.fixture
+async def listen():
+    """Return a function that starts a server and returns its URL."""
+    listeners = []
+    writers = []
+
+    async def start(serve):
+        async def run(reader, writer):
+            writers.append(writer)
+            await serve(reader, writer)
+            writer.close()
+
+        listener = await asyncio.start_server(run, '127.0.0.1', 0)
+        listeners.append(listener)
+        return f'http://127.0.0.1:{listener.sockets[0].getsockname()[1]}/'
+
+    yield start
+    for listener in listeners:
+        listener.close()
+    for writer in writers:
+        writer.transport.abort()
+
+
 @pytest.fixture
 async def client():
     """Return a client with two connections."""
@@ -179,3 +206,154 @@
     )
     assert outcome.too_large
     listener.close()
+
+
+async def test_stated_length_above_the_limit_fails_before_the_body(
+    client, listen
+):
+    """A body whose stated length is above the limit is not read."""
+    outcome = await _fetch(
+        client,
+        listen,
+        'GET',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n',
+    )
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.too_large
+
+
+@pytest.mark.parametrize(
+    ('method', 'status'),
+    [('HEAD', 200), ('GET', 304)],
+    ids=['head', 'not-modified'],
+)
+async def test_stated_length_of_a_missing_body_is_no_failure(
+    client, listen, method, status
+):
+    """The length of a body that is not sent may be above the limit."""
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: 99999999\r\n\r\n'
+    outcome = await _fetch(client, listen, method, head.encode())
+    assert outcome.code == status
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 ', b'x'),
+        (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\nA: ', b'x'),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
+    ],
+    ids=[
+        'status-line',
+        'header-line',
+        'headers',
+        'interim-responses',
+        'chunks',
+        'trailers',
+        'trailer-line',
+        'ended-by-close',
+    ],
+)
+async def test_response_without_end_closes_its_connection(
+    client, listen, start, repeated
+):
+    """A response without end fails, and its connection is closed.
+
+    The client would keep the bytes until the node runs out of memory.
+    """
+    cut = asyncio.Event()
+    block = repeated * (1 + 65536 // len(repeated))
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(start)
+        try:
+            for _ in range(FLOOD_BYTES // len(block)):
+                writer.write(block)
+                await writer.drain()
+        except ConnectionError:
+            cut.set()
+
+    url = await listen(serve)
+    outcome = await client.run(request(url, fresh=True))
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+    assert not outcome.timed_out
+    async with asyncio.timeout(30):
+        await cut.wait()
+
+
+async def test_responses_of_all_transfers_share_a_limit(listen):
+    """The responses that arrive at one time share a memory limit.
+
+    Many responses that are each within their limit would still use up the
+    memory of the node. The largest one fails first, so that others complete.
+    """
+    client = curl_client.UpstreamClient(
+        max_clients=4,
+        memory_limit=memory.MemoryLimit(1_000_000),
+        force_instance=True,
+    )
+    small = asyncio.Event()
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n')
+        if b'/large' in head:
+            writer.write(b'x' * 800_000)
+        else:
+            writer.write(b'y' * 300_000)
+            await small.wait()
+            writer.write(b'y' * 600_000)
+        await reader.read()
+
+    url = await listen(serve)
+    large = asyncio.create_task(client.run(request(url + 'large', fresh=True)))
+    await conftest.until(lambda: client.memory.used_bytes == 800_000)
+    other = asyncio.create_task(client.run(request(url, fresh=True)))
+    async with asyncio.timeout(30):
+        failure = await large
+    assert isinstance(failure, curl_client.Failure)
+    assert failure.sent
+    assert not failure.too_large
+    assert 'memory' in failure.reason
+    small.set()
+    response = await other
+    assert response.body == b'y' * 900_000
+    assert not client.memory.used_bytes
+    client.close()
+
+
+async def test_cancelled_transfer_is_not_counted(client, listen):
+    """The body of a cancelled transfer no longer counts."""
+    client.memory = memory.MemoryLimit(1_000_000)
+    task = asyncio.create_task(
+        _fetch(
+            client,
+            listen,
+            'GET',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf',
+        )
+    )
+    await conftest.until(lambda: client.memory.used_bytes == 4)
+    task.cancel()
+    await conftest.until(lambda: not client.memory.used_bytes)
+
+
+async def _fetch(client, listen, method, answer):
+    """Send a request and return the outcome for an answer without end."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        await reader.read()
+
+    url = await listen(serve)
+    return await client.run(
+        curl_client.make_request(url, method, (), b'', 5, fresh=True)
+    )
