Limit the size of replies of the object API

Callers saw: a store that answered without end used up to 100 MB for each of up to 32 calls, and the node was killed. Cause: the client used the default limit of Tornado's client. Change: a reply has 32 MiB at most, since a listing has the values of its objects, and all replies share the limit of the clients that are based on libcurl. A reply that is cut leaves a write unknown. Failed before: python -m pytest tests/test_store/test_http.py with an unused constant MAX_REPLY_BYTES in the old client: 1 failed, 3 passed. test_reply_without_end_is_not_kept; the endless reply was cut by the server and taken for the stored object.

--- a/damaskpier/store/http.py
+++ b/damaskpier/store/http.py
@@ -16,13 +16,13 @@
 
 import msgspec
 import pycurl
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from damaskpier import errors
 from damaskpier.store import base
 from damaskpier.store import memory
 from damaskpier.store import object_values
+from damaskpier.util import limited_curl
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -49,6 +49,8 @@
 # because only one of the two can take effect.
 MAX_WRITE_ATTEMPTS = 2
 MAX_CONCURRENT_CALLS = 32
+# A listing has the values of its objects, up to 1 MB each.
+MAX_REPLY_BYTES = 32 * 1024 * 1024
 
 # Answers to calls that certainly had no effect.
 _REFUSED_STATUS_CODES = {
@@ -79,8 +81,10 @@
     """
 
     def __init__(self) -> None:
-        self.client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CONCURRENT_CALLS
+        self.client = limited_curl.LimitedCurlClient(
+            force_instance=True,
+            max_clients=MAX_CONCURRENT_CALLS,
+            max_body_size=MAX_REPLY_BYTES,
         )
         self.calls = 0
         self.is_retired = False
--- a/tests/test_store/test_http.py
+++ b/tests/test_store/test_http.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
+from damaskpier import config
 from damaskpier import errors
 from damaskpier.store import base
+from damaskpier.store import http
 
 
 async def test_objects_have_versions_and_conditional_updates(store):
@@ -46,3 +49,37 @@
     assert reply.code is errors.PLATFORM_TOO_LARGE
     kept = await store.put('bundles/x', value[:-1], None)
     assert await store.get('bundles/x') == kept
+
+
+async def test_reply_without_end_is_not_kept(monkeypatch):
+    """A reply without end fails, and its connection is closed.
+
+    The client would keep the reply until the node runs out of memory. A reply
+    that was cut must not count as a result, so that the write stays unknown.
+    """
+    monkeypatch.setattr(http, 'MAX_REPLY_BYTES', 1_000_000)
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nETag: "7"\r\n\r\n')
+        with contextlib.suppress(ConnectionError):
+            # The number of bytes is limited, so that a client without limits
+            # does not use up the memory of the machine.
+            for _ in range(64):
+                writer.write(b'x' * 65536)
+                await writer.drain()
+        writer.close()
+        closed.set()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    address = config.Address('127.0.0.1', listener.sockets[0].getsockname()[1])
+    store = http.HttpObjectStore(address, timeout_s=20.0)
+    read = await store.get('config/head')
+    assert read.code is errors.PLATFORM_UNAVAILABLE
+    async with asyncio.timeout(30):
+        await closed.wait()
+    deleted = await store._call('delete', 'DELETE', '/objects/config/head')
+    assert deleted.code is errors.PLATFORM_UNKNOWN
+    await store.stop()
+    listener.close()
