Take a refusal by a node's HTTP server for a refusal

Callers saw: a node without memory for a request of another node refuses it with 503 before it runs. The caller's node passed that on as the worker's answer, did not try another worker, and counted it as a failure of the worker's version. Cause: a response between nodes without a result code was taken for the worker's answer, and the HTTP server knows no result codes. Change: a 503 with neither a result code nor the worker's load, which the worker's node always states, is a refusal that has not run. Failed before: python -m pytest tests/test_fleet/test_path.py -k refusal_by: 1 failed; the result was an answer with status 503.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -293,6 +293,16 @@
         in_use, queued, slots = load_text.split(',')
         load = messages.Load(int(slots), int(in_use), int(queued))
     number = own_headers.get(headers.RESULT.lower())
+    if number is None and load is None and response.status == 503:
+        # The worker's node always states its load. Its HTTP server refuses a
+        # request by itself if there is no memory for it.
+        return messages.Reply(
+            errors.Refusal(
+                errors.CALL_OVERLOADED,
+                response.body.decode('utf-8', 'replace'),
+                errors.RunState.NOT_RUN,
+            )
+        )
     if number is None:
         answer = messages.Answer(
             response.status, tuple(other_headers), response.body
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -6,12 +6,16 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
+from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
+from damaskpier.traffic import messages as traffic_messages
+from damaskpier.util import memory
 
 from tests.test_fleet import conftest
 
@@ -205,3 +209,41 @@
     node.upstream.answer = hang
     response = await node.request()
     assert response.status == 504
+
+
+async def test_refusal_by_the_server_of_a_node_is_no_answer(fleet):
+    """A node without memory for a request refuses it before it runs.
+
+    Its HTTP server answers by itself. That must not pass for an answer of the
+    worker, which would count as a failure of the worker's version.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    server = other.app.service('peer-server').server
+    server.memory = memory.MemoryLimit(10_000)
+    server.memory.used_bytes = 9500
+    record = other.app.service('membership').local_record()
+    reply = await caller.app.service('peers').call(
+        record, _traffic_request(b'x' * 1000)
+    )
+    assert isinstance(reply.result, errors.Refusal)
+    assert reply.result.code is errors.CALL_OVERLOADED
+    assert reply.result.run is errors.RunState.NOT_RUN
+    assert not other.upstream.ran
+
+
+def _traffic_request(body):
+    return traffic_messages.Request(
+        request_id='r2',
+        route='reads',
+        service='reads',
+        version='',
+        method='POST',
+        target='/write/1',
+        headers=(('Host', 'h.example'),),
+        body=body,
+        deadline=time.monotonic() + conftest.TEST_TIMEOUT_S,
+        depth=0,
+        repeatable=False,
+    )
