Process all ended attempts before another one starts

Cause: when two attempts of a request ended in the same turn of the event loop, and the first one had failed, another attempt was started before the answer of the second one was looked at.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -277,6 +277,7 @@
             if not newest.stalled.done():
                 waited.add(newest.stalled)
             await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            result = None
             for attempt in [item for item in running if item.task.done()]:
                 running.remove(attempt)
                 result = attempt.task.result()
@@ -284,12 +285,12 @@
                 if attempts.is_answered_successfully():
                     self._record_response_size(route, result)
                     return False
-                if not self._abandoned.done() and self._may_start(
-                    route, attempts, len(running), result
-                ):
-                    return True
             if self._abandoned.done():
                 return False
+            if result is not None and self._may_start(
+                route, attempts, len(running), result
+            ):
+                return True
             if (
                 newest in running
                 and newest.stalled.done()
