Use no idle connection to a node while it is silent

Cause: since idle connections are kept after a silence, requests went on to nodes without power over them. Such a request may have run as far as is known, so that one that must not be repeated fails. A new connection would have timed out after 0.4 s, and the request would have run elsewhere. Change: after a silence a pool opens new connections until the server is heard. Data on an older connection shows that the idle ones work too; data on a newer one, that they do not, and closes them. A second attempt starts after 0.7 s without data instead of 1.2 s: calls of workers have a deadline of 0.865 s on that site. Tests: test_idle_connection_is_not_used_while_the_server_is_silent fails with the check of the pool taken out. tests/test_http1 and tests/test_fleet: 439 passed.

--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -23,7 +23,7 @@
 SILENCE_TIMEOUT_S = 0.6
 # An attempt counts as stalled when nothing was heard for this time, neither
 # on its connection nor on that of the question.
-STALL_TIMEOUT_S = 1.2
+STALL_TIMEOUT_S = 0.7
 # A question is given up after this time without data. It is long, because a
 # new connection takes long where a full link is the cause.
 QUESTION_TIMEOUT_S = 2.0
@@ -160,9 +160,7 @@
             if response is not None:
                 break
             await asyncio.sleep(QUESTION_INTERVAL_S)
-        # New connections work, unlike that of the attempt, and perhaps unlike
-        # the idle ones.
-        self._pool.close_idle()
+        self._pool.record_data(asyncio.get_running_loop().time())
         reply = self._exchange.decode_found(response)
         LOG.info(
             'peers: %s: asked for on another connection: %s after %d ms',
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -121,6 +121,7 @@
         self._max_idle = max_idle
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[Connection] = []
+        self._silent_since: float | None = None
 
     async def request(
         self, data: bytes, options: Options
@@ -150,6 +151,30 @@
         for conn in idle:
             conn.close()
 
+    def record_silence(self, now: float) -> None:
+        """Use no idle connection until the server is heard again.
+
+        A request on a connection that leads nowhere would be lost, while one
+        that gets no connection was not sent.
+
+        :param now: time of the loop's clock in seconds
+        """
+        if self._silent_since is None:
+            self._silent_since = now
+
+    def record_data(self, opened_at: float) -> None:
+        """Record that data has arrived.
+
+        :param opened_at: time at which its connection was opened
+        """
+        if self._silent_since is None:
+            return
+        if opened_at > self._silent_since:
+            # The server answers on a new connection, so that the silence is
+            # that of the old ones.
+            self.close_idle()
+        self._silent_since = None
+
     def discard(self, conn: Connection) -> None:
         """Remove a closed connection from the idle ones."""
         if conn in self._idle:
@@ -179,6 +204,8 @@
     def _pop_reusable(
         self, now: float, max_idle_s: float
     ) -> Connection | None:
+        if self._silent_since is not None:
+            return None
         while self._idle:
             conn = self._idle.pop()
             if not conn.is_open or now >= conn.expires_at:
@@ -228,6 +255,7 @@
         ) = None
         self._options = Options(0.0)
         self._timers: list[asyncio.TimerHandle] = []
+        self._opened_at = 0.0
         self._last_received_at = 0.0
         self._received_by_all = 0
         self._silence_check_at = 0.0
@@ -242,6 +270,7 @@
         """Set the socket options of the new connection."""
         self._transport = transport
         self.is_open = True
+        self._opened_at = asyncio.get_running_loop().time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
             set_socket_options(sock, self._pool.user_timeout_ms)
@@ -314,6 +343,7 @@
             self.close()
             return
         self._last_received_at = asyncio.get_running_loop().time()
+        self._pool.record_data(self._opened_at)
         self._received_by_all = byte_counter.RECEIVED.total
         if self._options.activity is not None:
             self._options.activity.heard_at = self._last_received_at
@@ -503,6 +533,7 @@
         )
 
     def _report_silence(self, reason: str) -> None:
+        self._pool.record_silence(asyncio.get_running_loop().time())
         if self._options.on_silence is None:
             self._fail(reason, timed_out=True, silent=True)
         else:
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -710,3 +710,63 @@
             await writer.drain()
     except ConnectionError:
         cut.set()
+
+
+@pytest.fixture
+async def half_silent(scripted, options):
+    """Return a pool with an idle connection, and a silent request.
+
+    The pool belongs to a server that answers requests but for those to
+    ``/silent``, of which it sends the bytes that the test gives to the
+    returned function.
+    """
+    writers = []
+
+    async def script(reader, writer):
+        while True:
+            request = await reader.readuntil(b'\r\n\r\n')
+            if b'/silent' in request:
+                writers.append(writer)
+            else:
+                writer.write(OK)
+
+    pool = await scripted(script)
+    silent = asyncio.Event()
+    first = asyncio.create_task(pool.request(conftest.GET, options()))
+    request = asyncio.create_task(
+        pool.request(
+            conftest.GET.replace(b'GET /', b'GET /silent'),
+            options(silence_timeout_s=0.02, on_silence=lambda _: silent.set()),
+        )
+    )
+    await first
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await silent.wait()
+    assert pool.opened_count == 2
+    yield pool, lambda data: writers[0].write(data)
+    request.cancel()
+
+
+async def test_idle_connection_is_not_used_while_the_server_is_silent(
+    half_silent, options
+):
+    """A request must not be sent on a connection that may lead nowhere.
+
+    It would be unknown whether it ran, while a request that gets no
+    connection may be sent to another server.
+    """
+    pool, _ = half_silent
+    assert (await pool.request(conftest.GET, options())).body == b'ok'
+    assert pool.opened_count == 3
+
+
+async def test_idle_connection_is_used_when_the_server_is_heard_again(
+    half_silent, options
+):
+    """A short silence must not cost new connections for long."""
+    pool, send = half_silent
+    send(b'HTTP/1.1 102 Processing\r\n\r\n')
+    while pool._silent_since is not None:
+        await asyncio.sleep(0)
+    assert (await pool.request(conftest.GET, options())).body == b'ok'
+    assert pool.opened_count == 2
