Close the streams of tests before their event loop ends

Cause: fixtures and tests ended with open StreamWriters: handlers of asyncio.start_server that were cancelled or never closed their connection, and connections of a relay. When such a writer is garbage collected after its loop was closed, StreamWriter.__del__ raises RuntimeError('Event loop is closed'). The unraisable hook of pytest formats the traceback, for which Python 3.11 calls ast.parse. If the collection runs within another ast.parse, the outer call ends with 'SystemError: AST constructor recursion depth mismatch'. In test_deliveries_in_any_order, hypothesis calls inspect.getsource, and so ast.parse, for the digest of the test. Change: tests/streams.py serves connections for a test and, at its end, cancels the handlers and closes what is still open. The fixtures scripted, connect and peer and the tests of the curl client use it; scripted closes the idle connections of its pools.

--- a/tests/test_http1/conftest.py
+++ b/tests/test_http1/conftest.py
@@ -14,6 +14,8 @@
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
 
+from tests import streams
+
 HOST = '127.0.0.1'
 TIMEOUT_S = 20.0
 
@@ -76,7 +78,7 @@
 
     yield open_
     for raw in opened:
-        raw.writer.close()
+        await streams.abort(raw.writer)
 
 
 @pytest.fixture
@@ -87,23 +89,25 @@
 
     The script serves each connection; the pool connects to that server.
     """
-    servers = []
-
-    async def start(script: Script) -> client.Pool:
-        async def run(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            with contextlib.suppress(ConnectionError):
-                await script(reader, writer)
-            writer.close()
-
-        started = await asyncio.start_server(run, HOST, 0)
-        servers.append(started)
-        return client.Pool(HOST, started.sockets[0].getsockname()[1])
-
-    yield start
-    for started in servers:
-        started.close()
+    pools = []
+    async with contextlib.AsyncExitStack() as servers:
+
+        async def start(script: Script) -> client.Pool:
+            async def run(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                with contextlib.suppress(ConnectionError):
+                    await script(reader, writer)
+                writer.close()
+
+            port = await servers.enter_async_context(streams.serve(run, HOST))
+            pool = client.Pool(HOST, port)
+            pools.append(pool)
+            return pool
+
+        yield start
+        for pool in pools:
+            pool.close_idle()
 
 
 @pytest.fixture
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -7,6 +7,7 @@
 import pytest
 
 from damaskpier.traffic import curl_client
+from tests import streams
 from tests.test_traffic import conftest
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -45,10 +46,9 @@
 async def server():
     """Return a running server."""
     server = Server()
-    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
-    server.url = f'http://127.0.0.1:{listener.sockets[0].getsockname()[1]}/'
-    yield server
-    listener.close()
+    async with streams.serve(server.serve, '127.0.0.1') as port:
+        server.url = f'http://127.0.0.1:{port}/'
+        yield server
 
 
 @pytest.fixture
@@ -110,16 +110,18 @@
 
     The upstream may still run the request, so it must not count as not run.
     """
-    listener = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
-    port = listener.sockets[0].getsockname()[1]
-    outcome = await client.run(
-        curl_client.make_request(
-            f'http://127.0.0.1:{port}/', 'POST', (), b'x', 0.05, fresh=True
+
+    async def serve(reader, writer):
+        await asyncio.Event().wait()
+
+    async with streams.serve(serve, '127.0.0.1') as port:
+        outcome = await client.run(
+            curl_client.make_request(
+                f'http://127.0.0.1:{port}/', 'POST', (), b'x', 0.05, fresh=True
+            )
         )
-    )
     assert outcome.sent
     assert outcome.timed_out
-    listener.close()
 
 
 async def test_connections_stay_within_the_limit(server, client):
@@ -148,17 +150,15 @@
         closed.set()
         writer.close()
 
-    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = listener.sockets[0].getsockname()[1]
-    task = asyncio.create_task(
-        client.run(request(f'http://127.0.0.1:{port}/', fresh=False))
-    )
-    await arrived.wait()
-    task.cancel()
-    async with asyncio.timeout(30):
-        await closed.wait()
-    await conftest.until(task.cancelled)
-    listener.close()
+    async with streams.serve(serve, '127.0.0.1') as port:
+        task = asyncio.create_task(
+            client.run(request(f'http://127.0.0.1:{port}/', fresh=False))
+        )
+        await arrived.wait()
+        task.cancel()
+        async with asyncio.timeout(30):
+            await closed.wait()
+        await conftest.until(task.cancelled)
 
 
 async def test_too_large_answer_is_refused(client):
@@ -172,10 +172,8 @@
         writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * (1 << 23))
         writer.close()
 
-    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = listener.sockets[0].getsockname()[1]
-    outcome = await client.run(
-        request(f'http://127.0.0.1:{port}/', fresh=True)
-    )
+    async with streams.serve(serve, '127.0.0.1') as port:
+        outcome = await client.run(
+            request(f'http://127.0.0.1:{port}/', fresh=True)
+        )
     assert outcome.too_large
-    listener.close()
--- a/tests/test_traffic/test_peers.py
+++ b/tests/test_traffic/test_peers.py
@@ -16,35 +16,33 @@
 from damaskpier.rpc import mesh_pb2
 from damaskpier.traffic import messages
 from damaskpier.traffic import peers
+from tests import streams
 from tests.test_traffic import conftest
 
 
 class Relay:
     """Forwards TCP connections; can drop the data of those that are open."""
 
-    def __init__(self):
+    def __init__(self, target_port):
         self.open = []
-
-    async def start(self, port):
-        self._target = port
-        self._listener = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0
-        )
-        self.port = self._listener.sockets[0].getsockname()[1]
+        self._target = target_port
 
     def silence(self):
         for flag in self.open:
             flag.clear()
 
-    async def _serve(self, reader, writer):
+    async def serve(self, reader, writer):
         flag = asyncio.Event()
         flag.set()
         self.open.append(flag)
         there = await asyncio.open_connection('127.0.0.1', self._target)
-        await asyncio.gather(
-            self._copy(flag, reader, there[1]),
-            self._copy(flag, there[0], writer),
-        )
+        try:
+            await asyncio.gather(
+                self._copy(flag, reader, there[1]),
+                self._copy(flag, there[0], writer),
+            )
+        finally:
+            await streams.abort(there[1])
 
     async def _copy(self, flag, reader, writer):
         while data := await reader.read(65536):
@@ -93,15 +91,16 @@
     handler = Handler()
     server = grpc_server.Server([handler])
     await server.start('127.0.0.1', 0)
-    relay = Relay()
-    await relay.start(server._server.sockets[0].getsockname()[1])
-    record = model.NodeRecord(
-        'n2', 1, 1, 'souss', 'souss-1', '127.0.0.1', relay.port, 0
-    )
-    channel = peers.Channel(record)
-    yield handler, relay, channel
-    channel.close()
+    relay = Relay(server._server.sockets[0].getsockname()[1])
+    async with streams.serve(relay.serve, '127.0.0.1') as relay.port:
+        record = model.NodeRecord(
+            'n2', 1, 1, 'souss', 'souss-1', '127.0.0.1', relay.port, 0
+        )
+        channel = peers.Channel(record)
+        yield handler, relay, channel
+        channel.close()
     server.close()
+    await server.wait_closed()
 
 
 def request(request_id, seconds=30.0):
