--- a/damaskpier/fleet/attempts.py
+++ b/damaskpier/fleet/attempts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import functools
 import logging
 import time
 from typing import NamedTuple
@@ -81,6 +82,8 @@
         self._ended: collections.OrderedDict[str, _Ended] = (
             collections.OrderedDict()
         )
+        # Attempts of which the body is still to arrive.
+        self._arriving: set[str] = set()
         # Tokens of the ended attempts whose replies have a body.
         self._with_body: collections.deque[str] = collections.deque()
         self._ended_bytes = 0
@@ -88,6 +91,18 @@
         # received.
         self._complete_since = clock()
 
+    def begin_arrival(self, token: str) -> Callable[[], None]:
+        """Record that an attempt is being received.
+
+        :returns: function to call when it has arrived, or will not
+        """
+        self._arriving.add(token)
+        return functools.partial(self._arriving.discard, token)
+
+    def is_arriving(self, token: str) -> bool:
+        """Return whether an attempt is being received."""
+        return token in self._arriving
+
     async def run(
         self, token: str, request: messages.Request
     ) -> messages.Reply:
@@ -119,7 +134,8 @@
             return await self._wait(token, running)
         ended = self._ended.get(token)
         if ended is not None:
-            return ended.reply
+            # The load has changed since.
+            return ended.reply and ended.reply._replace(load=None)
         self._drop_expired()
         now = self._clock()
         sent_at = now - age_s
@@ -136,7 +152,9 @@
             reply = await asyncio.shield(running.task)
         except asyncio.CancelledError:
             running.waiting -= 1
-            if not running.waiting:
+            if _is_successful(running.task):
+                self._end(token, running.task.result())
+            elif not running.waiting:
                 running.task.cancel()
                 self._end(token, None)
             raise
@@ -180,6 +198,10 @@
         self._ended[token] = ended._replace(reply=None)
 
 
+def _is_successful(task: asyncio.Task[messages.Reply]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
 def _body_size(reply: messages.Reply | None) -> int:
     if reply is None or isinstance(reply.result, errors.Refusal):
         return 0
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -24,6 +24,9 @@
 LOG = logging.getLogger(__name__)
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Called with the headers of a request whose body is still to arrive; returns
+# a function that is called when the body has arrived or will not.
+ArrivalObserver = Callable[[messages.Headers], Callable[[], None]]
 
 # Requests of one connection that run concurrently. Reading pauses when there
 # are that many.
@@ -82,6 +85,7 @@
     :param clock: returns the time in seconds
     :param memory_limit: limit of the requests that arrive or run at one time;
         by default, all servers share one limit
+    :param observe_arrival: learns of requests before their bodies arrive
     """
 
     def __init__(
@@ -91,7 +95,9 @@
         progress: Progress | None = None,
         clock: Callable[[], float] = time.monotonic,
         memory_limit: memory.MemoryLimit = _REQUEST_MEMORY,
+        observe_arrival: ArrivalObserver | None = None,
     ) -> None:
+        self.observe_arrival = observe_arrival
         self.memory = memory_limit
         self.handler = handler
         self.limits = limits
@@ -196,6 +202,7 @@
         self._is_reading = True
         self._is_in_message = False
         self._is_discarding = False
+        self._arrival_end: Callable[[], None] | None = None
         self._waiting_since = server.clock()
         # Bytes since the last part of a message that the parser has reported.
         self._framing_bytes = 0
@@ -210,6 +217,7 @@
         """Cancel the handlers of the requests of the connection."""
         self._server.remove_connection(self)
         self._server.memory.release(self)
+        self._end_arrival()
         self._is_closed = True
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -322,6 +330,10 @@
             ):
                 self._reject(413, 'request body too large')
                 return
+        if self._server.observe_arrival is not None:
+            self._arrival_end = self._server.observe_arrival(
+                tuple(self._headers)
+            )
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
@@ -356,6 +368,7 @@
         exchange.task = asyncio.get_running_loop().create_task(
             self._run(exchange, request)
         )
+        self._end_arrival()
         exchange.task.add_done_callback(
             functools.partial(
                 self._on_handler_done, self._server.memory.keep(self)
@@ -462,6 +475,11 @@
         self._exchanges.clear()
         self.close()
 
+    def _end_arrival(self) -> None:
+        end, self._arrival_end = self._arrival_end, None
+        if end is not None:
+            end()
+
     def _reject(
         self, status: int, reason: str, fields: messages.Headers = ()
     ) -> None:
@@ -469,6 +487,7 @@
         if self._is_closed or (self._is_discarding and self._exchanges):
             return
         self._discard_input()
+        self._end_arrival()
         exchange = _Exchange(False, False)
         exchange.response = messages.Response(status, fields, reason.encode())
         self._exchanges.append(exchange)
--- a/tests/test_fleet/test_attempts.py
+++ b/tests/test_fleet/test_attempts.py
@@ -156,3 +156,17 @@
     assert await records.find('t0', 0.5) is None
     assert (await records.find('t3', 0.5)).result.body == worker.body
     assert records._ended_bytes <= attempts.MAX_BYTES
+
+
+async def test_reply_that_is_ready_survives_the_loss_of_its_connection(
+    records, worker
+):
+    """The upstream has answered when the connection is lost."""
+    task = await _start(records, 't1')
+    inner = records._running['t1'].task
+    worker.may_answer.set()
+    while not inner.done():
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait((task,))
+    assert (await records.find('t1', 0.5)).result.body == b'ok'
