Ask for an attempt until the answer is final

Change: after the loss of its connection, an attempt goes on until 0.6 s have passed without data, or its deadline. Only an answer with the token, or the refusal of an older build, is final; after any other the question is asked again, also while the request is being received. Left from the review: replies go to all connections that wait; an upstream may work on for a caller that has left while its first connection is silent for good; an own full link ejects workers by silence.

--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -29,23 +29,29 @@
 QUESTION_TIMEOUT_S = 2.0
 # Pause between two questions for an attempt.
 QUESTION_INTERVAL_S = 0.2
-# A question that was sent before the connection of the attempt was lost may
-# still be answered within this time.
+# When the connection of the attempt has been lost, the question is given up
+# after this time without data.
 LAST_QUESTION_S = 0.6
 
 
+class Found(NamedTuple):
+    """Answer to a question; ``reply`` is None without a record."""
+
+    reply: messages.Reply | None
+
+
 class Exchange(NamedTuple):
     """Encoded messages of an attempt and the decoder of its replies.
 
     ``question`` returns the encoded question for the attempt, given its age
-    in seconds. ``decode_found`` returns None for a response that is not an
-    answer to the question.
+    in seconds. ``decode_found`` returns None for a response that does not
+    answer the question.
     """
 
     request: bytes
     question: Callable[[float], bytes]
     decode: Callable[[http_messages.Response], messages.Reply]
-    decode_found: Callable[[http_messages.Response], messages.Reply | None]
+    decode_found: Callable[[http_messages.Response], Found | None]
 
 
 class Observer(NamedTuple):
@@ -105,14 +111,16 @@
             await asyncio.wait(
                 (direct, found), return_when=asyncio.FIRST_COMPLETED
             )
+            if found.done() and found.result() is None:
+                await asyncio.wait((direct,))
             if not direct.done():
                 return found.result()
             outcome = direct.result()
             if isinstance(outcome, http_messages.Response):
                 return self._exchange.decode(outcome)
             if self._silent.is_set() and not outcome.timed_out:
-                await asyncio.wait((found,), timeout=LAST_QUESTION_S)
-            if found.done():
+                await self._wait_while_heard(found)
+            if found.done() and found.result() is not None:
                 return found.result()
             return messages.Reply(refusal_from_failure(outcome))
         finally:
@@ -148,32 +156,45 @@
         else:
             self._stall_timer = loop.call_at(stalls_at, self._check_stall)
 
-    async def _find(self) -> messages.Reply:
+    async def _wait_while_heard(
+        self, found: asyncio.Future[messages.Reply | None]
+    ) -> None:
+        """Wait for the answer to the question as long as data arrives.
+
+        The connection of the attempt has been lost.
+        """
+        loop = asyncio.get_running_loop()
+        lost_at = loop.time()
+        while not found.done():
+            heard_at = max(lost_at, self._activity.heard_at)
+            until = min(self._deadline, heard_at + LAST_QUESTION_S)
+            if loop.time() >= until:
+                return
+            await asyncio.wait((found,), timeout=until - loop.time())
+
+    async def _find(self) -> messages.Reply | None:
         """Ask for the attempt until there is an answer.
 
-        Returns only with the reply: as long as there is none, the connection
-        of the attempt and the deadline decide.
+        :returns: None if the other node has no record of the attempt, so that
+            its connection and the deadline decide
         """
         await self._silent.wait()
-        while True:
-            response = await self._ask()
-            if response is not None:
-                break
+        found = await self._ask()
+        while found is None:
             await asyncio.sleep(QUESTION_INTERVAL_S)
+            found = await self._ask()
         self._pool.record_data(asyncio.get_running_loop().time())
-        reply = self._exchange.decode_found(response)
         LOG.info(
             'peers: %s: asked for on another connection: %s after %d ms',
             self._name,
-            'no record' if reply is None else _describe(reply),
+            'no record' if found.reply is None else _describe(found.reply),
             (_time_with_suspension() - self._sent_at) * 1000,
         )
-        if reply is None:
+        if found.reply is None:
             self._note_stall()
-            await asyncio.Event().wait()
-        return reply
+        return found.reply
 
-    async def _ask(self) -> http_messages.Response | None:
+    async def _ask(self) -> Found | None:
         age_s = _time_with_suspension() - self._sent_at
         pool = client.Pool(
             *self._pool.address,
@@ -189,11 +210,16 @@
             ),
         )
         if isinstance(outcome, http_messages.Response):
-            return outcome
+            found = self._exchange.decode_found(outcome)
+            if found is not None:
+                return found
+            reason = f'status {outcome.status}'
+        else:
+            reason = outcome.reason
         LOG.info(
             'peers: %s: no answer on another connection: %s',
             self._name,
-            outcome.reason,
+            reason,
         )
         return None
 
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -47,6 +47,8 @@
 EXCHANGE_PATH = '/damaskpier/exchange'
 # Path of questions for an attempt that another connection carried.
 ATTEMPT_PATH = '/damaskpier/attempt'
+# Status of the answer if there is no record of the attempt.
+NO_RECORD = 404
 
 # A node that is running a request sends interim responses at this interval.
 PROGRESS = server.Progress(initial_delay_s=0.15, interval_s=0.2)
@@ -159,7 +161,11 @@
         self._app = app
         self._clock = clock
         self._attempts = attempts.Attempts(self._call_worker, clock)
-        self.server = server.Server(self._handle, progress=PROGRESS)
+        self.server = server.Server(
+            self._handle,
+            progress=PROGRESS,
+            observe_arrival=self._observe_arrival,
+        )
         self._is_refusing = False
 
     async def start(self) -> None:
@@ -217,16 +223,33 @@
         age = request.header(AGE.lower())
         if not token or not (age.isascii() and age.isdigit()):
             return http_messages.Response(400)
+        if self._attempts.is_arriving(token):
+            # Without the token, the question is asked again.
+            return http_messages.Response(503)
         reply = await self._attempts.find(token, int(age) / 1000)
         if reply is None:
-            return http_messages.Response(404)
+            return http_messages.Response(NO_RECORD, ((ATTEMPT, token),))
         response = _encode_reply(reply)
         return response._replace(headers=(*response.headers, (ATTEMPT, token)))
 
+    def _observe_arrival(
+        self, fields: http_messages.Headers
+    ) -> Callable[[], None]:
+        own_headers = {name.lower(): value for name, value in fields}
+        token = own_headers.get(ATTEMPT.lower())
+        # A question has the token too, and an age.
+        if token is None or AGE.lower() in own_headers:
+            return _do_nothing
+        return self._attempts.begin_arrival(token)
+
     async def _call_worker(self, request: messages.Request) -> messages.Reply:
         return await self._app.service('worker').call(request)
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _make_exchange(
     request: messages.Request, host: str, token: str, now: float
 ) -> peer_call.Exchange:
@@ -239,12 +262,16 @@
 
     def decode_found(
         response: http_messages.Response,
-    ) -> messages.Reply | None:
-        # A node of an older build takes the question for a request and
-        # refuses it as not run, although the attempt may have run.
-        if response.header(ATTEMPT.lower()) != token:
-            return None
-        return _decode_reply(response)
+    ) -> peer_call.Found | None:
+        if response.header(ATTEMPT.lower()) == token:
+            if response.status == NO_RECORD:
+                return peer_call.Found(None)
+            return peer_call.Found(_decode_reply(response))
+        if response.header(headers.RESULT.lower()):
+            # A node of an older build takes the question for a request and
+            # refuses it as not run, although the attempt may have run.
+            return peer_call.Found(None)
+        return None
 
     return peer_call.Exchange(
         http_messages.encode_request(
--- a/tests/test_fleet/relay.py
+++ b/tests/test_fleet/relay.py
@@ -7,6 +7,7 @@
 
 from damaskpier.http1 import client
 
+from tests import streams
 from tests.test_fleet import conftest
 
 
@@ -14,7 +15,8 @@
     """Forwards the connections from one node to another.
 
     A silent connection stays open and keeps its data until it is resumed.
-    ``opened`` counts the connections.
+    ``opened`` counts the connections. ``copy_delay_s`` is the pause before
+    each part of the data.
 
     :param silent: whether new connections are silent
     """
@@ -22,22 +24,24 @@
     def __init__(self, *, silent: bool = False) -> None:
         self.silent = silent
         self.opened = 0
+        self.copy_delay_s = 0.0
         self._flows: list[asyncio.Event] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._writers: list[asyncio.StreamWriter] = []
+        # Connections from the caller's node, and to the other one.
+        self._inbound: list[asyncio.StreamWriter] = []
+        self._outbound: list[asyncio.StreamWriter] = []
         self._target_port = 0
-        self._server: asyncio.Server | None = None
+        self._pool: client.Pool | None = None
+        self._listeners = contextlib.AsyncExitStack()
 
     async def insert(self, caller: conftest.Node, other: conftest.Node):
         """Forward all later connections of a node to another one."""
         self._target_port = other.app.service('peer-server').server.port
-        self._server = await asyncio.start_server(
-            self._serve, conftest.HOST, 0
+        port = await self._listeners.enter_async_context(
+            streams.serve(self._serve, conftest.HOST)
         )
-        port = self._server.sockets[0].getsockname()[1]
         peers = caller.app.service('peers')
         direct_pool = peers.pool
-        relay_pool = client.Pool(conftest.HOST, port)
+        relay_pool = self._pool = client.Pool(conftest.HOST, port)
 
         def pool(record):
             if record.node_id == other.name:
@@ -57,19 +61,17 @@
         for flow in self._flows:
             flow.set()
 
+    def lose_first_connection(self) -> None:
+        """Reset the first connection on the caller's side only."""
+        self._inbound[0].transport.abort()
+
     async def stop(self) -> None:
         """Close all connections."""
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for writer in self._writers:
-            writer.close()
-        await asyncio.gather(
-            *(writer.wait_closed() for writer in self._writers),
-            return_exceptions=True,
-        )
+        if self._pool is not None:
+            self._pool.close_idle()
+        await self._listeners.aclose()
+        for writer in self._outbound:
+            await streams.abort(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -79,15 +81,13 @@
         if not self.silent:
             flow.set()
         self._flows.append(flow)
-        self._writers.append(writer)
+        self._inbound.append(writer)
         there = await asyncio.open_connection(conftest.HOST, self._target_port)
-        self._writers.append(there[1])
-        for copy in (
+        self._outbound.append(there[1])
+        await asyncio.gather(
             self._copy(flow, reader, there[1]),
             self._copy(flow, there[0], writer),
-        ):
-            task = asyncio.create_task(copy)
-            self._tasks.add(task)
+        )
 
     async def _copy(
         self,
@@ -98,6 +98,7 @@
         with contextlib.suppress(ConnectionError):
             while True:
                 data = await reader.read(65536)
+                await asyncio.sleep(self.copy_delay_s)
                 await flow.wait()
                 if not data:
                     break
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -13,10 +13,12 @@
 import pytest
 
 from damaskpier.fleet import attempts
+from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
 from damaskpier.fleet import peers
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
+from damaskpier.traffic import messages as traffic_messages
 
 from tests.test_fleet import conftest
 from tests.test_fleet import relay as relay_module
@@ -255,3 +257,175 @@
     resume.set()
     relay.resume()
     assert (await task).body == b'i-1'
+
+
+async def _wait_until_found(other: conftest.Node) -> None:
+    """Wait until a question waits for the attempt that a node runs."""
+    records = other.app.service('peer-server')._attempts
+    await conftest.wait_until(
+        lambda: any(item.waiting > 1 for item in records._running.values())
+    )
+
+
+async def test_found_attempt_survives_the_loss_of_its_connection(
+    fleet, relay, monkeypatch
+):
+    """The kernel closes a connection that is silent for good.
+
+    The question hears that the attempt runs, for longer than a last answer
+    is waited for.
+    """
+    monkeypatch.setattr(peer_call, 'LAST_QUESTION_S', 0.5)
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = _pause_upstream(other)
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    await _wait_until_found(other)
+    relay.lose_first_connection()
+    loop = asyncio.get_running_loop()
+    resume_at = loop.time() + 1.5 * peer_call.LAST_QUESTION_S
+    await conftest.wait_until(lambda: loop.time() > resume_at)
+    resume.set()
+    assert (await task).body == b'i-1'
+    assert len(other.upstream.ran) == 1
+
+
+async def test_lost_connection_does_not_hold_a_request_past_its_deadline(
+    fleet, relay, monkeypatch
+):
+    """The wait for a last answer ends at the deadline."""
+    monkeypatch.setattr(peer_call, 'LAST_QUESTION_S', 3600.0)
+    asked = asyncio.Event()
+    ask = peer_call.PeerCall._ask
+
+    async def observe(call):
+        asked.set()
+        return await ask(call)
+
+    monkeypatch.setattr(peer_call.PeerCall, '_ask', observe)
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    task = asyncio.create_task(
+        caller.request('/write/1', 'POST', deadline_ms=1000)
+    )
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silent = True
+    relay.silence()
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        await asked.wait()
+    relay.lose_first_connection()
+    assert (await task).status == 502
+
+
+async def test_request_without_record_ends_with_its_connection(
+    fleet, relay, monkeypatch
+):
+    """There is nothing to wait for after "no record" and a lost connection.
+
+    Neither the deadline nor the wait for a last answer ends the request.
+    """
+    monkeypatch.setattr(peer_call, 'LAST_QUESTION_S', 3600.0)
+    route = conftest.make_route(
+        'write', kind=model.RouteKind.NON_IDEMPOTENT, timeout_s=3600.0
+    )
+    fleet.store.put(conftest.make_configuration(2, (route,)))
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    asked = asyncio.Event()
+
+    async def find(token, age_s):
+        asked.set()
+
+    other.app.service('peer-server')._attempts.find = find
+    task = asyncio.create_task(
+        caller.request('/write/1', 'POST', deadline_ms=3_600_000)
+    )
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        await asked.wait()
+    relay.lose_first_connection()
+    assert (await task).status == 502
+
+
+async def test_refused_question_is_asked_again(fleet, relay):
+    """A refusal of the question says nothing of the attempt.
+
+    The node had no memory for the question, for example.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = _pause_upstream(other)
+    peer_server = other.app.service('peer-server')
+    find = peer_server._find_attempt
+    asked = []
+
+    async def refuse_once(request, token):
+        asked.append(token)
+        if len(asked) == 1:
+            return messages.Response(503, (), b'no memory')
+        return await find(request, token)
+
+    peer_server._find_attempt = refuse_once
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    await conftest.wait_until(lambda: len(asked) > 1)
+    resume.set()
+    assert (await task).body == b'i-1'
+
+
+async def test_request_that_is_being_received_is_not_refused(fleet, relay):
+    """A body that takes longer than the silence timeout must arrive.
+
+    No interim response is sent before the request is complete.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    relay.copy_delay_s = 0.03
+    await relay.insert(caller, other)
+    response = await caller.request('/write/1', 'POST', body=b'x' * 1_000_000)
+    assert response.body == b'i-1'
+    assert len(other.upstream.ran) == 1
+
+
+async def test_answer_that_has_arrived_starts_no_other_attempt(fleet):
+    """Two attempts end in one turn, the first one with a failure."""
+    fleet.store.put(
+        conftest.make_configuration(2, (conftest.make_route(max_attempts=3),))
+    )
+    caller = await fleet.add('pages', domain='a')
+    for domain in 'abc':
+        await fleet.add('reads', domain=domain)
+    await fleet.wait_converged()
+    calls = []
+    end = asyncio.Event()
+
+    async def call(record, request, observer=None):
+        calls.append(record.node_id)
+        if len(calls) == 1:
+            observer.on_stall()
+            await end.wait()
+            return traffic_messages.Reply(
+                traffic_messages.Answer(500, (), b'')
+            )
+        end.set()
+        await asyncio.sleep(0)
+        return traffic_messages.Reply(traffic_messages.Answer(200, (), b'ok'))
+
+    caller.app.service('peers').call = call
+    assert (await caller.request('/read/1')).body == b'ok'
+    assert len(calls) == 2
