Log and count requests whose callers have left

The logs could not tell which of these happened, because a cancelled request left no line: the caller's node noticed the end late; it noticed it at once, but the end reached the node of the upstream late; or the request itself was under way that long. Change: the caller's node logs that the caller has closed the connection, the upstream's node that the request was cancelled, with the time since it arrived and whether it had been sent to the upstream. Both are counted. No decision changes. tests/test_fleet pass.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -201,7 +201,8 @@
         limit_s = route.timeout_s or DEFAULT_DEADLINE_S
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
-        outcome = await self._app.service('router').route(
+        outcome = await self._route(
+            metadata,
             route,
             messages.Request(
                 request_id=metadata.request_id,
@@ -222,6 +223,28 @@
         )
         return self._respond(metadata, route, outcome, began)
 
+    async def _route(
+        self,
+        metadata: header_codec.CallerMetadata,
+        route: model.Route,
+        request: messages.Request,
+    ) -> router.Outcome:
+        began = self._clock()
+        try:
+            return await self._app.service('router').route(route, request)
+        except asyncio.CancelledError:
+            self._app.service('metrics').increment(
+                'requests', code='cancelled'
+            )
+            LOG.info(
+                'ingress: %s of %s: the caller closed the connection after '
+                '%d ms',
+                metadata.request_id,
+                route.name,
+                (self._clock() - began) * 1000,
+            )
+            raise
+
     def _respond(
         self,
         metadata: header_codec.CallerMetadata,
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import functools
 import logging
 import math
 import time
@@ -57,6 +58,16 @@
 RETRY_RATIO_WINDOW_S = 5.0
 
 
+class _Call:
+    """Times of a request; ``sent_at`` is None while it waits for a slot."""
+
+    __slots__ = ('received_at', 'sent_at')
+
+    def __init__(self, received_at: float) -> None:
+        self.received_at = received_at
+        self.sent_at: float | None = None
+
+
 class LocalWorker(registry.Service):
     """Runs requests on the local upstream.
 
@@ -208,7 +219,12 @@
 
         :returns: the answer or refusal, with the load after it
         """
-        result = await self._admit(request)
+        call = _Call(self._clock())
+        try:
+            result = await self._admit(call, request)
+        except asyncio.CancelledError:
+            self._log_cancellation(call, request)
+            raise
         load = self.admission.load
         if isinstance(result, errors.Refusal):
             self._app.service('metrics').increment(
@@ -228,6 +244,24 @@
             )
         return messages.Reply(result, load)
 
+    def _log_cancellation(
+        self, call: _Call, request: messages.Request
+    ) -> None:
+        now = self._clock()
+        self._app.service('metrics').increment(
+            'worker_cancellations',
+            state='waiting' if call.sent_at is None else 'sent',
+        )
+        LOG.info(
+            'worker: %s of %s cancelled, %d ms after it arrived, %s',
+            request.request_id,
+            request.route,
+            (now - call.received_at) * 1000,
+            'while it waited for a slot'
+            if call.sent_at is None
+            else f'{(now - call.sent_at) * 1000:.0f} ms after it was sent',
+        )
+
     def recent_retry_ratio(self) -> float:
         """Return the ratio of retries among the recent runs."""
         oldest = self._clock() - RETRY_RATIO_WINDOW_S
@@ -342,7 +376,7 @@
         )
 
     async def _admit(
-        self, request: messages.Request
+        self, call: _Call, request: messages.Request
     ) -> messages.Answer | errors.Refusal:
         refusal = self._refusal_if_unavailable(request)
         if refusal is not None:
@@ -350,7 +384,7 @@
         return await admission.run_admitted(
             self.admission,
             request,
-            self._send,
+            functools.partial(self._send, call),
             self._app.service('metrics'),
             self._clock,
         )
@@ -375,7 +409,7 @@
         return None
 
     async def _send(
-        self, request: messages.Request
+        self, call: _Call, request: messages.Request
     ) -> messages.Answer | errors.Refusal:
         # The upstream may have changed while the request was queued.
         refusal = self._refusal_if_unavailable(request)
@@ -397,6 +431,7 @@
                 known.instance, request.caller, remaining_s
             ),
         )
+        call.sent_at = began
         outcome = await self._pool.request(
             http_messages.encode_request(
                 request.method, request.target, fields, request.body
