Parse no more pipelined requests than may run

Callers would see: a client that sends many short requests at once, a thousand in 20 kB, had all of them run at the same time, so that the memory of the node was used up, and other requests waited. Cause: the limit of 32 concurrent requests paused the transport only. A read of asyncio has up to 256 KiB, and all of it was parsed. Ruled out: the parser can not be stopped between two messages, because httptools takes an exception of a callback as an error of the message. Change: received data is parsed 1 KiB at a time, and what is left waits until less than 16 requests run. The requests in one part may exceed the limit, 57 of the shortest ones. Found sound, with tests now: empty lines, a header name or the size of a chunk without end, and a head, body or trailers that arrive slowly without end, which get a 408.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -28,9 +28,13 @@
 # a function that is called when the body has arrived or will not.
 ArrivalObserver = Callable[[messages.Headers], Callable[[], None]]
 
-# Requests of one connection that run concurrently. Reading pauses when there
-# are that many.
+# Requests of one connection that run concurrently. Parsing and reading pause
+# when there are that many.
 MAX_PIPELINED_COUNT = 32
+# Bytes that are parsed at a time. One read can contain thousands of short
+# requests, and the parser can not be stopped between two of them, so that the
+# requests in this many bytes may run beyond the limit.
+PARSED_BYTES = 1024
 # The objects of a short header take far more memory than its bytes.
 MAX_HEADER_COUNT = 1000
 # Limit of all requests of a process, from their arrival to the end of their
@@ -200,6 +204,7 @@
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._is_closed = False
         self._is_reading = True
+        self._unparsed = memoryview(b'')
         self._is_in_message = False
         self._is_discarding = False
         self._arrival_end: Callable[[], None] | None = None
@@ -229,6 +234,32 @@
         byte_counter.RECEIVED.total += len(data)
         if self._is_closed:
             return
+        self._unparsed = memoryview(data)
+        self._parse_received()
+
+    def _parse_received(self) -> None:
+        """Parse the received data until as many requests run as may."""
+        while self._unparsed and not self._is_closed:
+            if len(self._exchanges) >= MAX_PIPELINED_COUNT:
+                self._pause_reading()
+                return
+            part = self._unparsed[:PARSED_BYTES]
+            self._unparsed = self._unparsed[PARSED_BYTES:]
+            self._parse(part)
+        if self._is_closed:
+            return
+        if len(self._exchanges) >= MAX_PIPELINED_COUNT:
+            self._pause_reading()
+        elif not self._is_reading:
+            self._is_reading = True
+            self._transport.resume_reading()
+
+    def _pause_reading(self) -> None:
+        if self._is_reading:
+            self._is_reading = False
+            self._transport.pause_reading()
+
+    def _parse(self, data: memoryview) -> None:
         if not self._is_in_message:
             self._waiting_since = self._server.clock()
         self._framing_bytes += len(data)
@@ -376,9 +407,6 @@
         )
         if not exchange.keep_alive:
             self._discard_input()
-        elif len(self._exchanges) >= MAX_PIPELINED_COUNT and self._is_reading:
-            self._is_reading = False
-            self._transport.pause_reading()
 
     def _reset_message(self) -> None:
         self._url = b''
@@ -394,6 +422,7 @@
         # The transport still reads, so that the end of the connection is
         # detected, but no more data is parsed.
         self._parser = _DiscardingParser()
+        self._unparsed = memoryview(b'')
         self._is_discarding = True
         self._reset_message()
         self._server.memory.release(self)
@@ -464,8 +493,11 @@
             not self._is_reading
             and len(self._exchanges) < MAX_PIPELINED_COUNT // 2
         ):
-            self._is_reading = True
-            self._transport.resume_reading()
+            self._resume_parsing()
+
+    def _resume_parsing(self) -> None:
+        # The parser calls back into this method when a request is rejected.
+        asyncio.get_running_loop().call_soon(self._parse_received)
 
     def _close_after_response(self) -> None:
         """Close after a response and cancel the handlers of later requests."""
@@ -497,5 +529,5 @@
 class _DiscardingParser:
     """Parser that discards all data."""
 
-    def feed_data(self, data: bytes) -> None:
+    def feed_data(self, data: memoryview) -> None:
         """Discard the data."""
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
 from damaskpier.util import memory
@@ -221,6 +222,41 @@
     assert await idle.read_to_end() == b''
 
 
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'GET /', b'x'),
+        (b'GET / HTTP/1.1\r\n', b'A: b\r\n'),
+        (b'POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n', b'x'),
+        (CHUNKED, b'1\r\nx\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
+    ],
+    ids=['target', 'headers', 'length', 'chunks', 'trailers'],
+)
+async def test_slow_bytes_do_not_extend_the_time_of_a_request(
+    serve, connect, start, repeated
+):
+    """A request that arrives slowly and without end is refused as late.
+
+    It would keep its connection and its memory for ever.
+    """
+    now = [0.0]
+    limits = server.Limits(header_timeout_s=3.5, idle_timeout_s=2.0)
+    started = await serve(_echo, limits=lambda: limits, clock=lambda: now[0])
+    raw = await connect(started.port)
+    raw.send(start)
+    received = byte_counter.RECEIVED.total + len(start)
+    for _ in range(4):
+        raw.send(repeated)
+        received += len(repeated)
+        await _until(lambda: byte_counter.RECEIVED.total == received)
+        for conn in list(started._connections):
+            conn.check_timeouts(now[0])
+        assert started._connections
+        now[0] += 1.0
+    assert (await raw.read_to_end()).startswith(b'HTTP/1.1 408')
+
+
 async def test_interim_responses_are_sent_while_a_request_runs(serve, connect):
     """Interim responses are sent until the request is answered."""
     go_on = asyncio.Event()
@@ -300,6 +336,40 @@
     assert b'/a' not in answers
 
 
+async def test_pipelined_requests_without_end_are_not_all_run(serve, connect):
+    """Of the requests that arrive in one read, a limited number runs.
+
+    A read can contain thousands of short requests, and each of them takes far
+    more memory while it runs than its bytes.
+    """
+    go_on = asyncio.Event()
+    ran = []
+
+    async def handler(request):
+        ran.append(request.target)
+        await go_on.wait()
+        return messages.Response(200, (), request.target.encode())
+
+    started = await serve(handler)
+    raw = await connect(started.port)
+    count = 1000
+    raw.send(
+        b''.join(b'GET /%d HTTP/1.1\r\n\r\n' % n for n in range(count))
+        + b'GET /last HTTP/1.1\r\nConnection: close\r\n\r\n'
+    )
+    await _until(lambda: len(ran) >= server.MAX_PIPELINED_COUNT)
+    # Runs everything that does not wait for the handlers.
+    for _ in range(100):
+        await asyncio.sleep(0)
+    parsed_at_once = server.PARSED_BYTES // len(b'GET /0 HTTP/1.1\r\n\r\n')
+    assert len(ran) <= server.MAX_PIPELINED_COUNT + parsed_at_once
+    go_on.set()
+    answers = await raw.read_to_end()
+    assert answers.count(b'HTTP/1.1 200') == count + 1
+    assert ran == [f'/{n}' for n in range(count)] + ['/last']
+    assert answers.endswith(b'/last')
+
+
 async def test_rejected_request_behind_a_running_one_is_not_run(
     serve, connect
 ):
@@ -351,17 +421,23 @@
 @pytest.mark.parametrize(
     ('start', 'repeated'),
     [
+        (b'', b'\r\n'),
         (b'GET /', b'x'),
+        (b'GET / HTTP/1.1\r\nNa', b'm'),
         (b'GET / HTTP/1.1\r\nA: ', b'x'),
         (b'GET / HTTP/1.1\r\n', b'A: b\r\n'),
+        (CHUNKED, b'0'),
         (CHUNKED + b'1;', b'x'),
         (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
         (CHUNKED + b'1\r\nx\r\n0\r\nA: ', b'x'),
     ],
     ids=[
+        'empty-lines',
         'target',
+        'header-name',
         'header-line',
         'headers',
+        'chunk-size',
         'chunk-extension',
         'trailers',
         'trailer-line',
