Give up a list of the store that does not end

Callers would see: a store in trouble that always announces another page makes the node read on and keep all pages until it has no memory left; the process is killed, and callers get a closed connection. Cause: the client of the platform's store limited each page, but not their number, and asked again after the same name. Ruled out: one reply without end, which the HTTP client cuts at 16 MiB; it has a test now. Change: a list fails, as one that can be read again, when a page ends with the name of the one before it, or when all pages exceed 16 MiB. The order of names is not checked, because the store does not promise it. Failed before, with an unused constant MAX_LIST_BYTES: python -m pytest tests/test_platform/test_store.py, both cases of test_list_without_end_is_not_kept read all 48 pages of 1 MiB that the stand-in had and returned them.

--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -28,6 +28,9 @@
 LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.5
+# Limit of all pages of a list. A node would keep pages without end until it
+# has no memory left.
+MAX_LIST_BYTES = 16 * 1024 * 1024
 # A read of all objects ends after CALL_TIMEOUT_S without a byte, or after this
 # time. Over a link that is full, a configuration takes longer than other
 # calls, and a read that is given up starts again with the first byte.
@@ -190,6 +193,7 @@
             silence_timeout_s = CALL_TIMEOUT_S
         items: list[objects.Object] = []
         after = ''
+        size = 0
         while True:
             query = '?' + parse.urlencode({'after': after}) if after else ''
             answer = await self._call(
@@ -207,7 +211,15 @@
             items += page
             if not answer.body.get('hasMore') or not page:
                 return store_watch.Page(items, int(answer.body['currentRev']))
-            after = objects.object_name(page[-1])
+            size += answer.size
+            last_name = objects.object_name(page[-1])
+            if last_name == after or size > MAX_LIST_BYTES:
+                return errors.Refusal(
+                    errors.PLATFORM_UNKNOWN,
+                    f'the list of {kind} does not end: {size} bytes, last '
+                    f'name {last_name!r} after {after!r}',
+                )
+            after = last_name
 
     async def watch_objects(
         self, kind: str, revision: int
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 
 import msgspec
@@ -11,8 +12,10 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import store_watch
+from damaskpier.http1 import client as http_client
 from damaskpier.platform import store
 
+from tests import streams
 from tests.test_platform import conftest
 
 ORDER = {'service': 's1', 'targetVersion': 'v2', 'duration': '12s'}
@@ -341,3 +344,67 @@
     for node in nodes:
         assert await client.register(node) is None
     assert await client.directory() == nodes
+
+
+async def _list_from(answer):
+    """Return the result of a list call that a function answers."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await answer(await reader.readuntil(b'\r\n\r\n'), writer)
+
+    async with (
+        asyncio.timeout(conftest.TEST_TIMEOUT_S),
+        streams.serve(serve, conftest.HOST) as port,
+    ):
+        client = conftest.make_app(port).service('store')
+        found = await client.list_objects('config')
+        await client.stop()
+        return found
+
+
+async def test_reply_without_end_is_not_kept():
+    """A store that sends bytes without end must not fill the memory."""
+    sent = 0
+
+    async def answer(head, writer):
+        nonlocal sent
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"items":[')
+        block = b'{},' * 20_000
+        # The limit keeps a reader without limits from filling the machine.
+        while sent < 2 * http_client.MAX_RESPONSE_BYTES:
+            writer.write(block)
+            await writer.drain()
+            sent += len(block)
+
+    found = await _list_from(answer)
+    assert isinstance(found, errors.Refusal)
+    assert sent < 2 * http_client.MAX_RESPONSE_BYTES
+
+
+@pytest.mark.parametrize('name', ['same', 'next'])
+async def test_list_without_end_is_not_kept(name):
+    """A store that always has another page must not fill the memory."""
+    count = 0
+    # The limit keeps a reader without limits from running for ever.
+    last = 3 * store.MAX_LIST_BYTES // 2**20
+
+    async def answer(head, writer):
+        nonlocal count
+        count += 1
+        number = 0 if name == 'same' else count
+        page = {
+            'items': [{'metadata': {'name': f'{number:05}'}}],
+            'hasMore': count < last,
+            'currentRev': 7,
+        }
+        body = msgspec.json.encode(page).ljust(2**20)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
+
+    found = await _list_from(answer)
+    assert isinstance(found, errors.Refusal)
+    assert found.code is errors.PLATFORM_UNKNOWN
+    assert count < last
