Test more shapes of bytes without end in the clients

Found sound: empty lines and the size of a chunk without end, and heads, interim responses, bodies and trailers that arrive slowly without end, in the HTTP/1.1 client; a header name and the size of a chunk without end, and slow bytes without end, in the client based on libcurl. The extension of a chunk without end is among the latter: libcurl reads it until the deadline and does not keep it. The test of slow interim responses is one of six cases of the test with the new name test_slow_bytes_do_not_extend_the_deadline, with the same checks.

--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -385,6 +385,7 @@
 
 
 ENDLESS_CASES = [
+    pytest.param(b'', b'\r\n', 'head', id='empty-lines'),
     pytest.param(b'HTTP/1.1 200 ', b'x', 'head', id='status-line'),
     pytest.param(b'HTTP/1.1 200 OK\r\nName: ', b'x', 'head', id='header-line'),
     pytest.param(b'HTTP/1.1 200 OK\r\nNa', b'm', 'head', id='header-name'),
@@ -402,6 +403,7 @@
         CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n', 'bytes', id='chunks'
     ),
     pytest.param(CHUNKED, b'1\r\nx\r\n', 'bytes', id='small-chunks'),
+    pytest.param(CHUNKED, b'0', 'head', id='chunk-size'),
     pytest.param(CHUNKED + b'1;', b'x', 'head', id='chunk-extension'),
     pytest.param(
         CHUNKED, b'1;' + b'e' * 9000 + b'\r\nx\r\n', 'bytes', id='extensions'
@@ -548,12 +550,25 @@
     assert not pool._idle
 
 
-async def test_interim_responses_do_not_extend_the_deadline(
-    scripted, options, monkeypatch
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n', b'x'),
+        (CHUNKED, b'1\r\nx\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
+    ],
+    ids=['interim', 'headers', 'length', 'chunks', 'trailers', 'close'],
+)
+async def test_slow_bytes_do_not_extend_the_deadline(
+    scripted, options, monkeypatch, start, repeated
 ):
-    """Interim responses restart the silence timeout but not the deadline.
+    """Bytes restart the silence timeout but not the deadline.
 
-    They arrive 60 s apart, with a deadline after 100 s.
+    They arrive 60 s apart, with a deadline after 100 s. A server that sends
+    slowly and without end would hold the request for ever.
     """
     loop = asyncio.get_running_loop()
     real_time = loop.time
@@ -571,8 +586,9 @@
     async def script(reader, writer):
         nonlocal passed_s
         await _read_request(reader)
+        writer.write(start)
         for _ in range(4):
-            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            writer.write(repeated)
             await heard.wait()
             heard.clear()
             passed_s += 60.0
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -230,9 +230,11 @@
     ('start', 'repeated'),
     [
         (b'HTTP/1.1 200 ', b'x'),
+        (b'HTTP/1.1 200 OK\r\nNa', b'm'),
         (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
         (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
         (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (CHUNKED, b'0'),
         (CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n'),
         (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
         (CHUNKED + b'1\r\nx\r\n0\r\nA: ', b'x'),
@@ -240,9 +242,11 @@
     ],
     ids=[
         'status-line',
+        'header-name',
         'header-line',
         'headers',
         'interim-responses',
+        'chunk-size',
         'chunks',
         'trailers',
         'trailer-line',
@@ -278,6 +282,47 @@
         await cut.wait()
 
 
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (CHUNKED, b'1\r\nx\r\n'),
+        (CHUNKED + b'1;', b'x'),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
+    ],
+    ids=['headers', 'interim', 'chunks', 'chunk-extension', 'close'],
+)
+async def test_slow_bytes_do_not_extend_the_deadline(
+    client, listen, start, repeated
+):
+    """A response that arrives slowly and without end fails at the deadline.
+
+    It would hold a connection and a slot for ever.
+    """
+    cut = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while not reader.at_eof():
+                writer.write(repeated)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(), 0.01)
+        cut.set()
+
+    url = await listen(serve)
+    outcome = await client.run(
+        curl_client.make_request(url, 'GET', (), b'', 0.2, fresh=True)
+    )
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+    assert outcome.timed_out
+    async with asyncio.timeout(30):
+        await cut.wait()
+
+
 async def test_responses_of_all_transfers_share_a_limit(listen):
     """The responses that arrive at one time share a memory limit.
 
