Read on behind a late response that announces a close

Callers would see: a 502 for a request that must not be repeated, and a second run of one that may be, although the upstream had answered. The upstream had sent a late response to an earlier request before, with Connection: close or in HTTP/1.0. Cause: the parser takes all data behind such a response as an error. The client drops the late response by its id, but the error failed the running request. Change: the parser accepts data behind it. Which response answers the request is decided by the id as before, and the connection is not used again. Not changed: if the connection ends behind the late response, the request fails with unknown run state. A late response without a length reaches to the end of the connection, so that no other one can follow it.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -556,6 +556,9 @@
 
     def _init_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        # The response to the request may follow a late one that announces the
+        # end of the connection.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._headers: list[tuple[str, str]] = []
         self._header_bytes = 0
         self._body = bytearray()
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -176,6 +176,85 @@
     assert (first.body, second.body) == (b'1', b'2')
 
 
+@pytest.mark.parametrize(
+    'late',
+    [
+        b'HTTP/1.1 200 OK\r\nX-Id: one\r\nConnection: close\r\n'
+        b'Content-Length: 5\r\n\r\nagain',
+        b'HTTP/1.1 200 OK\r\nX-Id: one\r\nConnection: close\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n5\r\nagain\r\n0\r\n\r\n',
+        b'HTTP/1.0 200 OK\r\nX-Id: one\r\nContent-Length: 5\r\n\r\nagain',
+        b'HTTP/1.1 204 No Content\r\nX-Id: one\r\nConnection: close\r\n\r\n',
+    ],
+    ids=['length', 'chunked', 'old-version', 'no-body'],
+)
+@pytest.mark.parametrize('is_together', [True, False])
+async def test_late_response_that_announces_a_close_does_not_end_the_request(
+    scripted, options, late, is_together
+):
+    """The response to a request may follow a late one with a close option.
+
+    The request would fail although it has run and its response arrives.
+    """
+    dropped = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(_named(b'one', b'1'))
+        await _read_request(reader)
+        writer.write(late)
+        if not is_together:
+            await writer.drain()
+            await dropped.wait()
+        writer.write(_named(b'two', b'2'))
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='one')
+    )
+    conn = pool._idle[0]
+    second = asyncio.create_task(
+        pool.request(conftest.GET, options(id_header='x-id', request_id='two'))
+    )
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        while conn.is_reusable:
+            await asyncio.sleep(0)
+    dropped.set()
+    assert (await second).body == b'2'
+    assert not pool._idle
+
+
+async def test_request_fails_if_a_late_response_ends_its_connection(
+    scripted, options
+):
+    """A request whose connection ends after a late response may have run.
+
+    Neither is the late response its answer, nor may it be sent again.
+    """
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(_named(b'one', b'1'))
+        await _read_request(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nX-Id: one\r\nConnection: close\r\n'
+            b'Content-Length: 5\r\n\r\nagain'
+        )
+
+    pool = await scripted(script)
+    await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='one')
+    )
+    second = await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='two')
+    )
+    assert isinstance(second, messages.Failure)
+    assert second.sent
+    assert not second.timed_out
+
+
 async def test_bytes_behind_a_response_end_the_connection(scripted, options):
     """A connection with data after a complete response is not reused.
 
