Keep an upstream that answers in routing without heartbeats

Callers would see the requests of a service refused, or served by farther workers, while its own upstream runs: three heartbeat intervals without a heartbeat remove it from routing on all nodes, and heartbeats may arrive seconds late.

Cause: the node took the absence of heartbeats for the end of the upstream, although it had the upstream's answers in hand.

Ruled out: more heartbeat intervals, which keeps a crashed upstream for longer; bytes or accepted connections as proof, because the address of an upstream that has ended is used again by others; answers alone, because an idle upstream gives none.

Change: an answer with the upstream's signature to a request that names its instance counts as much as a heartbeat. Without either for three intervals, a health check (0.5 s) asks the upstream, which stays if that instance passes. An upstream that drains, or whose service has no health path, is removed as before. The request of the startup check moved to health_check.py.

Why it works: a crashed upstream gives no answers and refuses the connection of the health check, so that it leaves at the same time as before; one that hangs leaves up to 0.5 s later.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout passes. On the commit before, test_upstream_silence.py fails in test_upstream_that_answers_stays_in_routing_without_heartbeats ("assert None is not None": removed), test_idle_upstream_is_asked_before_it_leaves_routing (the same) and test_upstream_that_fails_the_health_check_is_removed ("assert []": nothing asked); the tests with responses of others and with a draining upstream are bounds of the change and pass on both.

--- a/damaskpier/fleet/startup_check.py
+++ b/damaskpier/fleet/startup_check.py
@@ -11,7 +11,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from damaskpier.http1 import client
+from damaskpier.fleet import health_check
 from damaskpier.http1 import messages
 from damaskpier import registry
 
@@ -56,14 +56,8 @@
         if worker.announcement is not None:
             return
         address = self._app.cfg.address('upstream', 'address')
-        pool = client.Pool(address.host, address.port, max_idle=0)
-        outcome = await pool.request(
-            messages.encode_request(
-                'GET', path, (('Host', str(address)),), b''
-            ),
-            client.Options(
-                asyncio.get_running_loop().time() + CHECK_TIMEOUT_S
-            ),
+        outcome = await health_check.request(
+            address.host, address.port, path, CHECK_TIMEOUT_S
         )
         if isinstance(outcome, messages.Failure):
             LOG.info('worker: no answer to the startup check: %s', outcome)
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -17,6 +17,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import header_codec
+from damaskpier.fleet import health_check
 from damaskpier.fleet import model
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
@@ -32,9 +33,13 @@
 
 LOG = logging.getLogger(__name__)
 
-# The upstream is removed from routing when it has not announced itself for
-# this many heartbeat intervals.
+# When the upstream has neither announced itself nor answered a request for
+# this many heartbeat intervals, it gets a health check, and is removed from
+# routing if it does not answer that. Announcements may be seconds late.
 MAX_MISSED_ANNOUNCEMENTS = 3
+# The upstream runs on the same host. A crashed one refuses the connection at
+# once, so that only one that hangs stays in routing for this time.
+HEALTH_CHECK_TIMEOUT_S = 0.5
 # Requests are still admitted for this time after the upstream starts to drain,
 # because other nodes may have sent them before they learned of it.
 LEAVING_ADMIT_S = 0.5
@@ -94,7 +99,11 @@
         # Latest start of each instance that has left. Announcements of this
         # start and of earlier ones are ignored.
         self._left_started_ms: dict[str, int] = {}
+        # Time of the loop's clock at which the upstream announced itself or
+        # answered a request most recently.
+        self._heard_at = 0.0
         self._expiry_timer: asyncio.TimerHandle | None = None
+        self._health_task: asyncio.Task[None] | None = None
         self._refusal_timer: asyncio.TimerHandle | None = None
         self._connect_failures = 0
         self._recent_runs: collections.deque[tuple[float, bool]] = (
@@ -122,6 +131,8 @@
         """Close the connections."""
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
+        if self._health_task is not None:
+            self._health_task.cancel()
         if self._pool is not None:
             self._pool.close_idle()
 
@@ -140,6 +151,7 @@
         known = self.announcement
         self.announcement = announcement
         self._connect_failures = 0
+        self._heard_at = asyncio.get_running_loop().time()
         self._restart_expiry()
         if (
             known is None
@@ -336,12 +348,70 @@
     def _restart_expiry(self) -> None:
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
-        self._expiry_timer = asyncio.get_running_loop().call_later(
-            MAX_MISSED_ANNOUNCEMENTS * self._heartbeat_s,
-            self._remove_instance,
-            'is silent',
+        self._expiry_timer = asyncio.get_running_loop().call_at(
+            self._heard_at + self._max_silence_s, self._check_silence
         )
 
+    @property
+    def _max_silence_s(self) -> float:
+        return MAX_MISSED_ANNOUNCEMENTS * self._heartbeat_s
+
+    def _is_silent(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now >= self._heard_at + self._max_silence_s
+
+    def _check_silence(self) -> None:
+        """Ask the upstream whether it runs if nothing was heard of it."""
+        known = self.announcement
+        if known is None:
+            return
+        path = self._health_path(known.service)
+        if not self._is_silent():
+            self._restart_expiry()
+        elif known.draining or not path:
+            self._remove_instance('is silent')
+        else:
+            self._health_task = asyncio.ensure_future(
+                self._check_health(known, path)
+            )
+
+    async def _check_health(
+        self, known: model.Announcement, path: str
+    ) -> None:
+        outcome = await health_check.request(
+            known.host, known.port, path, HEALTH_CHECK_TIMEOUT_S
+        )
+        health = None
+        if isinstance(outcome, http_messages.Response):
+            health = self._codec.decode_health(outcome)
+        # An instance that has ended may have left its address to another one.
+        if health is not None and health.instance == known.instance:
+            LOG.info(
+                'worker: no heartbeat of %s for %.1f s, but it passed a '
+                'health check',
+                known.instance,
+                self._max_silence_s,
+            )
+            self._record_answer(known)
+        if self._is_silent():
+            self._remove_instance('is silent')
+        else:
+            self._restart_expiry()
+
+    def _record_answer(self, known: model.Announcement) -> None:
+        """Record that the upstream of an announcement has answered."""
+        current = self.announcement
+        if current is not None and (
+            current.instance == known.instance
+            and current.started_ms == known.started_ms
+        ):
+            self._heard_at = asyncio.get_running_loop().time()
+
+    def _health_path(self, service: str) -> str:
+        cfg = self._app.service('configuration').current()
+        spec = None if cfg is None else cfg.services.get(service)
+        return '' if spec is None else spec.health_path
+
     def _remove_instance(self, reason: str) -> None:
         known = self.announcement
         if known is None:
@@ -454,12 +524,15 @@
         if self._codec.is_other_instance(outcome):
             self._remove_instance('was replaced at its address')
             return _missing_refusal()
+        is_from_upstream = self._codec.is_from_upstream(outcome)
+        if is_from_upstream:
+            self._record_answer(known)
         if self._codec.is_not_run(outcome):
             return errors.Refusal(
                 errors.CALL_UPSTREAM_REFUSED,
                 f'the upstream answered {outcome.status} without running it',
             )
-        if not self._codec.is_from_upstream(outcome):
+        if not is_from_upstream:
             return errors.Refusal(
                 errors.CALL_UNKNOWN,
                 f'not an answer of the upstream: status {outcome.status}',
--- /dev/null
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -0,0 +1,224 @@
+"""Upstreams whose heartbeats are late.
+
+The tests guard against a running upstream that leaves routing because its
+heartbeats do not arrive, and against one that has ended and stays.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+
+import pytest
+
+from damaskpier import application
+from damaskpier import config
+from damaskpier.fleet import configuration
+from damaskpier.fleet import model
+from damaskpier.fleet import worker
+from damaskpier.http1 import messages
+from damaskpier.mesh import membership
+from damaskpier.mesh import timing
+from damaskpier import metrics
+from damaskpier.platform import headers
+from damaskpier.traffic import messages as traffic_messages
+
+from tests.test_fleet import conftest
+from tests.test_fleet import virtual_time
+
+HEARTBEAT_S = 1.5
+MAX_SILENCE_S = worker.MAX_MISSED_ANNOUNCEMENTS * HEARTBEAT_S
+SIGNED = messages.Response(200, ((headers.SIGNATURE, 's'),))
+
+
+class FakePool:
+    """Pool of an upstream that gives the same answer to each request."""
+
+    def __init__(self, outcome: messages.Response | messages.Failure) -> None:
+        self.outcome = outcome
+
+    async def request(self, data, options):
+        """Return the answer."""
+        return self.outcome
+
+    def close_idle(self) -> None:
+        """Close nothing."""
+
+
+def _make_worker() -> worker.LocalWorker:
+    """Return a worker without a node, on the clock of the loop."""
+    cfg = config.loads(
+        '[node]\nid = n\nregion = r\nfailure_domain = a\nservice = reads\n'
+        '[platform]\naddress = 127.0.0.1:1\n'
+        f'[fleet]\ngrace = 0.5\nheartbeat = {HEARTBEAT_S}\n'
+        '[upstream]\naddress = 127.0.0.1:2\n'
+    )
+    app = application.make_application(
+        cfg,
+        (
+            metrics.setup,
+            lambda app: app.add_service('store', conftest.MemoryStore(None)),
+            functools.partial(
+                membership.setup,
+                timing=timing.Timing(announce_expiry_s=1e9),
+            ),
+            configuration.setup,
+        ),
+    )
+    return worker.LocalWorker(
+        app,
+        headers.PlatformHeaderCodec(),
+        asyncio.get_running_loop().time,
+    )
+
+
+def _request() -> traffic_messages.Request:
+    return traffic_messages.Request(
+        request_id='r1',
+        route='read',
+        service='reads',
+        version='',
+        method='GET',
+        target='/read/1',
+        headers=(),
+        body=b'',
+        deadline=float('inf'),
+        depth=0,
+        repeatable=True,
+    )
+
+
+def _announcement(instance: str = 'i') -> model.Announcement:
+    return model.Announcement(
+        instance, 'reads', 'v1', '127.0.0.1', 2, 4, False, 1, 1
+    )
+
+
+async def _serve_without_heartbeats(
+    outcome: messages.Response | messages.Failure,
+) -> worker.LocalWorker:
+    """Send requests for twice the longest silence after one heartbeat."""
+    service = _make_worker()
+    loop = asyncio.get_running_loop()
+    service.apply_announcement(_announcement())
+    service._pool = FakePool(outcome)
+    request = _request()._replace(deadline=3 * MAX_SILENCE_S)
+    while loop.time() < 2 * MAX_SILENCE_S:
+        await service.call(request)
+        await asyncio.sleep(HEARTBEAT_S / 3)
+    return service
+
+
+def test_upstream_that_answers_stays_in_routing_without_heartbeats():
+    """Its answers show that the upstream runs, late heartbeats nothing."""
+
+    async def check():
+        service = await _serve_without_heartbeats(SIGNED)
+        assert service.announcement is not None
+        # A crash ends the answers.
+        await asyncio.sleep(1.1 * MAX_SILENCE_S)
+        assert service.announcement is None
+
+    virtual_time.run(check())
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        messages.Response(200),
+        messages.Response(421, SIGNED.headers),
+        messages.Failure('reset', True),
+    ],
+)
+def test_responses_of_others_do_not_keep_an_upstream_in_routing(outcome):
+    """Another service may use the address of an upstream that has ended."""
+
+    async def check():
+        service = await _serve_without_heartbeats(outcome)
+        assert service.announcement is None
+
+    virtual_time.run(check())
+
+
+def test_late_answer_of_an_earlier_instance_keeps_no_other_in_routing():
+    """A request may outlast the instance that runs it."""
+
+    async def check():
+        service = _make_worker()
+        service.apply_announcement(_announcement())
+        service._pool = FakePool(SIGNED)
+        known = service.announcement
+        service.apply_announcement(
+            _announcement('next')._replace(started_ms=2)
+        )
+        await asyncio.sleep(0.9 * MAX_SILENCE_S)
+        service._record_answer(known)
+        await asyncio.sleep(0.2 * MAX_SILENCE_S)
+        assert service.announcement is None
+
+    virtual_time.run(check())
+
+
+async def _start_idle(fleet: conftest.Fleet) -> tuple[conftest.Node, list]:
+    """Start a node whose upstream gets no requests.
+
+    :returns: the node, and a list of the health checks of the upstream
+    """
+    cfg = conftest.make_configuration(2)
+    spec = model.ServiceSpec('reads', 0, conftest.HEALTH_PATH)
+    fleet.store.put(cfg._replace(services={'reads': spec}))
+    node = await fleet.add(announces=False)
+    await fleet.wait_converged()
+    startup_check = node.app.service('startup-check')
+    await conftest.wait_until(
+        lambda: startup_check._task is not None and startup_check._task.done()
+    )
+    checks = []
+    handle = node.upstream.server.handler
+
+    async def record(request):
+        checks.append(request)
+        return await handle(request)
+
+    node.upstream.server.handler = record
+    node.app.service('worker')._heartbeat_s = 0.01
+    assert node.announce()
+    return node, checks
+
+
+async def test_idle_upstream_is_asked_before_it_leaves_routing(fleet):
+    """An upstream without requests can only be heard by asking it.
+
+    After a crash, the check fails and the upstream is removed.
+    """
+    node, checks = await _start_idle(fleet)
+    service = node.app.service('worker')
+    await conftest.wait_until(
+        lambda: len(checks) >= 3 or service.announcement is None
+    )
+    assert service.announcement is not None
+    await node.upstream.server.stop(0.0)
+    await conftest.wait_until(lambda: service.announcement is None)
+
+
+@pytest.mark.parametrize('fault', ['another instance', 'failing'])
+async def test_upstream_that_fails_the_health_check_is_removed(fleet, fault):
+    """Only the upstream itself can show that it may get requests."""
+    node, checks = await _start_idle(fleet)
+    if fault == 'failing':
+        node.upstream.is_healthy = False
+    else:
+        node.upstream.instance = 'next'
+    service = node.app.service('worker')
+    await conftest.wait_until(lambda: service.announcement is None)
+    assert checks
+
+
+async def test_draining_upstream_is_removed_without_a_health_check(fleet):
+    """It gets no requests any more, whatever it would answer."""
+    node, checks = await _start_idle(fleet)
+    service = node.app.service('worker')
+    node.announce(draining=True)
+    seen = len(checks)
+    await conftest.wait_until(lambda: service.announcement is None)
+    assert len(checks) == seen
