Eject no worker of another node while this node hears few

Callers would see requests go to few, far or full workers for seconds after the link of their node was full: three silent or unconnected attempts eject a worker for 2 s and more, with a ramp of 5 s, whoever is the cause.

Cause: the selector took the silence of a node as a fault of its worker, also while nearly all nodes were silent to this one.

Ruled out: counting the attempts that are silent at one moment. After a loss of power, those on lost nodes stay and those on others end, so that they look the same as a full link. A second record of slow messages in the router.

Change: the selector asks check_timing, by way of exchange, whether most recent messages of this node were slow. While they were, an attempt without an answer still lowers the reliability of its worker, which decays within seconds and affects all of them alike, but ejects none; the worker of the own node, which no link separates, is ejected as before.

Why it works: messages to nodes that are gone or being checked do not count, so that lost nodes do not look like a full link; they leave routing by the checks, in 2.4 s at most. Limit: the record needs four messages within 3 s. A node without broadcasts sends one each 0.7 s, so that a full link of less than about 2 s is not noticed.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout passes. On the commit before, test_exchange.py::test_node_that_gets_few_answers_ejects_no_other fails with "assert 0.0 == 1.0" for the weight of the worker. The tests in test_selector.py need the new argument; with the condition replaced by "True", test_full_link_of_the_own_node_ejects_no_other_worker fails in the same way.

--- a/damaskpier/fleet/check_timing.py
+++ b/damaskpier/fleet/check_timing.py
@@ -71,10 +71,22 @@
 
     def duration_s(self, node_id: str) -> float:
         """Return the duration of a check of a node in seconds."""
-        if self._has_refuted_recently(node_id) or self._gets_few_replies():
+        if self._has_refuted_recently(node_id) or self.gets_few_replies():
             return EXTENSION_FACTOR * CHECK_DURATION_S
         return CHECK_DURATION_S
 
+    def gets_few_replies(self) -> bool:
+        """Return whether most of the recent messages of this node were slow.
+
+        The likeliest cause is then the link of this node.
+        """
+        oldest = self._clock() - MESSAGE_MEMORY_S
+        while self._messages and self._messages[0][0] <= oldest:
+            self._messages.popleft()
+        slow = sum(is_slow for _, is_slow in self._messages)
+        count = len(self._messages)
+        return count >= MIN_MESSAGES and 2 * slow > count
+
     def _has_refuted_recently(self, node_id: str) -> bool:
         refuted_at = self._refuted_at.get(node_id)
         if refuted_at is None:
@@ -83,11 +95,3 @@
             return True
         del self._refuted_at[node_id]
         return False
-
-    def _gets_few_replies(self) -> bool:
-        oldest = self._clock() - MESSAGE_MEMORY_S
-        while self._messages and self._messages[0][0] <= oldest:
-            self._messages.popleft()
-        slow = sum(is_slow for _, is_slow in self._messages)
-        count = len(self._messages)
-        return count >= MIN_MESSAGES and 2 * slow > count
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -189,6 +189,10 @@
         self._checks[record.node_id] = heard
         self._spawn(self._check_reachable(record, heard))
 
+    def gets_few_replies(self) -> bool:
+        """Return whether this node gets few replies from all other nodes."""
+        return self._check_timing.gets_few_replies()
+
     async def _register(self) -> None:
         local = self._app.service('membership').local_record()
         node = model.NodeAddress(
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -408,7 +408,10 @@
         if entry is None:
             entry = self._selectors[service, version] = _SelectorEntry(
                 selector.Selector(
-                    membership.local_record, self._rng, self._clock
+                    membership.local_record,
+                    self._rng,
+                    self._clock,
+                    self._app.service('exchange').gets_few_replies,
                 )
             )
         now = self._clock()
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -73,6 +73,8 @@
     :param local: returns the record of the caller's node
     :param rng: source of the samples
     :param clock: returns the time in seconds
+    :param gets_few_replies: returns whether the caller's node gets few replies
+        from all other nodes
     """
 
     def __init__(
@@ -80,10 +82,12 @@
         local: Callable[[], model.NodeRecord],
         rng: random.Random,
         clock: Callable[[], float],
+        gets_few_replies: Callable[[], bool] = lambda: False,
     ) -> None:
         self._local = local
         self._rng = rng
         self._clock = clock
+        self._gets_few_replies = gets_few_replies
         self._ejector = ejection.Ejector(clock)
         self._workers: dict[str, WorkerState] = {}
         self._own_region: list[WorkerState] = []
@@ -155,8 +159,7 @@
     def record_silence(self, worker: WorkerState) -> None:
         """Record that a worker's node is not heard during an attempt."""
         worker.last_result_at = self._clock()
-        self._ejector.record_no_answer(worker.key)
-        self._record_reliability(worker, succeeded=False)
+        self._record_no_answer(worker)
 
     def record_outcome(
         self, worker: WorkerState, reply: messages.Reply, latency_s: float
@@ -182,8 +185,7 @@
             if result.run is errors.RunState.UNKNOWN:
                 self._record_latency(worker, latency_s)
         else:
-            self._ejector.record_no_answer(worker.key)
-            self._record_reliability(worker, succeeded=False)
+            self._record_no_answer(worker)
 
     def expected_latency_s(self, worker: WorkerState, now: float) -> float:
         """Return the expected duration of an attempt without queueing.
@@ -198,6 +200,15 @@
         excess_s = worker.latency_s - mean_s
         return mean_s + excess_s * worker.observation_weight(now)
 
+    def _record_no_answer(self, worker: WorkerState) -> None:
+        self._record_reliability(worker, succeeded=False)
+        # While the link of this node is the likelier cause, no worker of
+        # another node is ejected, because that outlasts the cause by seconds.
+        # The lower reliability affects all of them alike.
+        is_local = worker.key == self._local().node_id
+        if is_local or not self._gets_few_replies():
+            self._ejector.record_no_answer(worker.key)
+
     def _record_answer(
         self, worker: WorkerState, answer: messages.Answer, latency_s: float
     ) -> None:
--- a/tests/test_fleet/test_exchange.py
+++ b/tests/test_fleet/test_exchange.py
@@ -15,6 +15,7 @@
 
 from damaskpier.fleet import check_timing
 from damaskpier.fleet import exchange
+from damaskpier.traffic import ejection
 
 from tests.test_fleet import conftest
 
@@ -225,3 +226,23 @@
     )
     await _check(first, _record(first, second))
     assert _record(first, second).gone
+
+
+async def test_node_that_gets_few_answers_ejects_no_other(fleet):
+    """Attempts that are silent behind the own full link prove nothing.
+
+    The router must ask for what is known of the messages to all nodes.
+    """
+    first, second, third = await _make_quiet_nodes(fleet, 3)
+    service = first.app.service('exchange')
+    _answer_late(second, 1.5)
+    _answer_late(third, 1.5)
+    await asyncio.gather(
+        *(service._sync(_record(first, third)) for _ in range(5))
+    )
+    selector = first.app.service('router')._selector('reads', '')
+    selector.update([_record(first, second), _record(first, third)])
+    worker = selector.pick(0.0)
+    for _ in range(ejection.MAX_UNANSWERED_COUNT):
+        selector.record_silence(worker)
+    assert selector._ejector.weight(worker.key) == 1.0
--- a/tests/test_fleet/test_selector.py
+++ b/tests/test_fleet/test_selector.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import random
 
 import pytest
 
 from damaskpier import errors
+from damaskpier.fleet import check_timing
 from damaskpier.fleet import selector
 from damaskpier.mesh import model
+from damaskpier.traffic import ejection
 from damaskpier.traffic import messages
 
 DOMAINS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b', 'c1': 'c', 'c2': 'c'}
@@ -48,8 +51,17 @@
 @pytest.fixture
 def selector_(now: list[float]) -> selector.Selector:
     """Return the selector of a node in a1 with a worker in each domain."""
+    return _make_selector(now)
+
+
+def _make_selector(
+    now: list[float], gets_few_replies: Callable[[], bool] = lambda: False
+) -> selector.Selector:
     made = selector.Selector(
-        lambda: _record('a1'), random.Random(3), lambda: now[0]
+        lambda: _record('a1'),
+        random.Random(3),
+        lambda: now[0],
+        gets_few_replies,
     )
     made.update(_record(domain) for domain in DOMAINS)
     return made
@@ -124,6 +136,64 @@
     assert 'a1' in _picks(selector_, SMALL)
 
 
+def _get_no_answer(
+    selector_: selector.Selector, domain: str, ending: str
+) -> None:
+    """Make a worker silent, or unreachable, until it would be ejected."""
+    worker = selector_._workers[f'n-{domain}']
+    for _ in range(ejection.MAX_UNANSWERED_COUNT):
+        if ending == 'silent':
+            selector_.record_silence(worker)
+            continue
+        selector_.record_start(worker)
+        selector_.record_outcome(
+            worker,
+            messages.Reply(errors.Refusal(errors.CALL_CONNECT, 'timed out')),
+            0.4,
+        )
+
+
+@pytest.fixture
+def timing(now: list[float]) -> check_timing.CheckTiming:
+    """Return the record of the messages of the selector's node."""
+    return check_timing.CheckTiming(lambda: now[0])
+
+
+def _send_messages(timing: check_timing.CheckTiming, took_s: float) -> None:
+    for _ in range(check_timing.MIN_MESSAGES):
+        timing.record_message(took_s)
+
+
+@pytest.mark.parametrize('ending', ['silent', 'unreachable'])
+def test_full_link_of_the_own_node_ejects_no_other_worker(now, timing, ending):
+    """A node behind a full link hears no other node.
+
+    The ejections would outlast the cause.
+    """
+    selector_ = _make_selector(now, timing.gets_few_replies)
+    _send_messages(timing, check_timing.SLOW_MESSAGE_S)
+    for domain in ('a2', 'b1'):
+        _get_no_answer(selector_, domain, ending)
+        assert selector_._ejector.weight(f'n-{domain}') == 1.0
+
+
+@pytest.mark.parametrize('ending', ['silent', 'unreachable'])
+def test_worker_that_is_alone_without_answers_is_ejected(now, timing, ending):
+    """While the others answer, the silence is that of the worker's node."""
+    selector_ = _make_selector(now, timing.gets_few_replies)
+    _send_messages(timing, check_timing.SLOW_MESSAGE_S / 2)
+    _get_no_answer(selector_, 'a2', ending)
+    assert selector_._ejector.weight('n-a2') == 0.0
+
+
+def test_full_link_does_not_excuse_the_local_worker(now, timing):
+    """Requests to the worker beside the node use no link."""
+    selector_ = _make_selector(now, timing.gets_few_replies)
+    _send_messages(timing, check_timing.SLOW_MESSAGE_S)
+    _get_no_answer(selector_, 'a1', 'unreachable')
+    assert selector_._ejector.weight('n-a1') == 0.0
+
+
 def test_worker_that_was_slow_is_tried_again(selector_, now):
     for _ in range(20):
         for domain in DOMAINS:
