Count the pause of a burst from the start of a response

Cause: the store did not answer 31 nodes from 2.5 to 11.5 s while the configuration changed in quick succession. The waiting watches were then answered with all versions of that time. nanaimo-a-10 received seven, 1.05 MB, over its slow link in 1.78 s, up to 13.35 s. They hold the state of 11.5 s, version 21. Several versions in one response begin a burst, and the pause of 1.2 s was counted from the end of the response. The read came after 14.5 s and was applied at 15.15 s: response, pause and read add up to more than the 3 s within which a change has to be in force. Six more nodes of the 31 had the version of 11.5 s after 14.59 s, for the same reason; they got no request that showed it.

Change: the pause counts from the first byte of the response, as the pause after a read counts from the start of the read. A response that takes longer than the pause is followed by a read at once.

Conclusion: a change during the response is in force after the response and one read.

--- a/damaskpier/fleet/store_watch.py
+++ b/damaskpier/fleet/store_watch.py
@@ -21,10 +21,15 @@
 
 
 class Page(NamedTuple):
-    """Objects in a response and the revision from which to watch next."""
+    """Objects in a response and the revision from which to watch next.
+
+    ``transfer_s`` is the time from the first to the last byte of the response
+    to a watch, in seconds.
+    """
 
     items: list[Any]
     revision: int
+    transfer_s: float = 0.0
 
 
 class ObjectReader(abc.ABC):
@@ -95,7 +100,8 @@
         if is_read:
             pacer.record_read(len(found.items), began)
         else:
-            pacer.record_watch(len(found.items), began, loop.time())
+            taken_at = loop.time() - found.transfer_s
+            pacer.record_watch(len(found.items), began, taken_at)
         if found.items:
             yield found.items
             await asyncio.sleep(pacer.delay_s(loop.time()))
@@ -128,8 +134,13 @@
         if self.is_burst or not self._reads_bursts:
             self._next_call_at = began + self._pause_s
 
-    def record_watch(self, count: int, began: float, now: float) -> None:
-        """Record a watch; objects soon after the last ones begin a burst."""
+    def record_watch(self, count: int, began: float, taken_at: float) -> None:
+        """Record a watch; objects soon after the last ones begin a burst.
+
+        :param taken_at: time at which the store began to answer; later
+            changes come with the next call, which a long response must not
+            delay further
+        """
         if not count:
             return
         if not self._reads_bursts:
@@ -138,10 +149,12 @@
         # A single change is followed by a watch without a pause, so that the
         # next change arrives alone. Several changes in one response have
         # accumulated, for example while the store was slow.
-        self.is_burst = count > 1 or now - self._received_at < self._pause_s
-        self._received_at = now
+        self.is_burst = (
+            count > 1 or taken_at - self._received_at < self._pause_s
+        )
+        self._received_at = taken_at
         if self.is_burst:
-            self._next_call_at = now + self._pause_s
+            self._next_call_at = taken_at + self._pause_s
 
     def delay_s(self, now: float) -> float:
         """Return the time until the next call in seconds."""
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -236,7 +236,9 @@
         changed = [
             event['object'] for event in events if not event.get('deleted')
         ]
-        return store_watch.Page(changed, int(answer.body['currentRev']))
+        return store_watch.Page(
+            changed, int(answer.body['currentRev']), answer.transfer_s
+        )
 
     def _record_delivery(
         self, kind: str, call: str, count: int, answer: _Response
--- a/tests/test_fleet/test_store_watch.py
+++ b/tests/test_fleet/test_store_watch.py
@@ -41,8 +41,10 @@
     """Reader of a store with one object, whose items are revisions.
 
     Each answer holds the state at its beginning and arrives ``latency_s``
-    later. During ``outage``, an interval in seconds, calls are refused, also
-    those that wait. Watches that begin after ``history_lost_at`` with an
+    later, and ``transfer_s`` later for each object in it. During ``outage``,
+    an interval in seconds, calls are refused, also those that wait. During
+    ``silence``, another interval, calls get no answer, but those that wait
+    get it afterwards. Watches that begin after ``history_lost_at`` with an
     earlier revision find no history.
     """
 
@@ -50,7 +52,9 @@
 
     def __init__(self) -> None:
         self.latency_s = 0.0
+        self.transfer_s = 0.0
         self.outage = (0.0, 0.0)
+        self.silence = (0.0, 0.0)
         self.history_lost_at = 0.0
         self.delivered = 0
         self.reads: list[float] = []
@@ -77,7 +81,7 @@
         if self._is_out():
             return _refusal(errors.PLATFORM_UNAVAILABLE)
         last = self.revision
-        await asyncio.sleep(self.latency_s)
+        await asyncio.sleep(self.latency_s + self.transfer_s)
         if self._is_out():
             return _refusal(errors.PLATFORM_UNAVAILABLE)
         self.delivered += 1
@@ -94,13 +98,18 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.1):
                     await self._changed.wait()
+        begin, end = self.silence
+        now = asyncio.get_running_loop().time()
+        if begin <= now < end:
+            await asyncio.sleep(end - now)
         last = self.revision
         found = list(range(revision + 1, last + 1))
-        await asyncio.sleep(self.latency_s)
+        transfer_s = self.transfer_s * len(found)
+        await asyncio.sleep(self.latency_s + transfer_s)
         if self._is_out():
             return _refusal(errors.PLATFORM_UNAVAILABLE)
         self.delivered += len(found)
-        return store_watch.Page(found, last)
+        return store_watch.Page(found, last, transfer_s)
 
     def _is_out(self) -> bool:
         begin, end = self.outage
@@ -311,6 +320,27 @@
     assert outcome.delivered <= STORM_DELIVERIES + accumulated
 
 
+def test_pause_after_a_long_response_does_not_delay_the_next_change():
+    """A node that gets all versions of an outage must not wait after them.
+
+    Behind a slow link, a response with seven configurations took 1.8 s. With
+    the whole pause after it, and the read, a change during the response came
+    into force after more than the time for it.
+    """
+    silence_s = 6.0
+
+    def prepare(reader: FakeReader) -> None:
+        reader.silence = (START_S, START_S + silence_s)
+        reader.transfer_s = 0.25
+
+    during = [silence_s - 1.5 + number * STORM_GAP_S for number in range(7)]
+    after = [silence_s + 0.1 + number * STORM_GAP_S for number in range(10)]
+    outcome = _follow([*during, *after], prepare)
+    first_after = FIRST_REVISION + len(during) + 1
+    for revision in range(first_after, outcome.reader.revision + 1):
+        assert outcome.delay_s(revision) < APPLY_S, revision
+
+
 def test_small_objects_are_watched_without_a_read():
     """Orders are followed by writes of their status, which are no burst.
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -293,6 +293,23 @@
     assert isinstance(await reading, errors.Refusal)
 
 
+async def test_watch_states_how_long_its_response_took():
+    """The pause of a burst counts from the first byte of a long response.
+
+    Without the time, the node would be behind by the response and the pause.
+    """
+    slow = _SlowStore()
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        listener = await asyncio.start_server(slow.answer, conftest.HOST, 0)
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            client = conftest.make_app(port).service('store')
+            found = await client.watch_objects('config', 1)
+            await client.stop()
+            await slow.ended.wait()
+    assert found.transfer_s > slow.PAUSE_S * slow.PART_COUNT / 2
+
+
 async def test_invalid_object_is_skipped(fake, client, operator_config):
     fake.put('rollouts', 's1', {'service': 's1'})
     fake.put('rollouts', 's2', {**ORDER, 'service': 's2'})
