Send the configuration to nodes behind during a series of versions

Cause: a node replies with its configuration only if it has not applied a version within 0.7 s, so that the store can deliver that one. While a version follows another every 0.24 s, nodes apply one per pause of 1.2 s, and so refuse for more than half of the time also to nodes that are many versions behind.

Ruled out: lost messages between nodes as the only cause, because the same nodes applied versions from others between (version 6 within 2.8 s on all of them, when the configuration did not change meanwhile).

Change: the 0.7 s count from the first version after the one that the other node has. Messages and their fields are the same, so that nodes of the previous build take part in both directions.

Test: test_node_behind_gets_the_configuration_while_others_follow failed with the earlier module for gaps of 0.3, 0.9 and 2.0 of the 0.7 s, with no configuration for a node at version 1 when version 6, 4 and 3 was applied.

Conclusion: a node without the store follows the others during a series as it does after a single change.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import random
 import time
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 import zlib
 
@@ -70,6 +72,13 @@
 _CONFIG_DECODER = msgspec.msgpack.Decoder(model.Configuration)
 
 
+class _AppliedVersion(NamedTuple):
+    """Version of the configuration and the time at which it was applied."""
+
+    version: int
+    at: float
+
+
 class Exchange(registry.Service):
     """Keeps the nodes' views consistent by gossip and anti-entropy.
 
@@ -103,7 +112,12 @@
         # something was received from it.
         self._checks: dict[str, asyncio.Future[None]] = {}
         self._check_timing = check_timing.CheckTiming(clock)
-        self._config_applied_at = 0.0
+        # Versions that were applied within CONFIG_SEND_DELAY_S, oldest first,
+        # and the one before them.
+        self._recent_versions: collections.deque[_AppliedVersion] = (
+            collections.deque()
+        )
+        self._settled_version = 0
         self._encoded_config: tuple[int, bytes] = (0, b'')
         app.events.connect('membership-delta', self._membership_changed)
         app.events.connect('config-applied', self._config_applied)
@@ -437,11 +451,26 @@
         reply.config_version = applied.version()
         if message.config_version < applied.version() and (
             not message.config_version
-            or self._clock() - self._config_applied_at >= CONFIG_SEND_DELAY_S
+            or self._is_overdue(message.config_version)
         ):
             reply.config = self._encode_config()
         return reply
 
+    def _is_overdue(self, version: int) -> bool:
+        """Return whether the store has had time to replace a version.
+
+        The time counts from the first version after it. Later ones may follow
+        one another faster than ``CONFIG_SEND_DELAY_S``.
+        """
+        self._settle_versions()
+        return version < self._settled_version
+
+    def _settle_versions(self) -> None:
+        settled_at = self._clock() - CONFIG_SEND_DELAY_S
+        recent = self._recent_versions
+        while recent and recent[0].at <= settled_at:
+            self._settled_version = recent.popleft().version
+
     def _send_newer_records(
         self, record: mesh_model.NodeRecord, reply: mesh_pb2.Gossip
     ) -> None:
@@ -532,7 +561,10 @@
         self._broadcast(mesh_pb2.Gossip(membership=delta))
 
     def _config_applied(self, cfg: model.Configuration) -> None:
-        self._config_applied_at = self._clock()
+        self._settle_versions()
+        self._recent_versions.append(
+            _AppliedVersion(cfg.version, self._clock())
+        )
 
     def _broadcast(self, gossip: mesh_pb2.Gossip) -> None:
         for record in self._app.service('membership').all_records():
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from damaskpier.fleet import exchange
 from damaskpier.fleet import model
+from damaskpier.rpc import mesh_pb2
 
 from tests.test_fleet import conftest
 
@@ -47,6 +50,46 @@
     )
 
 
+def _ask_for_configuration(node, version):
+    """Return the configuration in a reply to a node that has a version."""
+    message = mesh_pb2.Gossip(
+        digests=[mesh_pb2.MembershipDigest()], config_version=version
+    )
+    body = node.app.service('exchange').received(message.SerializeToString())
+    return mesh_pb2.Gossip.FromString(body).config
+
+
+@pytest.mark.parametrize('gap_ratio', [0.3, 0.9, 2.0])
+async def test_node_behind_gets_the_configuration_while_others_follow(
+    fleet, monkeypatch, gap_ratio
+):
+    """A node without the store must not wait for the end of a series.
+
+    Where versions followed one another within the time that the store has to
+    deliver them, other nodes kept all of them back, and a node that the store
+    did not answer was behind by many versions.
+    """
+    monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 1000.0)
+    node = await fleet.add()
+    await fleet.wait_converged()
+    service = node.app.service('exchange')
+    now = service._clock()
+    monkeypatch.setattr(service, '_clock', lambda: now)
+    delay_s = exchange.CONFIG_SEND_DELAY_S
+    applied_at = {}
+    for version in range(2, 12):
+        now += gap_ratio * delay_s
+        applied_at[version] = now
+        node.app.service('configuration').apply(
+            conftest.make_configuration(version)
+        )
+        for known in range(1, version):
+            # The store has had its time for the version after this one.
+            is_due = now - applied_at[known + 1] >= delay_s
+            packed = _ask_for_configuration(node, known)
+            assert bool(packed) == is_due, (known, version)
+
+
 async def test_node_that_starts_without_the_store_joins_later(
     fleet, monkeypatch
 ):
