Send the configuration in rounds with nodes that are behind

Cause: the configuration travels only in the reply to a node that is behind. Such a node has one round in 0.7 s, half of them with its successor in the ring and half with any node; where a third of the nodes is behind, each third round brings nothing. The rounds of the nodes that have the configuration do not help, although the reply states the version of the other node.

Ruled out: asking for the configuration when a message states a higher version, because that takes one more message; a shorter interval of the rounds, because each node pays for it all the time.

Change: a node that learns from a reply that the other node has a version that the store had 0.7 s to replace sends it the configuration. Older builds state their version in replies and accept the configuration in any message. A node without a configuration asks for it itself.

Test: test_node_behind_gets_the_configuration_in_rounds_of_others failed with version 1 instead of 2 before the change. test_configuration_is_not_sent_before_the_store_can_deliver_it guards the other direction and passed before.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -425,6 +425,10 @@
             return True
         self._apply_gossip(reply)
         self._send_newer_records(record, reply)
+        # A node without a configuration, which states version 0, asks for it.
+        if reply.config_version and self._is_overdue(reply.config_version):
+            gossip = mesh_pb2.Gossip(config=self._encode_config())
+            self._spawn(self._send(record, gossip))
         return True
 
     def _make_reply(self, message: mesh_pb2.Gossip) -> mesh_pb2.Gossip:
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -90,6 +90,46 @@
             assert bool(packed) == is_due, (known, version)
 
 
+async def _sync_with_node_behind(fleet, monkeypatch, delay_s):
+    """Run a round with a node without the store and return its version.
+
+    :param delay_s: time that the store has to deliver version 2
+    """
+    monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 1000.0)
+    monkeypatch.setattr(exchange, 'CONFIG_SEND_DELAY_S', delay_s)
+    first = await fleet.add()
+    second = await fleet.add()
+    await fleet.wait_converged()
+    second.store.is_cut = True
+    fleet.store.put(conftest.make_configuration(2))
+    await conftest.wait_until(
+        lambda: first.app.service('configuration').version() == 2
+    )
+    service = first.app.service('exchange')
+    record = first.app.service('membership').get(second.name)
+    assert await service._sync(record)
+    await conftest.wait_until(lambda: not service._tasks)
+    return second.app.service('configuration').version()
+
+
+async def test_node_behind_gets_the_configuration_in_rounds_of_others(
+    fleet, monkeypatch
+):
+    """A node without the store must not depend on its own rounds alone.
+
+    It has one in 0.7 s, and those with nodes that are behind as well bring
+    nothing.
+    """
+    assert await _sync_with_node_behind(fleet, monkeypatch, 0.0) == 2
+
+
+async def test_configuration_is_not_sent_before_the_store_can_deliver_it(
+    fleet, monkeypatch
+):
+    """A node with the store must not get each configuration twice."""
+    assert await _sync_with_node_behind(fleet, monkeypatch, 1000.0) == 1
+
+
 async def test_node_that_starts_without_the_store_joins_later(
     fleet, monkeypatch
 ):
