Receive replies of other nodes as long as bytes arrive

Callers would get 503 from a node that starts, or answers by an old configuration, for longer than the links explain: a message between nodes ended after 0.6 s although bytes of its reply were arriving, and the next one began at the first byte again, over the same slow link.

Cause: the time limit of a message was taken for the absence of a reply.

Change: a message ends when nothing of its reply has arrived for 0.6 s, and after 5 s in any case. Each part of a reply also ends a check of its sender: a node that sends bytes is not gone.

Why it works: a silent node is noticed after 0.6 s as before, and a reply over a slow link is received whole. The wire format is unchanged.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout passes.

These show that the node is alive and now end its check, so that four tests of nodes that are not heard failed. In a real node, messages are answered without a wait and get no interim responses.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -43,7 +43,12 @@
 ANTI_ENTROPY_INTERVAL_S = 0.7
 # Changes within this time are sent in one message.
 BATCH_DELAY_S = 0.02
+# A message ends when nothing of its reply has arrived for this time, and after
+# MAX_MESSAGE_S in any case. A reply with a configuration takes long over a
+# slow link, and the next message would begin at its first byte again. In
+# MAX_MESSAGE_S, a tenth of a link with 5 Mbit/s transports 300 kB.
 MESSAGE_TIMEOUT_S = 0.6
+MAX_MESSAGE_S = 5.0
 # Pause between the two messages of a check.
 RECHECK_DELAY_S = 0.15
 MAX_CHECKS = 9
@@ -344,6 +349,7 @@
                 record,
                 gossip,
                 deadline,
+                duration_s,
             ),
             self._send_second_check_message(record, gossip, deadline),
         )
@@ -359,13 +365,14 @@
         The existing ones may transport nothing any more.
         """
         await asyncio.sleep(RECHECK_DELAY_S)
+        remaining_s = deadline - asyncio.get_running_loop().time()
         pool = client.Pool(
             record.host,
             record.rpc_port,
             max_idle=0,
-            connect_timeout_s=deadline - asyncio.get_running_loop().time(),
+            connect_timeout_s=remaining_s,
         )
-        await self._request(pool, record, gossip, deadline)
+        await self._request(pool, record, gossip, deadline, remaining_s)
 
     def _mark_gone(self, record: mesh_model.NodeRecord) -> None:
         membership = self._app.service('membership')
@@ -555,7 +562,8 @@
             self._app.service('peers').pool(record),
             record,
             gossip,
-            asyncio.get_running_loop().time() + MESSAGE_TIMEOUT_S,
+            asyncio.get_running_loop().time() + MAX_MESSAGE_S,
+            MESSAGE_TIMEOUT_S,
         )
         # A node that may be lost says nothing about the link of this one.
         current = self._app.service('membership').get(record.node_id)
@@ -573,19 +581,30 @@
         record: mesh_model.NodeRecord,
         gossip: mesh_pb2.Gossip,
         deadline: float,
+        silence_timeout_s: float,
     ) -> bytes | None:
         """Send a message over a connection of a pool.
 
         :param deadline: time of the loop's clock in seconds
+        :param silence_timeout_s: longest time without data of the reply
         :returns: encoded reply; None if there was none
         """
         body = self._add_sender(gossip).SerializeToString()
-        outcome = await pool.request(
-            http_messages.encode_request(
-                'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
-            ),
-            client.Options(deadline),
+        activity = client.Activity(asyncio.get_running_loop().time())
+        sending = asyncio.ensure_future(
+            pool.request(
+                http_messages.encode_request(
+                    'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
+                ),
+                client.Options(deadline, activity=activity),
+            )
         )
+        try:
+            outcome = await self._receive(
+                record.node_id, sending, activity, silence_timeout_s
+            )
+        finally:
+            sending.cancel()
         if isinstance(outcome, http_messages.Failure):
             LOG.debug(
                 'exchange: no reply from %s: %s', record.node_id, outcome
@@ -594,6 +613,31 @@
         self._heard_from(record.node_id)
         return outcome.body
 
+    async def _receive(
+        self,
+        node_id: str,
+        sending: asyncio.Future[
+            http_messages.Response | http_messages.Failure
+        ],
+        activity: client.Activity,
+        silence_timeout_s: float,
+    ) -> http_messages.Response | http_messages.Failure:
+        """Wait for a reply as long as data arrives.
+
+        The silence timeout of the client is not used, because it also affects
+        the requests that share the pool.
+        """
+        loop = asyncio.get_running_loop()
+        sent_at = activity.heard_at
+        while not sending.done():
+            remaining_s = activity.heard_at + silence_timeout_s - loop.time()
+            if remaining_s <= 0:
+                return http_messages.Failure('nothing was heard', True)
+            await asyncio.wait((sending,), timeout=remaining_s)
+            if activity.heard_at > sent_at:
+                self._heard_from(node_id)
+        return sending.result()
+
     def _add_sender(self, gossip: mesh_pb2.Gossip) -> mesh_pb2.Gossip:
         local = self._app.service('membership').local_record()
         gossip.sender.CopyFrom(wire.record_to_pb(local))
--- a/tests/test_fleet/test_exchange.py
+++ b/tests/test_fleet/test_exchange.py
@@ -64,9 +64,13 @@
 def _answer_with(node, answer):
     """Let a node answer messages only when a coroutine function returns.
 
+    Until then, the node sends nothing.
+
     :param answer: called with the number of the message
     """
     server = node.app.service('peer-server').server
+    # Interim responses would show that the node is alive.
+    server.progress = None
     handle = server.handler
     count = 0
 
