Send the counts of a move again when there is no reply

Callers would get failures of a bad version for longer: a node with a full link loses its counts towards all three evaluators at once, as the message that carries them is sent only once.

Cause: counts were taken as delivered when they were sent.

Ruled out: adding lost counts to the next message. Counts are added up in moves.Move.merge_cell, without a key that would show that some are contained twice, and the sender can not tell a lost message from a lost reply. Totals since the start of the move, which replace each other, grow with each share and route and would be sent four times a second. Sending again to nodes of earlier builds, which would count twice.

Change: each message with counts has an identifier. Nodes state in all messages that they recognize identifiers; others get each message once, as before.

Why it works: an identical message may arrive any number of times, and later counts do not wait for it. A lost evaluator costs at most three more small messages per tick and node until it is marked as gone.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout tests/test_mesh tests/test_rpc passes. On the commit before, test_counts_without_a_reply_are_sent_again_and_count_once[message] fails with "assert [] == [EvidenceCell(...)]" (run without the patch of the new constant). Without the check of the identifier, the case of the lost reply fails with one cell too many.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import random
+import secrets
 import time
 from typing import TYPE_CHECKING
 import zlib
@@ -18,6 +20,7 @@
 import msgspec
 
 from damaskpier import errors
+from damaskpier.fleet import batch_log
 from damaskpier.fleet import check_timing
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
@@ -49,6 +52,11 @@
 # MAX_MESSAGE_S, a tenth of a link with 5 Mbit/s transports 300 kB.
 MESSAGE_TIMEOUT_S = 0.6
 MAX_MESSAGE_S = 5.0
+# Counts of a move whose message gets no reply are sent this many times in all.
+# A link may be full for some seconds.
+EVIDENCE_SEND_COUNT = 4
+EVIDENCE_RETRY_PAUSE_S = 0.4
+BATCH_PREFIX_BYTES = 8
 # Pause between the two messages of a check.
 RECHECK_DELAY_S = 0.15
 MAX_CHECKS = 9
@@ -108,6 +116,12 @@
         # something was received from it.
         self._checks: dict[str, asyncio.Future[None]] = {}
         self._check_timing = check_timing.CheckTiming(clock)
+        self._batch_prefix = secrets.token_hex(BATCH_PREFIX_BYTES)
+        self._batch_numbers = itertools.count()
+        self._received_batches = batch_log.BatchLog(clock)
+        # Incarnations of the nodes that count each batch only once. Nodes of
+        # earlier builds do not.
+        self._recognizing_nodes: dict[str, int] = {}
         self._config_applied_at = 0.0
         self._encoded_config: tuple[int, bytes] = (0, b'')
         app.events.connect('membership-delta', self._membership_changed)
@@ -167,15 +181,20 @@
     ) -> None:
         """Send counts of requests during a move to its evaluators.
 
+        They are sent again to evaluators that do not reply.
+
         :param evaluators: identifiers of nodes; this node is skipped
         """
         gossip = mesh_pb2.Gossip()
         gossip.evidence.CopyFrom(rollout_wire.delta_to_message(cells))
+        gossip.evidence.batch = (
+            f'{self._batch_prefix}-{next(self._batch_numbers)}'
+        )
         membership = self._app.service('membership')
         for node_id in evaluators:
             record = membership.get(node_id)
             if record is not None and node_id != self._node_id:
-                self._spawn(self._send(record, gossip))
+                self._spawn(self._deliver_evidence(record, gossip))
 
     def broadcast_state(self, state: rollout_model.MoveState) -> None:
         """Send the state of a move to all nodes."""
@@ -477,13 +496,17 @@
         if gossip.HasField('sender'):
             sender = wire.record_from_pb(gossip.sender)
             self._heard_from(sender.node_id)
+            if gossip.recognizes_batches:
+                self._recognizing_nodes[sender.node_id] = sender.incarnation
             records.append(sender)
         if gossip.HasField('receiver'):
             records.append(wire.record_from_pb(gossip.receiver))
         if records:
             membership.merge(records, gossip)
         rollouts = self._app.service('rollouts')
-        if gossip.evidence.cells:
+        if gossip.evidence.cells and self._received_batches.add(
+            gossip.evidence.batch
+        ):
             rollouts.merge_evidence(
                 [
                     rollout_wire.cell_from_message(cell)
@@ -550,6 +573,32 @@
             if record.node_id != self._node_id:
                 self._spawn(self._send(record, gossip))
 
+    async def _deliver_evidence(
+        self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
+    ) -> None:
+        """Send counts to a node until it replies, a limited number of times.
+
+        A missing reply does not show that the counts were not received.
+        """
+        membership = self._app.service('membership')
+        for number in range(EVIDENCE_SEND_COUNT):
+            if number:
+                await asyncio.sleep(EVIDENCE_RETRY_PAUSE_S)
+            if await self._send(record, gossip) is not None:
+                return
+            current = membership.get(record.node_id)
+            if (
+                current is None
+                or current.gone
+                or self._recognizing_nodes.get(current.node_id)
+                != current.incarnation
+            ):
+                break
+        LOG.info(
+            'exchange: no reply from %s to counts of a move; it may lack them',
+            record.node_id,
+        )
+
     async def _send(
         self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
     ) -> bytes | None:
@@ -641,6 +690,7 @@
     def _add_sender(self, gossip: mesh_pb2.Gossip) -> mesh_pb2.Gossip:
         local = self._app.service('membership').local_record()
         gossip.sender.CopyFrom(wire.record_to_pb(local))
+        gossip.recognizes_batches = True
         return gossip
 
     def _spawn(self, coro: object) -> None:
