Wait for refused callers before the port closes at a stop

Callers that a stopping node had refused with Retry-After found its port closed when they came back: the stop took 0.3 s without a request for "the callers have stopped", while the node itself had asked some to send nothing for up to 0.75 heartbeat intervals (1.1 s with 1.5 s) as no worker was ready. A caller reaches the mesh only through the node on its own host.

Cause: silence that the node had asked for counted as the end of the callers.

Ruled out as faults: a request on an open connection after the port has closed is answered while another one runs (test_request_on_an_open_connection_is_answered_during_a_stop, passes before and after); connections that are closed idle were not read from, which callers may take as not run; callers that the platform does not take away because too few nodes of the failure domain are ready meet a closed port for as long whenever it closes.

Change: the node remembers the latest time at which a refused caller may come back, and the 0.3 s begin then. The limits by the grace time are unchanged, so that a stop lasts at most 1.1 s longer, and only after such refusals.

Why it works: the refusals are the node's own, so that it knows when their callers come back, and counts on no silence before.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout passes. On the commit before, test_draining.py:: test_stop_waits_for_callers_that_were_asked_to_come_back fails: the retry gets "no connection: [Errno 111] Connect call failed".

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -36,7 +36,8 @@
 # a row (PROTOCOL, readiness).
 UNREADY_PROBE_COUNT = 2
 # The callers have stopped sending when, after those probes, no request has
-# arrived for this time.
+# arrived for this time, and none of them is still to come back after a refusal
+# that asked for it.
 CALLERS_IDLE_S = 0.3
 DRAIN_POLL_S = 0.05
 # Running requests have to end within this part of the grace period.
@@ -94,6 +95,8 @@
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         self._unready_probes = 0
         self._last_request_at = 0.0
+        # Latest time at which a refused caller may retry.
+        self._retries_until = 0.0
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -171,11 +174,15 @@
         while self._clock() < until:
             if (
                 self._unready_probes >= UNREADY_PROBE_COUNT
-                and self._clock() - self._last_request_at >= CALLERS_IDLE_S
+                and self._clock() - self._last_caller_at() >= CALLERS_IDLE_S
             ):
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _last_caller_at(self) -> float:
+        """Return the time of the latest request or expected retry."""
+        return max(self._last_request_at, self._retries_until)
+
     def _limits(self) -> server.Limits:
         cfg = self._app.service('configuration').current()
         limits = model.CallerLimits() if cfg is None else cfg.limits
@@ -311,6 +318,9 @@
             if status in (503, 504):
                 # Nothing has run, so that any request may be retried.
                 retry_after_s = self._retry_after_s(result.code, remaining_s)
+                self._retries_until = max(
+                    self._retries_until, self._clock() + retry_after_s
+                )
                 return 503, self._codec.encode_retry_after(retry_after_s)
             return status, ()
         if result.code is errors.CALL_DEADLINE:
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -16,6 +16,7 @@
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.fleet import worker
+from damaskpier.http1 import client
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
 from damaskpier.traffic import messages as traffic_messages
@@ -337,6 +338,86 @@
     )
 
 
+async def test_stop_waits_for_callers_that_were_asked_to_come_back(
+    fleet, monkeypatch
+):
+    """A refusal states when the caller may retry.
+
+    The caller sends nothing until then, and would find the port closed.
+    """
+    monkeypatch.setattr(peers, 'DRAIN_NOTICE_S', 0.0)
+    monkeypatch.setattr(ingress_module, 'DRAIN_POLL_S', 0.0)
+    node = await fleet.add('pages')
+    await fleet.wait_converged()
+    ingress = node.app.service('ingress')
+    now = [ingress._clock()]
+    reads = 0
+
+    def read_clock():
+        nonlocal reads
+        reads += 1
+        return now[0]
+
+    ingress._clock = read_clock
+    ingress._grace_s = 1000.0
+    stopping = asyncio.create_task(ingress.stop())
+    await conftest.wait_until(lambda: ingress.server.draining)
+    # No worker of the route has announced itself.
+    refused = await node.request()
+    retry_after_s = float(refused.header(headers.RETRY_AFTER.lower()))
+    assert retry_after_s > 2 * ingress_module.CALLERS_IDLE_S
+    for _ in range(2):
+        assert not ingress.check_readiness()
+    now[0] += retry_after_s
+    reads_before = reads
+    await conftest.wait_until(
+        lambda: reads > reads_before + 100 or stopping.done()
+    )
+    retried = await node.request()
+    assert isinstance(retried, messages.Response)
+    now[0] += float(retried.header(headers.RETRY_AFTER.lower()))
+    now[0] += 2 * ingress_module.CALLERS_IDLE_S
+    await stopping
+
+
+async def test_request_on_an_open_connection_is_answered_during_a_stop(fleet):
+    """The stop waits for a request after the port for callers has closed.
+
+    Another one may arrive then on a connection that has been idle.
+    """
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    idle = client.Pool(
+        conftest.HOST, caller.app.service('ingress').server.port
+    )
+    options = client.Options(
+        asyncio.get_running_loop().time() + conftest.TEST_TIMEOUT_S
+    )
+
+    async def send(number: int):
+        fields = (('Host', 'h.example'), (headers.REQUEST_ID, f'r{number}'))
+        return await idle.request(
+            messages.encode_request('GET', '/read/1', fields, b''), options
+        )
+
+    assert (await send(1)).body == b'i-1'
+    paused = _pause_upstream(other)
+    running = asyncio.create_task(caller.request(request_id='r2'))
+    await paused.running.wait()
+    ingress = caller.app.service('ingress')
+    ingress._grace_s = conftest.TEST_TIMEOUT_S
+    stopping = asyncio.create_task(ingress.server.stop(ingress._grace_s))
+    await conftest.wait_until(lambda: not ingress.server._server.is_serving())
+    late = asyncio.create_task(send(3))
+    await conftest.wait_until(lambda: len(other.upstream.ran) == 3)
+    paused.resume.set()
+    assert (await late).body == b'i-1'
+    assert (await running).body == b'i-1'
+    assert idle.opened_count == 1
+    await stopping
+
+
 async def test_request_that_outlasts_the_stop_gets_a_failure(fleet):
     """A node must not close a connection without an answer when it stops.
 
