Wait for requests that are arriving before the port closes

Callers lost a request whose body was still arriving when their node stopped: the connection was closed midway, and the retry found the port closed.

Cause: only whole requests counted, so that 0.3 s without one was taken for the end of the callers although the bytes of one came in.

Ruled out: a request that was read and got no answer; the body was incomplete, so that nothing ran.

Change: ingress counts the requests of which the head has arrived and the body has not, with the observer that the HTTP server has for this, and does not take the callers to have stopped meanwhile. The limits by the grace time are unchanged.

Why it works: a head that has arrived is a request that comes; a body that never ends is bounded by half of the grace time.

Not covered: a body that is still arriving at half of the grace time is cut as before.

Evidence: pytest tests/test_fleet tests/test_http1 tests/test_rollout passes. On the commit before, test_draining.py:: test_stop_waits_for_a_request_whose_body_is_arriving fails with "assert 1 == 2": the second request gets no answer.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -36,8 +36,8 @@
 # a row (PROTOCOL, readiness).
 UNREADY_PROBE_COUNT = 2
 # The callers have stopped sending when, after those probes, no request has
-# arrived for this time, and none of them is still to come back after a refusal
-# that asked for it.
+# arrived for this time, none is arriving, and none of the callers is still to
+# come back after a refusal that asked for it.
 CALLERS_IDLE_S = 0.3
 DRAIN_POLL_S = 0.05
 # Running requests have to end within this part of the grace period.
@@ -90,11 +90,17 @@
         self._rng = rng or random.Random()
         self._codec = codec
         self._clock = clock
-        self.server = server.Server(self._handle, self._limits)
+        self.server = server.Server(
+            self._handle,
+            self._limits,
+            observe_arrival=self._observe_arrival,
+        )
         self._grace_s = app.cfg.number('fleet', 'grace')
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         self._unready_probes = 0
         self._last_request_at = 0.0
+        # Number of requests of which the body is still to arrive.
+        self._arriving = 0
         # Latest time at which a refused caller may retry.
         self._retries_until = 0.0
 
@@ -174,6 +180,7 @@
         while self._clock() < until:
             if (
                 self._unready_probes >= UNREADY_PROBE_COUNT
+                and not self._arriving
                 and self._clock() - self._last_caller_at() >= CALLERS_IDLE_S
             ):
                 return
@@ -183,6 +190,15 @@
         """Return the time of the latest request or expected retry."""
         return max(self._last_request_at, self._retries_until)
 
+    def _observe_arrival(
+        self, fields: http_messages.Headers
+    ) -> Callable[[], None]:
+        self._arriving += 1
+        return self._end_arrival
+
+    def _end_arrival(self) -> None:
+        self._arriving -= 1
+
     def _limits(self) -> server.Limits:
         cfg = self._app.service('configuration').current()
         limits = model.CallerLimits() if cfg is None else cfg.limits
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -21,6 +21,7 @@
 from damaskpier.platform import headers
 from damaskpier.traffic import messages as traffic_messages
 
+from tests import streams
 from tests.test_fleet import conftest
 
 
@@ -338,46 +339,111 @@
     )
 
 
+class StopWithoutTime:
+    """Stop of a node in which time passes only by hand.
+
+    :param node: node to stop, with all intervals between checks set to 0
+    """
+
+    def __init__(self, node: conftest.Node) -> None:
+        self._ingress = node.app.service('ingress')
+        self._now = self._ingress._clock()
+        self._clock_reads = 0
+        self._ingress._clock = self._read_clock
+        self._ingress._grace_s = 1000.0
+        self.task = asyncio.create_task(self._ingress.stop())
+
+    async def fail_probes(self) -> None:
+        """Fail as many readiness probes as take the callers away."""
+        await conftest.wait_until(lambda: self._ingress.server.draining)
+        for _ in range(ingress_module.UNREADY_PROBE_COUNT):
+            assert not self._ingress.check_readiness()
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass."""
+        self._now += duration_s
+
+    async def settle(self) -> None:
+        """Wait until the stop has checked many times or has ended."""
+        enough = self._clock_reads + 100
+        await conftest.wait_until(
+            lambda: self._clock_reads > enough or self.task.done()
+        )
+
+    def _read_clock(self) -> float:
+        self._clock_reads += 1
+        return self._now
+
+
+@pytest.fixture
+def no_stop_intervals(monkeypatch) -> None:
+    """Let the stop of a node check its conditions without pauses."""
+    monkeypatch.setattr(peers, 'DRAIN_NOTICE_S', 0.0)
+    monkeypatch.setattr(ingress_module, 'DRAIN_POLL_S', 0.0)
+
+
 async def test_stop_waits_for_callers_that_were_asked_to_come_back(
-    fleet, monkeypatch
+    fleet, no_stop_intervals
 ):
     """A refusal states when the caller may retry.
 
     The caller sends nothing until then, and would find the port closed.
     """
-    monkeypatch.setattr(peers, 'DRAIN_NOTICE_S', 0.0)
-    monkeypatch.setattr(ingress_module, 'DRAIN_POLL_S', 0.0)
     node = await fleet.add('pages')
     await fleet.wait_converged()
-    ingress = node.app.service('ingress')
-    now = [ingress._clock()]
-    reads = 0
-
-    def read_clock():
-        nonlocal reads
-        reads += 1
-        return now[0]
-
-    ingress._clock = read_clock
-    ingress._grace_s = 1000.0
-    stopping = asyncio.create_task(ingress.stop())
-    await conftest.wait_until(lambda: ingress.server.draining)
+    stop = StopWithoutTime(node)
     # No worker of the route has announced itself.
     refused = await node.request()
+    await stop.fail_probes()
     retry_after_s = float(refused.header(headers.RETRY_AFTER.lower()))
     assert retry_after_s > 2 * ingress_module.CALLERS_IDLE_S
-    for _ in range(2):
-        assert not ingress.check_readiness()
-    now[0] += retry_after_s
-    reads_before = reads
-    await conftest.wait_until(
-        lambda: reads > reads_before + 100 or stopping.done()
-    )
+    stop.advance(retry_after_s)
+    await stop.settle()
     retried = await node.request()
     assert isinstance(retried, messages.Response)
-    now[0] += float(retried.header(headers.RETRY_AFTER.lower()))
-    now[0] += 2 * ingress_module.CALLERS_IDLE_S
-    await stopping
+    stop.advance(float(retried.header(headers.RETRY_AFTER.lower())))
+    stop.advance(2 * ingress_module.CALLERS_IDLE_S)
+    await stop.task
+
+
+async def test_stop_waits_for_a_request_whose_body_is_arriving(
+    fleet, no_stop_intervals
+):
+    """A body takes longer than the pause that shows the end of the callers.
+
+    The request would be cut, and its caller would find the port closed.
+    """
+    node = await fleet.add('reads')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    port = node.app.service('ingress').server.port
+    reader, writer = await asyncio.open_connection(conftest.HOST, port)
+    try:
+        # The end of the first request shows that all of this was read.
+        fields = (('Host', 'h.example'), (headers.REQUEST_ID, 'r1'))
+        head = messages.encode_request('GET', '/read/1', fields, b'')
+        late = messages.encode_request('POST', '/write/1', fields, b'12345')
+        writer.write(head + late[:-1])
+        await conftest.wait_until(
+            lambda: node.upstream.ran or other.upstream.ran
+        )
+        stop = StopWithoutTime(node)
+        await stop.fail_probes()
+        stop.advance(2 * ingress_module.CALLERS_IDLE_S)
+        await stop.settle()
+        writer.write(late[-1:])
+        await conftest.wait_until(
+            lambda: (
+                len(node.upstream.ran) + len(other.upstream.ran) == 2
+                or stop.task.done()
+            )
+        )
+        stop.advance(2 * ingress_module.CALLERS_IDLE_S)
+        received = await reader.read()
+        assert received.count(b'HTTP/1.1 200') == 2
+        await stop.task
+    finally:
+        await streams.abort(writer)
 
 
 async def test_request_on_an_open_connection_is_answered_during_a_stop(fleet):
