--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -9,8 +9,10 @@
 
 import asyncio
 import collections
+import itertools
 import logging
 import random
+import secrets
 import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -20,6 +22,7 @@
 import msgspec
 
 from damaskpier import errors
+from damaskpier.fleet import batch_log
 from damaskpier.fleet import check_timing
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
@@ -45,7 +48,17 @@
 ANTI_ENTROPY_INTERVAL_S = 0.7
 # Changes within this time are sent in one message.
 BATCH_DELAY_S = 0.02
+# A message ends when nothing of its reply has arrived for this time, and after
+# MAX_MESSAGE_S in any case. A reply with a configuration takes long over a
+# slow link, and the next message would begin at its first byte again. In
+# MAX_MESSAGE_S, a tenth of a link with 5 Mbit/s transports 300 kB.
 MESSAGE_TIMEOUT_S = 0.6
+MAX_MESSAGE_S = 5.0
+# Counts of a move whose message gets no reply are sent this many times in all.
+# A link may be full for some seconds.
+EVIDENCE_SEND_COUNT = 4
+EVIDENCE_RETRY_PAUSE_S = 0.4
+BATCH_PREFIX_BYTES = 8
 # Pause between the two messages of a check.
 RECHECK_DELAY_S = 0.15
 MAX_CHECKS = 9
@@ -118,6 +131,12 @@
             collections.deque()
         )
         self._settled_version = 0
+        self._batch_prefix = secrets.token_hex(BATCH_PREFIX_BYTES)
+        self._batch_numbers = itertools.count()
+        self._received_batches = batch_log.BatchLog(clock)
+        # Incarnations of the nodes that count each batch only once. Nodes of
+        # earlier builds do not.
+        self._recognizing_nodes: dict[str, int] = {}
         self._encoded_config: tuple[int, bytes] = (0, b'')
         app.events.connect('membership-delta', self._membership_changed)
         app.events.connect('config-applied', self._config_applied)
@@ -176,15 +195,20 @@
     ) -> None:
         """Send counts of requests during a move to its evaluators.
 
+        They are sent again to evaluators that do not reply.
+
         :param evaluators: identifiers of nodes; this node is skipped
         """
         gossip = mesh_pb2.Gossip()
         gossip.evidence.CopyFrom(rollout_wire.delta_to_message(cells))
+        gossip.evidence.batch = (
+            f'{self._batch_prefix}-{next(self._batch_numbers)}'
+        )
         membership = self._app.service('membership')
         for node_id in evaluators:
             record = membership.get(node_id)
             if record is not None and node_id != self._node_id:
-                self._spawn(self._send(record, gossip))
+                self._spawn(self._deliver_evidence(record, gossip))
 
     def broadcast_state(self, state: rollout_model.MoveState) -> None:
         """Send the state of a move to all nodes."""
@@ -358,6 +382,7 @@
                 record,
                 gossip,
                 deadline,
+                duration_s,
             ),
             self._send_second_check_message(record, gossip, deadline),
         )
@@ -373,13 +398,14 @@
         The existing ones may transport nothing any more.
         """
         await asyncio.sleep(RECHECK_DELAY_S)
+        remaining_s = deadline - asyncio.get_running_loop().time()
         pool = client.Pool(
             record.host,
             record.rpc_port,
             max_idle=0,
-            connect_timeout_s=deadline - asyncio.get_running_loop().time(),
+            connect_timeout_s=remaining_s,
         )
-        await self._request(pool, record, gossip, deadline)
+        await self._request(pool, record, gossip, deadline, remaining_s)
 
     def _mark_gone(self, record: mesh_model.NodeRecord) -> None:
         membership = self._app.service('membership')
@@ -503,13 +529,17 @@
         if gossip.HasField('sender'):
             sender = wire.record_from_pb(gossip.sender)
             self._heard_from(sender.node_id)
+            if gossip.recognizes_batches:
+                self._recognizing_nodes[sender.node_id] = sender.incarnation
             records.append(sender)
         if gossip.HasField('receiver'):
             records.append(wire.record_from_pb(gossip.receiver))
         if records:
             membership.merge(records, gossip)
         rollouts = self._app.service('rollouts')
-        if gossip.evidence.cells:
+        if gossip.evidence.cells and self._received_batches.add(
+            gossip.evidence.batch
+        ):
             rollouts.merge_evidence(
                 [
                     rollout_wire.cell_from_message(cell)
@@ -579,6 +609,32 @@
             if record.node_id != self._node_id:
                 self._spawn(self._send(record, gossip))
 
+    async def _deliver_evidence(
+        self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
+    ) -> None:
+        """Send counts to a node until it replies, a limited number of times.
+
+        A missing reply does not show that the counts were not received.
+        """
+        membership = self._app.service('membership')
+        for number in range(EVIDENCE_SEND_COUNT):
+            if number:
+                await asyncio.sleep(EVIDENCE_RETRY_PAUSE_S)
+            if await self._send(record, gossip) is not None:
+                return
+            current = membership.get(record.node_id)
+            if (
+                current is None
+                or current.gone
+                or self._recognizing_nodes.get(current.node_id)
+                != current.incarnation
+            ):
+                break
+        LOG.info(
+            'exchange: no reply from %s to counts of a move; it may lack them',
+            record.node_id,
+        )
+
     async def _send(
         self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
     ) -> bytes | None:
@@ -591,7 +647,8 @@
             self._app.service('peers').pool(record),
             record,
             gossip,
-            asyncio.get_running_loop().time() + MESSAGE_TIMEOUT_S,
+            asyncio.get_running_loop().time() + MAX_MESSAGE_S,
+            MESSAGE_TIMEOUT_S,
         )
         # A node that may be lost says nothing about the link of this one.
         current = self._app.service('membership').get(record.node_id)
@@ -609,19 +666,30 @@
         record: mesh_model.NodeRecord,
         gossip: mesh_pb2.Gossip,
         deadline: float,
+        silence_timeout_s: float,
     ) -> bytes | None:
         """Send a message over a connection of a pool.
 
         :param deadline: time of the loop's clock in seconds
+        :param silence_timeout_s: longest time without data of the reply
         :returns: encoded reply; None if there was none
         """
         body = self._add_sender(gossip).SerializeToString()
-        outcome = await pool.request(
-            http_messages.encode_request(
-                'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
-            ),
-            client.Options(deadline),
+        activity = client.Activity(asyncio.get_running_loop().time())
+        sending = asyncio.ensure_future(
+            pool.request(
+                http_messages.encode_request(
+                    'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
+                ),
+                client.Options(deadline, activity=activity),
+            )
         )
+        try:
+            outcome = await self._receive(
+                record.node_id, sending, activity, silence_timeout_s
+            )
+        finally:
+            sending.cancel()
         if isinstance(outcome, http_messages.Failure):
             LOG.debug(
                 'exchange: no reply from %s: %s', record.node_id, outcome
@@ -630,9 +698,35 @@
         self._heard_from(record.node_id)
         return outcome.body
 
+    async def _receive(
+        self,
+        node_id: str,
+        sending: asyncio.Future[
+            http_messages.Response | http_messages.Failure
+        ],
+        activity: client.Activity,
+        silence_timeout_s: float,
+    ) -> http_messages.Response | http_messages.Failure:
+        """Wait for a reply as long as data arrives.
+
+        The silence timeout of the client is not used, because it also affects
+        the requests that share the pool.
+        """
+        loop = asyncio.get_running_loop()
+        sent_at = activity.heard_at
+        while not sending.done():
+            remaining_s = activity.heard_at + silence_timeout_s - loop.time()
+            if remaining_s <= 0:
+                return http_messages.Failure('nothing was heard', True)
+            await asyncio.wait((sending,), timeout=remaining_s)
+            if activity.heard_at > sent_at:
+                self._heard_from(node_id)
+        return sending.result()
+
     def _add_sender(self, gossip: mesh_pb2.Gossip) -> mesh_pb2.Gossip:
         local = self._app.service('membership').local_record()
         gossip.sender.CopyFrom(wire.record_to_pb(local))
+        gossip.recognizes_batches = True
         return gossip
 
     def _spawn(self, coro: object) -> None:
