Compare the id of the response to a HEAD request

Callers would see: the status and headers of another request's response, if an upstream had sent a late response on the connection that carried the HEAD request. Cause: a HEAD request is completed by the head of a response, before the place where the id is compared. Change: the id is compared there too. With another id the request fails with unknown run state: the late response may have a body or not, so that the next response can not be found behind it. Ruled out: the reverse, a late response to a HEAD request. The connection of a HEAD request is never used again.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -418,7 +418,11 @@
         if self._options.is_head and status >= 200:
             # The parser would wait for a body of the stated length.
             self.is_reusable = False
-            self._complete()
+            if self._answers_request():
+                self._complete()
+            else:
+                # The late response to another method may have a body.
+                self._fail('a response to another request, of unknown length')
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -255,6 +255,33 @@
     assert not second.timed_out
 
 
+async def test_head_request_does_not_get_a_late_response(scripted, options):
+    """A late response is not taken for that of a HEAD request.
+
+    Whether it has a body is unknown, so that the next response can not be
+    found.
+    """
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(_named(b'one', b'1'))
+        await _read_request(reader)
+        writer.write(_named(b'one', b'again'))
+        await writer.drain()
+        await reader.read()
+
+    pool = await scripted(script)
+    await pool.request(
+        conftest.GET, options(id_header='x-id', request_id='one')
+    )
+    second = await pool.request(
+        messages.encode_request('HEAD', '/', (('Host', 'a'),), b''),
+        options(id_header='x-id', request_id='two', is_head=True),
+    )
+    assert isinstance(second, messages.Failure)
+    assert second.sent
+
+
 async def test_bytes_behind_a_response_end_the_connection(scripted, options):
     """A connection with data after a complete response is not reused.
 
