Send no request on a connection that has just ended

Callers would see: a 502 for a request that must not be repeated, or one that waits for its deadline, although no byte of it was sent and another worker could have run it. Cause: asyncio calls connection_lost one iteration after it has read the end of a connection, and drops what is written in between. The client took the connection for open until that call, for idle connections and for new ones that the server resets at once. A new connection that was lost before its request never called back, so that the request waited for the deadline. Change: whether a connection is open is asked of its transport. An idle connection that has ended is not used, and a request whose new connection has ended fails as not sent. Ruled out: bytes of an end that asyncio has not read yet. The request reaches the kernel then, and may have been sent. Consequence: a worker that resets two new connections in a row is removed from routing until its next heartbeat, like one that refuses them. Failed before: python -m pytest tests/test_http1/test_client.py, 2 failed: test_connection_that_has_ended_carries_no_request got "the connection was lost", sent, and test_connection_that_is_closed_at_once_carries_no_request "no response by the deadline", sent.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -234,6 +234,8 @@
         except OSError as exc:
             return messages.Failure(f'no connection: {exc}', False)
         self.opened_count += 1
+        if not conn.is_open:
+            return messages.Failure('the connection was closed at once', False)
         return conn
 
 
@@ -247,7 +249,6 @@
         self.idle_since = 0.0
         self.expires_at = float('inf')
         self.is_reusable = True
-        self.is_open = False
         self._pool = pool
         self._transport: asyncio.Transport | None = None
         self._response: (
@@ -266,10 +267,19 @@
         self._interim_count = 0
         self._init_parser()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether a request can be sent.
+
+        The transport learns of the end of the connection one iteration of the
+        loop before it calls :meth:`connection_lost`, and from then on it drops
+        what is written.
+        """
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options of the new connection."""
         self._transport = transport
-        self.is_open = True
         self._opened_at = asyncio.get_running_loop().time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
@@ -280,7 +290,6 @@
 
         :param exc: error that closed the connection, None for a regular close
         """
-        self.is_open = False
         self._pool.discard(self)
         if self._response is None:
             return
@@ -322,13 +331,11 @@
 
     def close(self) -> None:
         """Close the connection when all written data has been sent."""
-        self.is_open = False
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Close the connection at once; a running request gets no result."""
-        self.is_open = False
         self._cancel_timers()
         self._response = None
         self._discard_message()
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -282,6 +282,74 @@
     assert second.sent
 
 
+async def test_connection_that_has_ended_carries_no_request(scripted, options):
+    """No request is sent on a connection whose end has just been read.
+
+    asyncio reports the loss of the connection one iteration later. A request
+    in between would be dropped, and it would be unknown whether it ran.
+    """
+    ended = asyncio.Event()
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(OK)
+        await ended.wait()
+
+    pool = await scripted(script)
+    await pool.request(conftest.GET, options())
+    conn = pool._idle[0]
+    second = asyncio.get_running_loop().create_future()
+    end = conn.eof_received
+
+    def eof_received():
+        request = asyncio.create_task(pool.request(conftest.GET, options()))
+        second.set_result(request)
+        return end()
+
+    conn.eof_received = eof_received
+    ended.set()
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        response = await (await second)
+    assert response.body == b'ok'
+    assert pool.opened_count == 2
+
+
+async def test_connection_that_is_closed_at_once_carries_no_request(
+    scripted, options, monkeypatch
+):
+    """A request whose new connection has ended is reported as not sent.
+
+    An upstream resets connections beyond its limit. The request would wait
+    for the deadline, and it would be unknown whether it ran.
+    """
+    lost = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+    connection_lost = client.Connection.connection_lost
+
+    def note_loss(conn, exc):
+        connection_lost(conn, exc)
+        lost.set()
+
+    async def connect(*args):
+        found = await create_connection(*args)
+        await lost.wait()
+        return found
+
+    async def script(reader, writer):
+        pass
+
+    monkeypatch.setattr(client.Connection, 'connection_lost', note_loss)
+    monkeypatch.setattr(loop, 'create_connection', connect)
+    pool = await scripted(script)
+    outcome = await pool.request(
+        conftest.GET, options(deadline=loop.time() + 1)
+    )
+    assert isinstance(outcome, messages.Failure)
+    assert not outcome.sent
+    assert not outcome.timed_out
+
+
 async def test_bytes_behind_a_response_end_the_connection(scripted, options):
     """A connection with data after a complete response is not reused.
 
