Limit the responses that clients do not read

Callers would see: a closed connection when the node is killed, because one caller pipelines requests or downloads large responses and does not read. The node kept the responses in the buffers of the transports, as long as the client stayed connected, also after the server's own close. Cause: the server wrote each response at once and asked nothing of the transport, and only connections without a response were checked for timeouts. Change, in three limits: - No more requests of a connection are parsed or read while it keeps more than 1 MiB, and none that run are stopped. - The responses of all connections of a process are limited to 24 MiB. Above that the largest ones are dropped, and first those of clients that have taken nothing for 1 s, so that a slow link is not taken for a client that does not read. - A client that takes nothing for the idle timeout is disconnected. The deadline of the request was the other choice. It would drop ready responses, which are delivered also late, and the total is limited anyway. A dropped response can not look complete: all have a Content-Length. Also found: the idle timeout counted from the write of a response, so that a client that took longer than that for a download was disconnected right after it. It counts from its delivery now. Not limited: up to 32 requests of a connection that run already, and those in one part of 1 KiB. Their responses count in the total.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -19,6 +19,7 @@
 
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
+from damaskpier.http1 import unsent
 from damaskpier.util import memory
 
 LOG = logging.getLogger(__name__)
@@ -51,6 +52,7 @@
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 _REQUEST_MEMORY = memory.MemoryLimit(MAX_REQUEST_BYTES)
+_UNSENT_LIMIT = unsent.UnsentLimit(unsent.MAX_UNSENT_BYTES)
 
 
 class Limits(NamedTuple):
@@ -89,6 +91,8 @@
     :param clock: returns the time in seconds
     :param memory_limit: limit of the requests that arrive or run at one time;
         by default, all servers share one limit
+    :param unsent_limit: limit of the responses that clients have not taken;
+        by default, all servers share one limit
     :param observe_arrival: learns of requests before their bodies arrive
     """
 
@@ -99,10 +103,12 @@
         progress: Progress | None = None,
         clock: Callable[[], float] = time.monotonic,
         memory_limit: memory.MemoryLimit = _REQUEST_MEMORY,
+        unsent_limit: unsent.UnsentLimit = _UNSENT_LIMIT,
         observe_arrival: ArrivalObserver | None = None,
     ) -> None:
         self.observe_arrival = observe_arrival
         self.memory = memory_limit
+        self.unsent = unsent_limit
         self.handler = handler
         self.limits = limits
         self.progress = progress
@@ -180,13 +186,22 @@
 class _Exchange:
     """State of one request and, as soon as there is one, its response."""
 
-    __slots__ = ('is_head', 'task', 'response', 'keep_alive', 'timer')
+    __slots__ = (
+        'is_head',
+        'task',
+        'response',
+        'waiting_bytes',
+        'keep_alive',
+        'timer',
+    )
 
     def __init__(self, is_head: bool, keep_alive: bool) -> None:
         self.is_head = is_head
         self.keep_alive = keep_alive
         self.task: asyncio.Task[None] | None = None
         self.response: messages.Response | None = None
+        # Size of a response that waits for that to an earlier request.
+        self.waiting_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -201,6 +216,7 @@
         self._limits = server.limits()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._unsent: unsent.UnsentResponses | None = None
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._is_closed = False
         self._is_reading = True
@@ -216,12 +232,19 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the new connection with the server."""
         self._transport = transport
+        self._unsent = unsent.UnsentResponses(
+            transport,
+            self._server.unsent,
+            self._server.clock,
+            transport.abort,
+        )
         self._server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handlers of the requests of the connection."""
         self._server.remove_connection(self)
         self._server.memory.release(self)
+        self._unsent.clear()
         self._end_arrival()
         self._is_closed = True
         for exchange in self._exchanges:
@@ -239,21 +262,27 @@
 
     def _parse_received(self) -> None:
         """Parse the received data until as many requests run as may."""
-        while self._unparsed and not self._is_closed:
-            if len(self._exchanges) >= MAX_PIPELINED_COUNT:
+        while self._unparsed and not self._transport.is_closing():
+            if self._must_wait:
                 self._pause_reading()
                 return
             part = self._unparsed[:PARSED_BYTES]
             self._unparsed = self._unparsed[PARSED_BYTES:]
             self._parse(part)
-        if self._is_closed:
+        if self._transport.is_closing():
             return
-        if len(self._exchanges) >= MAX_PIPELINED_COUNT:
+        if self._must_wait:
             self._pause_reading()
         elif not self._is_reading:
             self._is_reading = True
             self._transport.resume_reading()
 
+    @property
+    def _must_wait(self) -> bool:
+        return (
+            len(self._exchanges) >= MAX_PIPELINED_COUNT or self._unsent.is_full
+        )
+
     def _pause_reading(self) -> None:
         if self._is_reading:
             self._is_reading = False
@@ -286,6 +315,12 @@
         """
         return False
 
+    def resume_writing(self) -> None:
+        """Run more requests, because the client has taken responses."""
+        self._unsent.refresh()
+        if not self._is_reading and not self._is_closed:
+            self._resume_parsing()
+
     def close(self) -> None:
         """Close the connection when all written data has been sent."""
         self._is_closed = self._is_discarding = True
@@ -304,8 +339,13 @@
 
         :param now: time of the server's clock
         """
+        self._unsent.refresh()
+        self._close_if_stalled()
         if self._is_closed or self._exchanges:
             return
+        if self.has_unsent_data() and not self._is_in_message:
+            # The client is not idle before it has the response.
+            self._waiting_since = now
         waited_s = now - self._waiting_since
         self._limits = self._server.limits()
         if self._is_in_message:
@@ -314,6 +354,20 @@
         elif waited_s > self._limits.idle_timeout_s:
             self.close()
 
+    def _close_if_stalled(self) -> None:
+        # A response is delivered also after the deadline of its request, so
+        # that the client gets as much time as an idle one.
+        if not self.has_unsent_data() or not self._unsent.is_stalled(
+            self._server.limits().idle_timeout_s
+        ):
+            return
+        LOG.info(
+            'http: closing a connection whose client takes nothing of '
+            '%d bytes',
+            self._unsent.size,
+        )
+        self._transport.abort()
+
     def memory_exhausted(self) -> None:
         """Refuse the request, because there is no memory for it."""
         self._reject(
@@ -355,7 +409,7 @@
             lower = name.lower()
             if lower == 'expect' and value.lower() == '100-continue':
                 if not self._exchanges:
-                    self._transport.write(CONTINUE_RESPONSE)
+                    self._unsent.write(CONTINUE_RESPONSE)
             elif (
                 lower == 'content-length' and int(value) > self._max_body_bytes
             ):
@@ -445,7 +499,12 @@
         finally:
             if exchange.timer is not None:
                 exchange.timer.cancel()
+        if self._is_closed:
+            return
         exchange.response = response
+        if self._exchanges[0] is not exchange:
+            exchange.waiting_bytes = len(response.body)
+            self._unsent.add_waiting(exchange.waiting_bytes)
         self._write_ready()
 
     def _on_handler_done(
@@ -464,7 +523,7 @@
         if self._is_closed or self._transport is None:
             return
         if self._exchanges and self._exchanges[0] is exchange:
-            self._transport.write(PROCESSING_RESPONSE)
+            self._unsent.write(PROCESSING_RESPONSE)
         exchange.timer = asyncio.get_running_loop().call_later(
             self._server.progress.interval_s, self._send_progress, exchange
         )
@@ -472,13 +531,14 @@
     def _write_ready(self) -> None:
         while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
-            if self._transport is None or self._transport.is_closing():
+            self._unsent.remove_waiting(exchange.waiting_bytes)
+            if self._transport.is_closing():
                 return
             # A draining server answers all requests that it has read.
             close = not exchange.keep_alive or (
                 self._server.draining and not self._exchanges
             )
-            self._transport.write(
+            self._unsent.write(
                 messages.encode_response(
                     exchange.response,
                     is_head=exchange.is_head,
@@ -492,6 +552,7 @@
         if (
             not self._is_reading
             and len(self._exchanges) < MAX_PIPELINED_COUNT // 2
+            and not self._unsent.is_full
         ):
             self._resume_parsing()
 
@@ -505,6 +566,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
+        self._unsent.drop_waiting()
         self.close()
 
     def _end_arrival(self) -> None:
--- a/tests/test_http1/conftest.py
+++ b/tests/test_http1/conftest.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import socket
 
 import pytest
 
@@ -18,6 +19,8 @@
 
 HOST = '127.0.0.1'
 TIMEOUT_S = 20.0
+# Bytes that asyncio's streams read ahead.
+DEFAULT_LIMIT_BYTES = 64 * 1024
 
 Script = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
@@ -65,14 +68,25 @@
 
 
 @pytest.fixture
-async def connect() -> AsyncIterator[
-    Callable[[int], Awaitable[RawConnection]]
-]:
-    """Return a function that opens a raw connection to a port."""
+async def connect() -> AsyncIterator[Callable[..., Awaitable[RawConnection]]]:
+    """Return a function that opens a raw connection to a port.
+
+    The size of the receive buffer in bytes can be given, so that the client
+    reads no more ahead.
+    """
     opened = []
 
-    async def open_(port: int) -> RawConnection:
-        raw = RawConnection(*await asyncio.open_connection(HOST, port))
+    async def open_(port: int, buffer_bytes: int = 0) -> RawConnection:
+        sock = socket.socket()
+        sock.setblocking(False)
+        limit = DEFAULT_LIMIT_BYTES
+        if buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            limit = buffer_bytes
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, port))
+        raw = RawConnection(
+            *await asyncio.open_connection(sock=sock, limit=limit)
+        )
         opened.append(raw)
         return raw
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 
 import pytest
 
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
+from damaskpier.http1 import unsent
 from damaskpier.util import memory
 
 from tests.test_http1 import conftest
@@ -60,7 +62,9 @@
     async def handler(request):
         return messages.Response(200, (), body)
 
-    started = await serve(handler)
+    started = await serve(
+        handler, unsent_limit=unsent.UnsentLimit(2 * len(body))
+    )
     raw = await connect(started.port)
     raw.send(GET_A)
     await raw.read_until(b'\r\n\r\n')
@@ -550,6 +554,179 @@
     assert (await raw.read_to_end()).startswith(b'HTTP/1.1 413')
 
 
+LARGE = 1_000_000
+
+
+async def _large(request: messages.Request) -> messages.Response:
+    return messages.Response(200, (), request.target[-1].encode() * LARGE)
+
+
+@pytest.fixture
+async def connect_slow(connect):
+    """Return a function that opens a connection with small socket buffers.
+
+    The server keeps almost all of a response that the client does not read.
+    """
+
+    async def open_(started: server.Server) -> conftest.RawConnection:
+        known = set(started._connections)
+        raw = await connect(started.port, 16 * 1024)
+        await _until(lambda: len(started._connections) > len(known))
+        (conn,) = started._connections - known
+        sock = conn._transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+        return raw
+
+    return open_
+
+
+async def test_requests_behind_unread_responses_are_not_run(
+    serve, connect_slow
+):
+    """A client that does not read its responses gets no more requests run.
+
+    Its responses would fill the memory of the node. They are all delivered
+    when the client reads.
+    """
+    ran = []
+    size = LARGE // 10
+
+    async def handler(request):
+        ran.append(request.target)
+        return messages.Response(200, (), request.target[-1].encode() * size)
+
+    started = await serve(handler)
+    raw = await connect_slow(started)
+    padding = b'A: %s\r\n' % (b'x' * server.PARSED_BYTES)
+    count = 60
+    for number in range(count):
+        raw.send(b'GET /%d HTTP/1.1\r\n%s\r\n' % (number % 10, padding))
+    await _until(lambda: len(ran) >= 2)
+    (conn,) = started._connections
+    await _until(lambda: not conn._is_reading and not conn._exchanges)
+    # Runs everything that does not wait for the client.
+    for _ in range(100):
+        await asyncio.sleep(0)
+    assert len(ran) <= server.MAX_PIPELINED_COUNT
+    raw.send(b'GET /a HTTP/1.1\r\nConnection: close\r\n\r\n')
+    answers = await raw.read_to_end()
+    assert len(ran) == count + 1
+    assert answers.count(b'HTTP/1.1 200') == count + 1
+    for digit in b'0123456789':
+        assert answers.count(digit) >= count // 10 * size
+    assert answers.endswith(b'a' * size)
+    assert not started.unsent.used_bytes
+
+
+async def test_unread_responses_of_all_connections_share_a_limit(
+    serve, connect_slow
+):
+    """The largest unread responses are dropped when all exceed the limit.
+
+    Those of many connections would fill the memory of the node. The others
+    are still delivered.
+    """
+    limit = unsent.UnsentLimit(5 * LARGE // 2)
+    started = await serve(_large, unsent_limit=limit)
+    first = await connect_slow(started)
+    first.send(GET_A * 2)
+    await _until(lambda: limit.used_bytes > 1.8 * LARGE)
+    second = await connect_slow(started)
+    second.send(GET_B)
+    assert len(await first.read_to_end()) < LARGE
+    await _until(lambda: limit.used_bytes < LARGE)
+    await second.read_until(b'\r\n\r\n')
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        assert await second.reader.readexactly(LARGE) == b'b' * LARGE
+    await _until(lambda: not limit.used_bytes)
+
+
+async def test_stalled_client_loses_its_responses_before_a_slow_one(
+    serve, connect_slow
+):
+    """A client that takes its responses slowly is not taken for stalled.
+
+    Links of 5 Mbit/s are common, and a large response takes long over them.
+    """
+    now = [0.0]
+    limit = unsent.UnsentLimit(16 * LARGE // 5)
+    started = await serve(_large, unsent_limit=limit, clock=lambda: now[0])
+    slow = await connect_slow(started)
+    slow.send(GET_A * 2)
+    stalled = await connect_slow(started)
+    stalled.send(GET_A)
+    await _until(lambda: limit.used_bytes > 2.8 * LARGE)
+    # The streams have read ahead, and the socket buffers are full.
+    await _until(lambda: slow.reader._paused and stalled.reader._paused)
+    for _ in range(100):
+        await asyncio.sleep(0)
+    for conn in started._connections:
+        conn.check_timeouts(now[0])
+    now[0] = 2 * unsent.STALL_S
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await slow.reader.readexactly(LARGE // 3)
+    third = await connect_slow(started)
+    third.send(GET_B)
+    assert len(await stalled.read_to_end()) < LARGE
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await slow.reader.readexactly(3 * LARGE // 2)
+        await third.reader.readexactly(LARGE)
+
+
+async def test_responses_that_wait_for_an_earlier_one_count(
+    serve, connect_slow
+):
+    """Responses that are ready before an earlier one count as unread."""
+    limit = unsent.UnsentLimit(5 * LARGE // 2)
+    cancelled = asyncio.Event()
+
+    async def handler(request):
+        if request.target == '/a':
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.set()
+        return await _large(request)
+
+    started = await serve(handler, unsent_limit=limit)
+    raw = await connect_slow(started)
+    raw.send(GET_A + GET_B * 3)
+    assert len(await raw.read_to_end()) < LARGE
+    await _until(cancelled.is_set)
+    assert not limit.used_bytes
+
+
+async def test_client_that_takes_no_response_is_closed(serve, connect_slow):
+    """A client that takes nothing for the idle timeout loses its connection.
+
+    Its response would be kept for as long as the client stays connected, also
+    if the server has already closed its side.
+    """
+    now = [0.0]
+    limits = server.Limits(idle_timeout_s=10.0)
+    started = await serve(_large, limits=lambda: limits, clock=lambda: now[0])
+    kept = await connect_slow(started)
+    kept.send(GET_A)
+    last = await connect_slow(started)
+    last.send(b'GET /a HTTP/1.1\r\nConnection: close\r\n\r\n')
+    slow = await connect_slow(started)
+    slow.send(GET_B)
+    await _until(lambda: started.unsent.used_bytes > 2.5 * LARGE)
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await slow.read_until(b'\r\n\r\n')
+        for _ in range(4):
+            now[0] += 4.0
+            await slow.reader.readexactly(LARGE // 4)
+            for conn in list(started._connections):
+                conn.check_timeouts(now[0])
+    slow.send(GET_B)
+    await slow.read_until(b'\r\n\r\n')
+    assert len(await kept.read_to_end()) < LARGE
+    assert len(await last.read_to_end()) < LARGE
+    await _until(lambda: len(started._connections) == 1)
+    assert started.unsent.used_bytes < LARGE
+
+
 def _start_post(length: int, body: bytes) -> bytes:
     return b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s' % (
         length,
