Read the rest of a body whose request is refused

Callers would see: a reset in place of the 413 for a body above the limit, of the 503 when there is no memory for it, and of the 408 for a late one, if they send their whole body before they read. A reset does not say that the request has not run. Another node that sent the body answered 502 for a request that must not be repeated. Cause: the server closed the connection right after the refusal. Data that arrives after a close resets a connection, and the client's kernel then drops the refusal that it has received. Change: after these three refusals the server ends its own direction only, and discards what arrives until the client closes, for the time that a request may take to arrive (headerTimeout) at most. Not changed: refusals of heads (400 and 431) close at once, because a head without end is no request. Failed before: python -m pytest tests/test_http1/test_server.py, the six cases of test_refusal_reaches_a_client_that_still_sends_its_body with ConnectionResetError.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -51,6 +51,11 @@
 PROCESSING_RESPONSE = b'HTTP/1.1 102 Processing\r\n\r\n'
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+# Refusals of requests whose bodies may still be arriving. Data that arrives
+# after a close resets the connection, which loses the refusal, so that the
+# rest of the body is read and discarded.
+_BODY_REFUSAL_STATUSES = frozenset((408, 413, 503))
+
 _REQUEST_MEMORY = memory.MemoryLimit(MAX_REQUEST_BYTES)
 _UNSENT_LIMIT = unsent.UnsentLimit(unsent.MAX_UNSENT_BYTES)
 
@@ -192,6 +197,7 @@
         'response',
         'waiting_bytes',
         'keep_alive',
+        'discards_rest',
         'timer',
     )
 
@@ -202,6 +208,9 @@
         self.response: messages.Response | None = None
         # Size of a response that waits for that to an earlier request.
         self.waiting_bytes = 0
+        # Whether the server reads on, and discards what arrives, before it
+        # closes the connection.
+        self.discards_rest = False
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -223,6 +232,7 @@
         self._unparsed = memoryview(b'')
         self._is_in_message = False
         self._is_discarding = False
+        self._discards_until: float | None = None
         self._arrival_end: Callable[[], None] | None = None
         self._waiting_since = server.clock()
         # Bytes since the last part of a message that the parser has reported.
@@ -343,6 +353,10 @@
         self._close_if_stalled()
         if self._is_closed or self._exchanges:
             return
+        if self._discards_until is not None:
+            if now > self._discards_until:
+                self.close()
+            return
         if self.has_unsent_data() and not self._is_in_message:
             # The client is not idle before it has the response.
             self._waiting_since = now
@@ -547,7 +561,7 @@
             )
             self._waiting_since = self._server.clock()
             if close:
-                self._close_after_response()
+                self._close_after_response(exchange)
                 return
         if (
             not self._is_reading
@@ -560,14 +574,25 @@
         # The parser calls back into this method when a request is rejected.
         asyncio.get_running_loop().call_soon(self._parse_received)
 
-    def _close_after_response(self) -> None:
+    def _close_after_response(self, answered: _Exchange) -> None:
         """Close after a response and cancel the handlers of later requests."""
         for exchange in self._exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
         self._unsent.drop_waiting()
-        self.close()
+        if not answered.discards_rest:
+            self.close()
+            return
+        # The client closes when it has sent its body and read the response.
+        self._discards_until = (
+            self._server.clock() + self._limits.header_timeout_s
+        )
+        try:
+            self._transport.write_eof()
+        except OSError as exc:
+            LOG.debug('http: the client has closed its connection: %s', exc)
+            self.close()
 
     def _end_arrival(self) -> None:
         end, self._arrival_end = self._arrival_end, None
@@ -580,10 +605,13 @@
         """Answer a request that can not be read, and close the connection."""
         if self._is_closed or (self._is_discarding and self._exchanges):
             return
+        if self._discards_until is not None:
+            return
         self._discard_input()
         self._end_arrival()
         exchange = _Exchange(False, False)
         exchange.response = messages.Response(status, fields, reason.encode())
+        exchange.discards_rest = status in _BODY_REFUSAL_STATUSES
         self._exchanges.append(exchange)
         self._write_ready()
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -542,6 +542,63 @@
     await _until(lambda: not limit.used_bytes)
 
 
+@pytest.mark.parametrize('status', [b'413', b'503', b'408'])
+@pytest.mark.parametrize('is_chunked', [False, True])
+async def test_refusal_reaches_a_client_that_still_sends_its_body(
+    serve, connect, status, is_chunked
+):
+    """A client that sends its whole body before it reads gets the refusal.
+
+    Data that arrives after the close resets the connection. The client loses
+    the refusal then, and does not learn that its request has not run.
+    """
+    now = [0.0]
+    ran = []
+
+    async def handler(request):
+        ran.append(request)
+        return messages.Response(200)
+
+    limits = server.Limits(
+        body_bytes=2000 if status == b'413' else 2 * FLOOD_BYTES,
+        header_timeout_s=3.0,
+    )
+    limit = memory.MemoryLimit(FLOOD_BYTES)
+    started = await serve(
+        handler,
+        limits=lambda: limits,
+        clock=lambda: now[0],
+        memory_limit=limit,
+    )
+    if status == b'503':
+        # Requests that run leave 2000 bytes.
+        limit.used_bytes = FLOOD_BYTES - 2000
+    raw = await connect(started.port)
+    raw.writer.transport.pause_reading()
+    size = 8 * 1024 * 1024
+    if is_chunked:
+        raw.send(CHUNKED + b'%x\r\n' % size + b'x' * 1000)
+    else:
+        raw.send(_start_post(size, b'x' * 1000))
+    await _until(lambda: bool(started._connections))
+    (conn,) = started._connections
+    if status == b'408':
+        await _until(lambda: conn._is_in_message)
+        now[0] = 4.0
+        conn.check_timeouts(now[0])
+    for _ in range(size // MAX_READ_BYTES):
+        raw.send(b'x' * MAX_READ_BYTES)
+        await raw.writer.drain()
+    raw.writer.transport.resume_reading()
+    assert (await raw.read_to_end()).startswith(b'HTTP/1.1 ' + status)
+    assert not ran
+    # A client that does not close is not waited for.
+    now[0] += 4.0
+    for conn in list(started._connections):
+        conn.check_timeouts(now[0])
+    await _until(lambda: not started._connections)
+
+
 async def test_body_above_the_memory_limit_is_too_large(serve, connect):
     """A body that never fits into the memory limit is refused for good.
 
