Limit the wait for a silent node to a part of the remaining time

Cause: calls of upstreams have less than 0.87 s, and each one holds a slot of the upstream that makes it. A silent connection started a second attempt after 0.7 s, and a connection took up to 0.4 s to fail, so that a call that met one node without power rarely ended in time. The call then failed, its parent got 500 (which ends a request that must not be repeated), and a slot was taken for 0.8 s.

Change: a second attempt of a request that may be repeated starts after 0.4 of the remaining time, within 0.3 and 0.7 s, and connecting takes at most 0.25 of it. The question for the attempt, the check of the node and the retry budget are unchanged. A request that was sent and must not be repeated gets no second attempt. http1/client.py gets one option, because the pool has one limit only.

--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -24,6 +24,17 @@
 # An attempt counts as stalled when nothing was heard for this time, neither
 # on its connection nor on that of the question.
 STALL_TIMEOUT_S = 0.7
+# A request waits for a node that may have lost its power only for this part of
+# the remaining time, so that another attempt can still end in time. A call of
+# an upstream has less than a second, and holds a slot of that upstream while
+# it waits.
+STALL_PART_OF_REMAINING = 0.4
+CONNECT_PART_OF_REMAINING = 0.25
+# The first interim response arrives within 0.2 s, and the next ones at that
+# interval.
+MIN_STALL_TIMEOUT_S = 0.3
+# Five round trips between regions.
+MIN_CONNECT_TIMEOUT_S = 0.1
 # A question is given up after this time without data. It is long, because a
 # new connection takes long where a full link is the cause.
 QUESTION_TIMEOUT_S = 2.0
@@ -99,12 +110,14 @@
         self._silent = asyncio.Event()
         self._has_stalled = False
         self._stall_timer: asyncio.TimerHandle | None = None
+        self._stall_timeout_s = STALL_TIMEOUT_S
         self._sent_at = 0.0
 
     async def run(self) -> messages.Reply:
         """Send the request and return the reply, from either connection."""
         self._sent_at = _time_with_suspension()
         self._activity.heard_at = asyncio.get_running_loop().time()
+        self._set_stall_timeout()
         direct = asyncio.ensure_future(self._send())
         found = asyncio.ensure_future(self._find())
         try:
@@ -129,7 +142,19 @@
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
 
+    def _set_stall_timeout(self) -> None:
+        # The question for the attempt starts later, at the same time for all:
+        # it costs a connection and a check of the node.
+        remaining_s = self._deadline - self._activity.heard_at
+        self._stall_timeout_s = min(
+            STALL_TIMEOUT_S,
+            max(MIN_STALL_TIMEOUT_S, STALL_PART_OF_REMAINING * remaining_s),
+        )
+        if self._stall_timeout_s < SILENCE_TIMEOUT_S:
+            self._check_stall()
+
     async def _send(self) -> http_messages.Response | http_messages.Failure:
+        remaining_s = self._deadline - asyncio.get_running_loop().time()
         return await self._pool.request(
             self._exchange.request,
             client.Options(
@@ -138,6 +163,10 @@
                 silence_timeout_s=SILENCE_TIMEOUT_S,
                 on_silence=self._note_silence,
                 activity=self._activity,
+                connect_timeout_s=max(
+                    MIN_CONNECT_TIMEOUT_S,
+                    CONNECT_PART_OF_REMAINING * remaining_s,
+                ),
             ),
         )
 
@@ -146,11 +175,12 @@
         self._silent.set()
         if self._observer is not None:
             self._observer.on_silence()
-        self._check_stall()
+        if self._stall_timer is None:
+            self._check_stall()
 
     def _check_stall(self) -> None:
         loop = asyncio.get_running_loop()
-        stalls_at = self._activity.heard_at + STALL_TIMEOUT_S
+        stalls_at = self._activity.heard_at + self._stall_timeout_s
         if loop.time() >= stalls_at:
             self._note_stall()
         else:
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -74,7 +74,8 @@
     sends nothing, not even an interim response, for ``silence_timeout_s``,
     ``on_silence`` is called with a description and the request goes on;
     without it, the request fails. 0 turns this timeout off. ``activity``
-    records when data arrives.
+    records when data arrives. ``connect_timeout_s`` limits the time to connect
+    beside the limit of the pool.
     """
 
     deadline: float
@@ -85,6 +86,7 @@
     silence_timeout_s: float = 0.0
     on_silence: Callable[[str], None] | None = None
     activity: Activity | None = None
+    connect_timeout_s: float = float('inf')
 
 
 class Pool:
@@ -137,7 +139,7 @@
         self.in_use += 1
         try:
             if conn is None:
-                conn = await self._connect(options.deadline)
+                conn = await self._connect(options)
             if isinstance(conn, messages.Failure):
                 return conn
             return await self._send_and_receive(conn, data, options)
@@ -219,9 +221,15 @@
                 return None
         return None
 
-    async def _connect(self, deadline: float) -> Connection | messages.Failure:
+    async def _connect(
+        self, options: Options
+    ) -> Connection | messages.Failure:
         loop = asyncio.get_running_loop()
-        limit_s = min(self._connect_timeout_s, deadline - loop.time())
+        limit_s = min(
+            self._connect_timeout_s,
+            options.connect_timeout_s,
+            options.deadline - loop.time(),
+        )
         if limit_s <= 0:
             return messages.Failure('no time to connect', False, True)
         try:
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -12,16 +12,19 @@
 
 import pytest
 
+from damaskpier import errors
 from damaskpier.fleet import attempts
 from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
 from damaskpier.fleet import peers
+from damaskpier.http1 import client
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
 from damaskpier.traffic import messages as traffic_messages
 
 from tests.test_fleet import conftest
 from tests.test_fleet import relay as relay_module
+from tests.test_fleet import virtual_time
 
 
 @pytest.fixture
@@ -429,3 +432,79 @@
     caller.app.service('peers').call = call
     assert (await caller.request('/read/1')).body == b'ok'
     assert len(calls) == 2
+
+
+@pytest.fixture
+def slow_stalls(monkeypatch) -> None:
+    """Make the limits that do not depend on the deadline exceed it."""
+    monkeypatch.setattr(peer_call, 'STALL_TIMEOUT_S', 3600.0)
+    monkeypatch.setattr(peer_call, 'SILENCE_TIMEOUT_S', 3600.0)
+
+
+async def test_short_request_is_answered_when_many_nodes_lose_power(
+    fleet, slow_stalls
+):
+    """Many nodes lose power at the same moment, here all in a domain.
+
+    A call with a short deadline must not spend all of it on the first one.
+    """
+    caller = await fleet.add('pages', domain='a')
+    lost = [await fleet.add('reads', domain='a') for _ in range(2)]
+    await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    relays = [relay_module.Relay() for _ in lost]
+    try:
+        for node, relay_ in zip(lost, relays, strict=True):
+            relay_.silent = True
+            await relay_.insert(caller, node)
+        response = await caller.request('/read/1', deadline_ms=2000)
+        assert response.body == b'i-3'
+        assert not any(node.upstream.ran for node in lost)
+    finally:
+        for relay_ in relays:
+            await relay_.stop()
+
+
+async def test_short_request_that_must_not_run_twice_has_one_attempt(
+    fleet, slow_stalls
+):
+    """An early stall proves nothing about a request that was sent."""
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    third = await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    relay_ = relay_module.Relay()
+    relay_.silent = True
+    await relay_.insert(caller, other)
+    try:
+        response = await caller.request('/write/1', 'POST', deadline_ms=1000)
+        assert response.status == 504
+        assert not third.upstream.ran
+    finally:
+        await relay_.stop()
+
+
+def test_connecting_uses_a_part_of_a_short_deadline(monkeypatch):
+    """Connections to nodes without power hang until they are given up.
+
+    A request that was not sent may go to another node. There must be time for
+    two more attempts.
+    """
+
+    async def hang(loop, *args, **kwargs):
+        await asyncio.sleep(3600.0)
+
+    monkeypatch.setattr(asyncio.BaseEventLoop, 'create_connection', hang)
+
+    async def call() -> tuple[traffic_messages.Reply, float]:
+        loop = asyncio.get_running_loop()
+        exchange = peer_call.Exchange(b'', lambda age_s: b'', None, None)
+        call = peer_call.PeerCall(
+            client.Pool(conftest.HOST, 1), exchange, 'r1', loop.time() + 0.8
+        )
+        return await call.run(), loop.time()
+
+    reply, ended_at = virtual_time.run(call())
+    assert reply.result.code is errors.CALL_CONNECT
+    assert reply.result.run is errors.RunState.NOT_RUN
+    assert ended_at < 0.8 / 3
