Cancel attempts on silent connections by a message

Callers who left could have their request run to its end: the attempt goes on while its connection is silent, and the question for it counts as one more connection that waits. When the caller leaves, the caller's node closes both, but a connection that leads nowhere does not carry its own end, so that the other node still sees a connection that waits.

Change: after a silence, the caller's node sends a message that names the attempt over a new connection, until there is an answer or the deadline. An attempt that arrives after its cancellation is refused as not run. Messages for an attempt without its token are refused.

--- a/damaskpier/fleet/attempts.py
+++ b/damaskpier/fleet/attempts.py
@@ -37,6 +37,11 @@
 _NOT_RECEIVED = errors.Refusal(
     errors.CALL_CONNECT, 'the attempt was not received and is refused now'
 )
+_CANCELLED = errors.Refusal(
+    errors.CALL_UNKNOWN,
+    'the attempt was cancelled by its sender',
+    errors.RunState.UNKNOWN,
+)
 _TOO_LATE = errors.Refusal(
     errors.CALL_CONNECT, 'the attempt was reported as not received before'
 )
@@ -146,12 +151,28 @@
         self._record_end(token, reply)
         return reply
 
+    def cancel(self, token: str) -> None:
+        """Cancel an attempt that its sender has given up.
+
+        Its connection may be silent for good, so that its end does not arrive.
+        An attempt that has not been received is refused if it arrives later.
+        """
+        running = self._running.get(token)
+        if running is not None:
+            running.task.cancel()
+            self._end(token, None)
+        elif token not in self._ended:
+            self._record_end(token, messages.Reply(_NOT_RECEIVED))
+
     async def _wait(self, token: str, running: _Running) -> messages.Reply:
         running.waiting += 1
         try:
             reply = await asyncio.shield(running.task)
         except asyncio.CancelledError:
             running.waiting -= 1
+            if not asyncio.current_task().cancelling():
+                # Only the attempt has been cancelled.
+                return messages.Reply(_CANCELLED)
             if _is_successful(running.task):
                 self._end(token, running.task.result())
             elif not running.waiting:
--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -56,11 +56,13 @@
 
     ``question`` returns the encoded question for the attempt, given its age
     in seconds. ``decode_found`` returns None for a response that does not
-    answer the question.
+    answer the question. ``cancellation`` tells the other node that nobody
+    waits for the attempt any more.
     """
 
     request: bytes
     question: Callable[[float], bytes]
+    cancellation: bytes
     decode: Callable[[http_messages.Response], messages.Reply]
     decode_found: Callable[[http_messages.Response], Found | None]
 
@@ -142,6 +144,31 @@
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
 
+    def is_silent(self) -> bool:
+        """Return whether the connection of the attempt has been silent."""
+        return self._silent.is_set()
+
+    async def cancel_attempt(self) -> None:
+        """Tell the other node that the attempt has been given up.
+
+        The end of a connection that leads nowhere does not arrive there.
+        """
+        loop = asyncio.get_running_loop()
+        outcome = await self._request_anew(self._exchange.cancellation)
+        while (
+            isinstance(outcome, http_messages.Failure)
+            and loop.time() < self._deadline
+        ):
+            await asyncio.sleep(QUESTION_INTERVAL_S)
+            outcome = await self._request_anew(self._exchange.cancellation)
+        LOG.info(
+            'peers: %s: given up: %s',
+            self._name,
+            outcome.reason
+            if isinstance(outcome, http_messages.Failure)
+            else f'status {outcome.status}',
+        )
+
     def _set_stall_timeout(self) -> None:
         # The question for the attempt starts later, at the same time for all:
         # it costs a connection and a check of the node.
@@ -226,19 +253,7 @@
 
     async def _ask(self) -> Found | None:
         age_s = _time_with_suspension() - self._sent_at
-        pool = client.Pool(
-            *self._pool.address,
-            max_idle=0,
-            connect_timeout_s=QUESTION_TIMEOUT_S,
-        )
-        outcome = await pool.request(
-            self._exchange.question(age_s),
-            client.Options(
-                deadline=self._deadline,
-                silence_timeout_s=QUESTION_TIMEOUT_S,
-                activity=self._activity,
-            ),
-        )
+        outcome = await self._request_anew(self._exchange.question(age_s))
         if isinstance(outcome, http_messages.Response):
             found = self._exchange.decode_found(outcome)
             if found is not None:
@@ -253,6 +268,24 @@
         )
         return None
 
+    async def _request_anew(
+        self, data: bytes
+    ) -> http_messages.Response | http_messages.Failure:
+        """Send a message on a new connection."""
+        pool = client.Pool(
+            *self._pool.address,
+            max_idle=0,
+            connect_timeout_s=QUESTION_TIMEOUT_S,
+        )
+        return await pool.request(
+            data,
+            client.Options(
+                deadline=self._deadline,
+                silence_timeout_s=QUESTION_TIMEOUT_S,
+                activity=self._activity,
+            ),
+        )
+
     def _note_stall(self) -> None:
         if self._observer is not None and not self._has_stalled:
             self._observer.on_stall()
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -45,8 +45,11 @@
 AGE = 'Damaskpier-Age-Ms'
 # Path of gossip, as opposed to callers' requests.
 EXCHANGE_PATH = '/damaskpier/exchange'
-# Path of questions for an attempt that another connection carried.
+# Path of questions for an attempt that another connection carried, and of
+# cancellations, which have the method CANCEL_METHOD. Nodes of earlier builds
+# refuse a cancellation, because it has no age.
 ATTEMPT_PATH = '/damaskpier/attempt'
+CANCEL_METHOD = 'DELETE'
 # Status of the answer if there is no record of the attempt.
 NO_RECORD = 404
 
@@ -84,6 +87,7 @@
         self._node_id = app.cfg.text('node', 'id')
         self._token_prefix = secrets.token_hex(TOKEN_PREFIX_BYTES)
         self._token_numbers = itertools.count()
+        self._cancellations: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Register the gauges of connections and received bytes."""
@@ -97,7 +101,9 @@
         )
 
     async def stop(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections and end the cancellations."""
+        for task in self._cancellations:
+            task.cancel()
         for pool in self._pools.values():
             pool.close_idle()
 
@@ -124,7 +130,17 @@
             is_head=request.method == 'HEAD',
             observer=observer,
         )
-        return await call.run()
+        try:
+            return await call.run()
+        except asyncio.CancelledError:
+            if call.is_silent():
+                self._start_cancellation(call)
+            raise
+
+    def _start_cancellation(self, call: peer_call.PeerCall) -> None:
+        task = asyncio.ensure_future(call.cancel_attempt())
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
 
     def pool(self, record: model.NodeRecord) -> client.Pool:
         """Return the connection pool of a node."""
@@ -206,6 +222,11 @@
             return http_messages.Response(200, (), body)
         token = request.header(ATTEMPT.lower())
         if request.path == ATTEMPT_PATH:
+            if not token:
+                return http_messages.Response(400)
+            if request.method == CANCEL_METHOD:
+                self._attempts.cancel(token)
+                return http_messages.Response(200, ((ATTEMPT, token),))
             return await self._find_attempt(request, token)
         if self._is_refusing:
             # The sender has not learned yet that this node is draining.
@@ -221,7 +242,7 @@
         self, request: http_messages.Request, token: str
     ) -> http_messages.Response:
         age = request.header(AGE.lower())
-        if not token or not (age.isascii() and age.isdigit()):
+        if not (age.isascii() and age.isdigit()):
             return http_messages.Response(400)
         if self._attempts.is_arriving(token):
             # Without the token, the question is asked again.
@@ -281,6 +302,9 @@
             request.body,
         ),
         encode_question,
+        http_messages.encode_request(
+            CANCEL_METHOD, ATTEMPT_PATH, (('Host', host), attempt), b''
+        ),
         _decode_reply,
         decode_found,
     )
--- a/tests/test_fleet/test_attempts.py
+++ b/tests/test_fleet/test_attempts.py
@@ -170,3 +170,34 @@
     task.cancel()
     await asyncio.wait((task,))
     assert (await records.find('t1', 0.5)).result.body == b'ok'
+
+
+async def test_cancelled_attempt_ends_although_a_connection_waits(
+    records, worker
+):
+    """The connection gets a result, so that its server does not keep it."""
+    task = await _start(records, 't1')
+    records.cancel('t1')
+    assert (await task).result.run is errors.RunState.UNKNOWN
+    assert worker.cancelled == 1
+    assert await records.find('t1', 0.5) is None
+
+
+async def test_attempt_that_arrives_after_its_cancellation_never_runs(
+    records, worker
+):
+    """The cancellation may overtake the request."""
+    records.cancel('t1')
+    late = (await records.run('t1', REQUEST)).result
+    assert late.run is errors.RunState.NOT_RUN
+    assert not worker.started
+
+
+async def test_cancellation_of_an_ended_attempt_keeps_its_reply(
+    records, worker
+):
+    """The attempt has run, so that it must not count as not received."""
+    worker.may_answer.set()
+    await records.run('t1', REQUEST)
+    records.cancel('t1')
+    assert (await records.find('t1', 0.5)).result.body == b'ok'
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -231,6 +231,75 @@
     await conftest.wait_until(lambda: other.upstream.cancelled == 1)
 
 
+async def test_caller_that_leaves_cancels_a_request_on_a_lost_connection(
+    fleet, relay
+):
+    """A connection that is silent for good does not carry its own end.
+
+    The upstream would work on for a caller that has left, because the
+    connection still counts as waiting for the attempt. The deadline, an hour
+    from now, does not end the attempt.
+    """
+    route = conftest.make_route(
+        'write', kind=model.RouteKind.NON_IDEMPOTENT, timeout_s=3600.0
+    )
+    fleet.store.put(conftest.make_configuration(2, (route,)))
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    task = asyncio.create_task(
+        caller.request('/write/1', 'POST', deadline_ms=3_600_000)
+    )
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    await _wait_until_found(other)
+    task.cancel()
+    await conftest.wait_until(lambda: other.upstream.cancelled == 1)
+
+
+async def test_older_node_that_refuses_a_cancellation_ends_it(fleet, relay):
+    """A node of the previous build must not be asked until the deadline."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    _pause_upstream(other)
+    refused = []
+    # The server keeps the handler that it had when it was made.
+    handle = other.app.service('peer-server').server.handler
+
+    async def refuse(request):
+        if request.method != 'DELETE':
+            return await handle(request)
+        refused.append(request)
+        return messages.Response(400)
+
+    other.app.service('peer-server').server.handler = refuse
+    peers_service = caller.app.service('peers')
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    relay.silence()
+    await _wait_until_found(other)
+    task.cancel()
+    await conftest.wait_until(lambda: refused)
+    await conftest.wait_until(lambda: not peers_service._cancellations)
+    assert len(refused) == 1
+
+
+@pytest.mark.parametrize('method', ['GET', peers.CANCEL_METHOD])
+async def test_message_for_an_attempt_needs_its_token(fleet, method):
+    """All messages without one would be taken for the same attempt."""
+    node = await fleet.add('reads')
+    peer_server = node.app.service('peer-server')
+    response = await peer_server.server.handler(
+        messages.Request(method, peers.ATTEMPT_PATH, ((peers.AGE, '1'),), b'')
+    )
+    assert response.status == 400
+    assert not peer_server._attempts._ended
+
+
 async def test_older_node_that_refuses_the_question_ends_no_request(
     fleet, relay
 ):
@@ -498,7 +567,7 @@
 
     async def call() -> tuple[traffic_messages.Reply, float]:
         loop = asyncio.get_running_loop()
-        exchange = peer_call.Exchange(b'', lambda age_s: b'', None, None)
+        exchange = peer_call.Exchange(b'', lambda age_s: b'', b'', None, None)
         call = peer_call.PeerCall(
             client.Pool(conftest.HOST, 1), exchange, 'r1', loop.time() + 0.8
         )
