Cancel requests when their connection ends behind unsent data

Callers who left could have their request run to its end, while an earlier response of the same connection waited for a full link: the transport reports the loss of a connection only when all written data has been sent.

Change: the end of the client's data cancels them.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -257,10 +257,7 @@
         self._unsent.clear()
         self._end_arrival()
         self._is_closed = True
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._cancel_handlers()
 
     def data_received(self, data: bytes) -> None:
         """Parse data of the client."""
@@ -319,10 +316,13 @@
             self._reject(431, 'request headers too large')
 
     def eof_received(self) -> bool:
-        """Close the connection.
+        """Cancel the handlers of the requests and close the connection.
 
-        A client that stops sending is taken to expect no more responses.
+        A client that stops sending is taken to expect no more responses. The
+        transport closes only when all written data has been sent, which takes
+        long on a full link.
         """
+        self._cancel_handlers()
         return False
 
     def resume_writing(self) -> None:
@@ -576,11 +576,7 @@
 
     def _close_after_response(self, answered: _Exchange) -> None:
         """Close after a response and cancel the handlers of later requests."""
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
-        self._unsent.drop_waiting()
+        self._cancel_handlers()
         if not answered.discards_rest:
             self.close()
             return
@@ -594,6 +590,13 @@
             LOG.debug('http: the client has closed its connection: %s', exc)
             self.close()
 
+    def _cancel_handlers(self) -> None:
+        for exchange in self._exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+        self._unsent.drop_waiting()
+
     def _end_arrival(self) -> None:
         end, self._arrival_end = self._arrival_end, None
         if end is not None:
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -99,6 +99,38 @@
         await cancelled.wait()
 
 
+async def test_close_cancels_a_request_behind_a_response_that_is_not_sent(
+    serve, connect_slow
+):
+    """The end of a connection must be noticed while a full link delays data.
+
+    The handler would go on until the unsent response has been read.
+    """
+    # More than the socket buffers hold, and less than stops further requests.
+    body = bytes(unsent.MAX_CONNECTION_BYTES // 2)
+    running = asyncio.Event()
+    cancelled = asyncio.Event()
+
+    async def handler(request):
+        if request.target == '/a':
+            return messages.Response(200, (), body)
+        running.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            cancelled.set()
+
+    started = await serve(handler)
+    raw = await connect_slow(started)
+    raw.send(GET_A)
+    await raw.read_until(b'\r\n\r\n')
+    raw.send(GET_B)
+    async with asyncio.timeout(conftest.TIMEOUT_S):
+        await running.wait()
+        raw.writer.write_eof()
+        await cancelled.wait()
+
+
 @pytest.mark.parametrize(
     'data',
     [
