Write long responses in parts while the link is full

Cause: the kernel sends what it has in order, and takes 64 KiB or more for each connection. Change: responses above 16 KiB are written in parts, in turn among the connections, while at most 128 KiB are unacknowledged. A connection that another one aborts while the parts are written ended all writing with an IndexError; this was found by reading and is fixed here, too.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -19,6 +19,7 @@
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
+from damaskpier.http1 import pacing
 from damaskpier.http1 import server
 from damaskpier import registry
 from damaskpier.traffic import headers
@@ -90,7 +91,7 @@
         self._cancellations: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Register the gauges of connections and received bytes."""
+        """Register the gauges of connections and of bytes."""
         metrics_service = self._app.service('metrics')
         metrics_service.register_gauge(
             'peer_connections_opened',
@@ -99,6 +100,10 @@
         metrics_service.register_gauge(
             'bytes_received', lambda: byte_counter.RECEIVED.total
         )
+        pacer = pacing.running_pacer()
+        metrics_service.register_gauge(
+            'response_bytes_waiting', lambda: pacer.pending_bytes
+        )
 
     async def stop(self) -> None:
         """Close the idle connections and end the cancellations."""
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -19,6 +19,7 @@
 
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
+from damaskpier.http1 import pacing
 from damaskpier.http1 import unsent
 from damaskpier.util import memory
 
@@ -224,7 +225,7 @@
         self._server = server
         self._limits = server.limits()
         self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
+        self._transport: pacing.PacedTransport | None = None
         self._unsent: unsent.UnsentResponses | None = None
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._is_closed = False
@@ -241,12 +242,14 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the new connection with the server."""
-        self._transport = transport
+        self._transport = pacing.PacedTransport(
+            transport, pacing.running_pacer(), self.resume_writing
+        )
         self._unsent = unsent.UnsentResponses(
-            transport,
+            self._transport,
             self._server.unsent,
             self._server.clock,
-            transport.abort,
+            self._transport.abort,
         )
         self._server.add_connection(self)
 
@@ -258,6 +261,7 @@
         self._end_arrival()
         self._is_closed = True
         self._cancel_handlers()
+        self._transport.discard()
 
     def data_received(self, data: bytes) -> None:
         """Parse data of the client."""
@@ -323,7 +327,10 @@
         long on a full link.
         """
         self._cancel_handlers()
-        return False
+        if not self._transport.has_pending_data():
+            return False
+        self.close()
+        return True
 
     def resume_writing(self) -> None:
         """Run more requests, because the client has taken responses."""
--- a/damaskpier/http1/unsent.py
+++ b/damaskpier/http1/unsent.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
 import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpier.http1 import pacing
 
 LOG = logging.getLogger(__name__)
 
@@ -79,7 +83,7 @@
 
     def __init__(
         self,
-        transport: asyncio.Transport,
+        transport: pacing.PacedTransport,
         limit: UnsentLimit,
         clock: Callable[[], float],
         discard: Callable[[], None],
--- a/tests/test_http1/conftest.py
+++ b/tests/test_http1/conftest.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import math
 import socket
 
 import pytest
@@ -27,6 +28,35 @@
 ]
 
 
+def is_stable(
+    value: Callable[[], object], count: int = 20, interval_s: float = 0.005
+) -> Callable[[], bool]:
+    """Return a condition that holds when a value does not change any more.
+
+    :param value: returns the value, which is false as long as it is not set
+    :param count: number of equal values in a row
+    :param interval_s: minimum interval between two of them in seconds
+    """
+    seen: list[object] = []
+    seen_at = -math.inf
+
+    def check() -> bool:
+        nonlocal seen_at
+        now = asyncio.get_running_loop().time()
+        if now - seen_at < interval_s:
+            return False
+        seen_at = now
+        seen.append(value())
+        last = seen[-count:]
+        return (
+            len(last) == count
+            and bool(last[0])
+            and all(item == last[0] for item in last)
+        )
+
+    return check
+
+
 class RawConnection:
     """Connection whose bytes the test writes and reads itself."""
 
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -10,6 +10,7 @@
 
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
+from damaskpier.http1 import pacing
 from damaskpier.http1 import server
 from damaskpier.http1 import unsent
 from damaskpier.util import memory
@@ -646,6 +647,13 @@
 LARGE = 1_000_000
 
 
+def _kept_bytes(started: server.Server) -> list[int]:
+    return [
+        conn._transport.get_write_buffer_size()
+        for conn in started._connections
+    ]
+
+
 async def _large(request: messages.Request) -> messages.Response:
     return messages.Response(200, (), request.target[-1].encode() * LARGE)
 
@@ -731,12 +739,14 @@
 
 
 async def test_stalled_client_loses_its_responses_before_a_slow_one(
-    serve, connect_slow
+    serve, connect_slow, monkeypatch
 ):
     """A client that takes its responses slowly is not taken for stalled.
 
     Links of 5 Mbit/s are common, and a large response takes long over them.
     """
+    # Both clients have the bytes that they get without reading at once.
+    monkeypatch.setattr(pacing, 'STALL_TIMEOUT_S', 0.0)
     now = [0.0]
     limit = unsent.UnsentLimit(16 * LARGE // 5)
     started = await serve(_large, unsent_limit=limit, clock=lambda: now[0])
@@ -745,6 +755,7 @@
     stalled = await connect_slow(started)
     stalled.send(GET_A)
     await _until(lambda: limit.used_bytes > 2.8 * LARGE)
+    await _until(conftest.is_stable(lambda: _kept_bytes(started)))
     # The streams have read ahead, and the socket buffers are full.
     await _until(lambda: slow.reader._paused and stalled.reader._paused)
     for _ in range(100):
