Keep a failure that a question for an attempt returns

Cause: the reply of an ended attempt is returned without the load, which has changed since. A 503 without load and without a result code was taken for the refusal of the other node's HTTP server, which is not run. Change: the answer to a question names the token of the attempt, so that it is known to come from the handler; only a 503 with neither is a refusal of the HTTP server. Test: test_silence.py:: test_failure_of_the_upstream_stays_one_over_another_connection failed before with (200, b'i-2') instead of (503, b'failed'): the request ran on both workers.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -428,9 +428,11 @@
         in_use, queued, slots = load_text.split(',')
         load = messages.Load(int(slots), int(in_use), int(queued))
     number = own_headers.get(headers.RESULT.lower())
-    if number is None and load is None and response.status == 503:
-        # The worker's node always states its load. Its HTTP server refuses a
-        # request by itself if there is no memory for it.
+    is_of_handler = load is not None or ATTEMPT.lower() in own_headers
+    if number is None and not is_of_handler and response.status == 503:
+        # The worker's node states its load, or the token in the answer to a
+        # question, as the load has changed since the attempt ended. Its HTTP
+        # server refuses a request by itself if there is no memory for it.
         return messages.Reply(
             errors.Refusal(
                 errors.CALL_OVERLOADED,
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -331,6 +331,42 @@
     assert (await task).body == b'i-1'
 
 
+async def test_failure_of_the_upstream_stays_one_over_another_connection(
+    fleet, relay
+):
+    """A 503 of the upstream itself does not mean that nothing has run.
+
+    The request must not run on another worker, and its caller must not be
+    told that it has not run.
+    """
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add('reads', domain='a')
+    third = await fleet.add('reads', domain='b')
+    await fleet.wait_converged()
+    await relay.insert(caller, other)
+    resume = asyncio.Event()
+
+    async def fail(request: messages.Request) -> messages.Response:
+        await resume.wait()
+        return other.upstream.signed(503, b'failed')
+
+    other.upstream.answer = fail
+    records = other.app.service('peer-server')._attempts
+    task = asyncio.create_task(caller.request('/write/1', 'POST'))
+    await conftest.wait_until(lambda: other.upstream.ran)
+    opened = relay.opened
+    relay.silent = True
+    relay.silence()
+    resume.set()
+    # The question arrives after the end of the attempt.
+    await conftest.wait_until(lambda: records._ended)
+    relay.silent = False
+    response = await task
+    assert relay.opened > opened
+    assert (response.status, response.body) == (503, b'failed')
+    assert not third.upstream.ran
+
+
 async def _wait_until_found(other: conftest.Node) -> None:
     """Wait until a question waits for the attempt that a node runs."""
     records = other.app.service('peer-server')._attempts
