Keep the writing of responses when one connection has been reset

Responses above 16 KiB could stop at any point, or a connection could be closed without its answer: when a client reset its connection between the last part of a response and the end that the server sends after it (a body was refused behind a long response).

Cause: shutdown() fails on a connection that has been reset, and the error left the loop that writes for all connections. It ended in the timer of the pacer or in the request of another connection, and connections that had no room at that moment lost their turn for good. Change: the error closes its own connection. Test: test_pacing.py:: test_reset_at_the_end_of_a_response_does_not_end_other_responses failed before with the OSError.

--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import fcntl
+import logging
 import struct
 import termios
 from typing import Any
@@ -18,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+LOG = logging.getLogger(__name__)
+
 # Data up to this size is sent at once, and longer data in parts of this size.
 PART_BYTES = 16 * 1024
 # Limit of the data of all connections that the kernel has not sent or that is
@@ -158,7 +161,12 @@
         if self._is_closing:
             self._transport.close()
         elif self._ends_after_write and not self._transport.is_closing():
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError as exc:
+                # The pacer still has the data of other connections to write.
+                LOG.debug('http: the client has reset its connection: %s', exc)
+                self._transport.close()
 
     def unsent_bytes(self) -> int:
         """Return how much written data is not acknowledged by the client."""
--- a/tests/test_http1/test_pacing.py
+++ b/tests/test_http1/test_pacing.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import errno
 import socket
 
 import pytest
@@ -191,6 +192,9 @@
     def is_closing(self) -> bool:
         return self._is_closed
 
+    def close(self) -> None:
+        self._is_closed = True
+
     def abort(self) -> None:
         self._is_closed = True
         self._bytes = 0
@@ -225,3 +229,39 @@
         pacer._write_parts()
     assert not slow.has_pending_data()
     assert slow not in pacer._waiting
+
+
+class _ResetTransport(_UnreadTransport):
+    """Transport whose client resets the connection after the last part."""
+
+    def write_eof(self) -> None:
+        raise OSError(errno.ENOTCONN, 'the client has gone')
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+async def test_reset_at_the_end_of_a_response_does_not_end_other_responses():
+    """The error of one connection must not reach the writing of others.
+
+    A connection that had no room for more data would lose its turn for good.
+    """
+    pacer = pacing.Pacer()
+    with socket.socket() as sock:
+        slow, second = (
+            pacing.PacedTransport(_UnreadTransport(sock), pacer, lambda: None)
+            for _ in range(2)
+        )
+        reset_transport = _ResetTransport(sock)
+        reset = pacing.PacedTransport(reset_transport, pacer, lambda: None)
+        # Both together use up the limit.
+        slow.write(BODY)
+        second.write(BODY)
+        reset.write(BODY[: pacing.PART_BYTES + 1])
+        reset.write_eof()
+        second.abort()
+        pacer._write_parts()
+        assert not reset.has_pending_data()
+        assert reset_transport.is_closing()
+        assert slow in pacer._waiting
+        slow.discard()
