Send responses to quick clients while others read slowly

Callers and nodes got responses above 16 KiB at the pace of the slowest clients of the node that answered. In the test, four clients that take 10 kB/s each made a client that takes all at once wait 100 s for 1 MiB. Nodes with slow links are such clients for a node with a fast one.

Cause: the limit of unacknowledged data is shared by all connections. Data that is acknowledged slowly counts all the time, unlike data of which nothing is acknowledged, and each part of it that is acknowledged makes room for one part of any connection. The limit is meant for the node's own link, but was used up by the links of others. Change: the last 32 KiB of the limit are left to connections whose client has acknowledged everything, and the last part within 50 ms. A full link of the node itself is slower than that, so that the limit for it stays as it was; the other connections share 96 KiB. Connections that had no room also keep their place in the turn. Tests: test_pacing.py::test_clients_that_read_slowly_hold_up_no_others failed before: the slow clients had taken more than the 64 KiB allowed.

--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -28,6 +28,13 @@
 MAX_UNSENT_BYTES = 128 * 1024
 # The same for one connection, so that others go on while a client is slow.
 MAX_CONNECTION_UNSENT_BYTES = 96 * 1024
+# Part of the limit that is left to connections whose client takes data quickly
+# and of which all is acknowledged. The others would use up the limit where
+# their clients read slowly or have slower links than this node.
+RESERVED_BYTES = 32 * 1024
+# A client is quick if the last data was acknowledged within this time. Behind
+# the unreserved part of the limit, a link of 8 Mbit/s takes twice as long.
+QUICK_S = 0.05
 POLL_INTERVAL_S = 0.005
 # Data of which nothing was acknowledged for this time is not counted: it
 # waits for a client that does not read or can not be reached.
@@ -73,17 +80,19 @@
         while self._waiting and used < MAX_UNSENT_BYTES:
             transport = self._waiting.popleft()
             unsent = self._written.setdefault(transport, _Unsent())
-            if unsent.size >= MAX_CONNECTION_UNSENT_BYTES:
+            if not unsent.may_write(used):
                 blocked.append(transport)
                 continue
             before = unsent.counted
             if transport.write_part():
                 self._waiting.append(transport)
-            unsent.update(transport.unsent_bytes())
+            unsent.record_write(transport.unsent_bytes())
             used += unsent.counted - before
         # One of them may have been discarded while another one was written.
-        self._waiting.extend(
-            transport for transport in blocked if transport.has_pending_data()
+        self._waiting.extendleft(
+            transport
+            for transport in reversed(blocked)
+            if transport.has_pending_data()
         )
         if self._waiting and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
@@ -97,7 +106,7 @@
     def _refresh(self) -> None:
         for transport, unsent in list(self._written.items()):
             unsent.update(transport.unsent_bytes())
-            if not unsent.size:
+            if not unsent.size and not transport.has_pending_data():
                 del self._written[transport]
 
 
@@ -240,17 +249,37 @@
 class _Unsent:
     """Unacknowledged data of a connection."""
 
-    __slots__ = ('size', '_changed_at')
+    __slots__ = ('size', '_changed_at', '_written_at', '_is_quick')
 
     def __init__(self) -> None:
         self.size = 0
         self._changed_at = asyncio.get_running_loop().time()
+        self._written_at = self._changed_at
+        self._is_quick = True
+
+    def record_write(self, size: int) -> None:
+        """Set the size after more data has been written."""
+        self._written_at = asyncio.get_running_loop().time()
+        self._is_quick |= not size
+        self.update(size)
 
     def update(self, size: int) -> None:
         """Set the size, which changes when data is sent or written."""
-        if size != self.size:
-            self.size = size
-            self._changed_at = asyncio.get_running_loop().time()
+        if size == self.size:
+            return
+        self.size = size
+        self._changed_at = asyncio.get_running_loop().time()
+        if not size:
+            self._is_quick = self._changed_at - self._written_at <= QUICK_S
+
+    def may_write(self, used: int) -> bool:
+        """Return whether more data of the connection may be written.
+
+        :param used: unacknowledged data of all connections, below the limit
+        """
+        if used >= MAX_UNSENT_BYTES - RESERVED_BYTES:
+            return self._is_quick and not self.size
+        return self.size < MAX_CONNECTION_UNSENT_BYTES
 
     @property
     def counted(self) -> int:
