Count no arriving request that has been refused

A node that is stopped served callers longer than needed, up to the bounds of the grace time: when it had refused a request for lack of memory while the headers of the request were read, and the client kept its connection open.

Cause: the refusal came before the request was counted as arriving, and the request was counted all the same, until its connection ended. Change: a request that has been refused is not counted. Test: test_server.py::test_request_without_memory_is_not_waited_for failed before with a count of 1.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -426,6 +426,9 @@
             return
         self._framing_bytes = 0
         self._server.memory.add(self, self._header_bytes)
+        if self._is_discarding:
+            # There is no memory for the request, which has been refused.
+            return
         for name, value in self._headers:
             lower = name.lower()
             if lower == 'expect' and value.lower() == '100-continue':
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -892,3 +892,25 @@
     answered.set()
     assert b'Connection: close' in await raw.read_to_end()
     assert arrivals.count == 0
+
+
+async def test_request_without_memory_is_not_waited_for(serve, connect):
+    """A node that is stopped would wait for a body that it discards.
+
+    The request is refused while its headers are read, and the client keeps
+    its side of the connection open.
+    """
+
+    async def handler(request):
+        return messages.Response(200)
+
+    arrivals = _Arrivals()
+    started = await serve(
+        handler,
+        observe_arrival=arrivals.observe,
+        memory_limit=memory.MemoryLimit(1),
+    )
+    raw = await connect(started.port)
+    raw.send(_start_post(1, b'b'))
+    assert b' 503 ' in await raw.read_to_end()
+    assert arrivals.count == 0
