Wait for upstreams that read a long body late

Cause: the kernel's user timeout also ends a connection whose peer acknowledges each probe but has no room for more data. This was taken for an upstream that acknowledges nothing any more. Change: for requests above 64 KiB (shorter ones fit into the receive buffer) the user timeout of the connection to the upstream is extended to the deadline, and set back after the response. Connections to nodes are unchanged: a node always reads.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -514,6 +514,7 @@
                 else NON_REPEATABLE_MAX_IDLE_S,
                 id_header=self._codec.id_header,
                 request_id=request.request_id,
+                may_stay_unread=True,
             ),
         )
         took_s = self._clock() - began
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -30,6 +30,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
+# A request up to this size fits into the receive buffer of a server that does
+# not read yet.
+LONG_REQUEST_BYTES = 64 * 1024
 MAX_IDLE_S = 8.0
 # An idle connection is reused only within this ratio of the idle timeout that
 # the server states.
@@ -75,7 +78,9 @@
     ``on_silence`` is called with a description and the request goes on;
     without it, the request fails. 0 turns this timeout off. ``activity``
     records when data arrives. ``connect_timeout_s`` limits the time to connect
-    beside the limit of the pool.
+    beside the limit of the pool. ``may_stay_unread`` tells that the server may
+    read a long request late, so that the user timeout of the pool does not
+    apply to it.
     """
 
     deadline: float
@@ -87,6 +92,7 @@
     on_silence: Callable[[str], None] | None = None
     activity: Activity | None = None
     connect_timeout_s: float = float('inf')
+    may_stay_unread: bool = False
 
 
 class Pool:
@@ -273,6 +279,7 @@
         # Bytes since the last part of a body or interim response.
         self._framing_bytes = 0
         self._interim_count = 0
+        self._has_long_user_timeout = False
         self._init_parser()
 
     @property
@@ -328,6 +335,8 @@
         self._received_bytes = self._framing_bytes = self._interim_count = 0
         self._last_received_at = loop.time()
         self._received_by_all = byte_counter.RECEIVED.total
+        if options.may_stay_unread and len(data) > LONG_REQUEST_BYTES:
+            self._extend_user_timeout(options.deadline - loop.time())
         # The transport keeps a copy of what the kernel does not take. It would
         # cut bytes with one more copy.
         self._transport.write(memoryview(data))
@@ -339,6 +348,20 @@
             )
         return self._response
 
+    def _extend_user_timeout(self, timeout_s: float) -> None:
+        # The user timeout also ends a connection whose peer acknowledges each
+        # probe, but has no room for more data as long as it does not read.
+        timeout_ms = max(self._pool.user_timeout_ms, int(timeout_s * 1000) + 1)
+        self._set_user_timeout(timeout_ms)
+        self._has_long_user_timeout = True
+
+    def _set_user_timeout(self, timeout_ms: int) -> None:
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None and self.is_open:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
     def close(self) -> None:
         """Close the connection when all written data has been sent."""
         if self._transport is not None:
@@ -503,6 +526,9 @@
         if self._transport.get_write_buffer_size():
             # The server has answered before it received the whole request.
             self.is_reusable = False
+        if self._has_long_user_timeout:
+            self._set_user_timeout(self._pool.user_timeout_ms)
+            self._has_long_user_timeout = False
         self.idle_since = now
         self._set_expiry(response)
         if not fut.done():
--- a/tests/test_fleet/test_upstream_silence.py
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import functools
+import socket
 
 import pytest
 
@@ -23,12 +26,15 @@
 from damaskpier.platform import headers
 from damaskpier.traffic import messages as traffic_messages
 
+from tests import streams
 from tests.test_fleet import conftest
 from tests.test_fleet import virtual_time
 
 HEARTBEAT_S = 1.5
 MAX_SILENCE_S = worker.MAX_MISSED_ANNOUNCEMENTS * HEARTBEAT_S
 SIGNED = messages.Response(200, ((headers.SIGNATURE, 's'),))
+# Longer than the buffers of a connection.
+LONG_BODY = bytes(16 * 1024 * 1024)
 
 
 class FakePool:
@@ -222,3 +228,68 @@
     seen = len(checks)
     await conftest.wait_until(lambda: service.announcement is None)
     assert len(checks) == seen
+
+
+async def _wait_for_user_timeout(timeout_ms: int) -> None:
+    """Wait until the kernel closes a connection whose peer does not read."""
+    with socket.create_server((conftest.HOST, 0)) as listener:
+        with socket.create_connection(listener.getsockname()) as sock:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+            sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    sock.send(LONG_BODY)
+            await conftest.wait_until(
+                lambda: (
+                    sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                    == errno.ETIMEDOUT
+                )
+            )
+
+
+async def test_upstream_that_reads_a_long_body_late_is_not_lost(monkeypatch):
+    """A full receive buffer does not show that the upstream has ended.
+
+    Its request would be cut while it runs, and the upstream would leave
+    routing. The upstream reads when the kernel has closed another connection,
+    to which a longer user timeout applies, for that reason.
+    """
+    monkeypatch.setattr(worker, 'USER_TIMEOUT_MS', 100)
+    has_begun = asyncio.Event()
+    may_read = asyncio.Event()
+
+    async def run(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        has_begun.set()
+        await may_read.wait()
+        await reader.readexactly(len(LONG_BODY))
+        writer.write(messages.encode_response(SIGNED))
+
+    async with streams.serve(run, conftest.HOST) as port:
+        service = _make_worker()
+        service.apply_announcement(_announcement()._replace(port=port))
+        deadline = asyncio.get_running_loop().time() + conftest.TEST_TIMEOUT_S
+        task = asyncio.create_task(
+            service.call(
+                _request()._replace(
+                    method='POST', body=LONG_BODY, deadline=deadline
+                )
+            )
+        )
+        async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+            await has_begun.wait()
+        await _wait_for_user_timeout(10 * worker.USER_TIMEOUT_MS)
+        may_read.set()
+        reply = await task
+    assert isinstance(reply.result, traffic_messages.Answer), reply.result
+    assert service.announcement is not None
+    (conn,) = service._pool._idle
+    sock = conn._transport.get_extra_info('socket')
+    assert worker.USER_TIMEOUT_MS == sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+    )
+    await service.stop()
