Send no request behind a body that the upstream has not read

A request could be answered with 502, and its worker leave routing, when the worker had answered an earlier request before it read its long body, kept the connection and read later than 0.5 s after that (PROTOCOL allows this).

Cause: the connection was used again as soon as the kernel had taken the whole body. The next request waited behind it, and the kernel's user timeout ended the connection for want of room at the upstream. Change: after a request above 64 KiB, the connection is used again only if the kernel has no unacknowledged data. Otherwise it is closed, with the long user timeout, so that the upstream can still read the rest. Test: test_upstream_silence.py:: test_request_does_not_follow_a_body_that_is_not_read failed before, 3 times of 3: the second request ended with "Connection timed out".

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -18,6 +18,7 @@
 
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import messages
+from damaskpier.http1 import pacing
 from damaskpier.util import memory
 
 LOG = logging.getLogger(__name__)
@@ -523,10 +524,10 @@
         self._discard_message()
         if self._is_ended_by_close or not self._parser.should_keep_alive():
             self.is_reusable = False
-        if self._transport.get_write_buffer_size():
+        if self._has_unread_request():
             # The server has answered before it received the whole request.
             self.is_reusable = False
-        if self._has_long_user_timeout:
+        elif self._has_long_user_timeout:
             self._set_user_timeout(self._pool.user_timeout_ms)
             self._has_long_user_timeout = False
         self.idle_since = now
@@ -534,6 +535,18 @@
         if not fut.done():
             fut.set_result(response)
 
+    def _has_unread_request(self) -> bool:
+        if self._transport.get_write_buffer_size():
+            return True
+        if not self._has_long_user_timeout or not self.is_open:
+            return False
+        # The kernel may have taken the rest of a long request.
+        sock = self._transport.get_extra_info('socket')
+        try:
+            return pacing.unacknowledged_bytes(sock.fileno()) > 0
+        except OSError:
+            return True
+
     def _set_expiry(self, response: messages.Response) -> None:
         limit_s = MAX_IDLE_S
         found = _KEEP_ALIVE_TIMEOUT.search(response.header('keep-alive'))
--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -184,10 +184,9 @@
             # The socket may be closed, and its number in use again.
             return size
         try:
-            answer = fcntl.ioctl(self._fileno, termios.TIOCOUTQ, bytes(4))
+            return size + unacknowledged_bytes(self._fileno)
         except OSError:
             return size
-        return size + _INT.unpack(answer)[0]
 
     def has_pending_data(self) -> bool:
         """Return whether data waits for its turn."""
@@ -295,6 +294,15 @@
 )
 
 
+def unacknowledged_bytes(fileno: int) -> int:
+    """Return how much data of the kernel is not sent or not acknowledged.
+
+    :param fileno: number of the socket
+    :raises OSError: if it is not a connected socket
+    """
+    return _INT.unpack(fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def running_pacer() -> Pacer:
     """Return the pacer that all servers on the running event loop share."""
     return _pacers.setdefault(asyncio.get_running_loop(), Pacer())
--- a/tests/test_fleet/test_upstream_silence.py
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import errno
 import functools
@@ -19,6 +20,7 @@
 from damaskpier.fleet import configuration
 from damaskpier.fleet import model
 from damaskpier.fleet import worker
+from damaskpier.http1 import client
 from damaskpier.http1 import messages
 from damaskpier.mesh import membership
 from damaskpier.mesh import timing
@@ -293,3 +295,68 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
     )
     await service.stop()
+
+
+async def test_request_does_not_follow_a_body_that_is_not_read(monkeypatch):
+    """An upstream may answer before it has read the body.
+
+    A request behind the rest of the body would end with that connection, for
+    want of room, although the upstream runs.
+    """
+    monkeypatch.setattr(worker, 'USER_TIMEOUT_MS', 100)
+    set_socket_options = client.set_socket_options
+
+    def set_options(sock: socket.socket, user_timeout_ms: int) -> None:
+        set_socket_options(sock, user_timeout_ms)
+        # The kernel takes all of the body.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, len(body))
+
+    monkeypatch.setattr(client, 'set_socket_options', set_options)
+    body = LONG_BODY[: 200 * 1024]
+    opened = []
+
+    async def run(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        opened.append(writer)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.transport.pause_reading()
+        writer.write(messages.encode_response(SIGNED))
+
+    async with _serve_with_small_buffer(run) as port:
+        service = _make_worker()
+        service.apply_announcement(_announcement()._replace(port=port))
+        deadline = asyncio.get_running_loop().time() + conftest.TEST_TIMEOUT_S
+        request = _request()._replace(deadline=deadline)
+        for content in (body, b''):
+            reply = await service.call(
+                request._replace(method='POST', body=content)
+            )
+            assert isinstance(reply.result, traffic_messages.Answer)
+        assert len(opened) == 2
+        assert service.announcement is not None
+    await service.stop()
+
+
+@contextlib.asynccontextmanager
+async def _serve_with_small_buffer(
+    handler: streams.Handler,
+) -> AsyncIterator[int]:
+    """Serve connections that take few bytes before the handler reads."""
+    listener = socket.create_server((conftest.HOST, 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    tasks = set()
+    writers = []
+
+    def start(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers.append(writer)
+        tasks.add(asyncio.create_task(handler(reader, writer)))
+
+    server = await asyncio.start_server(start, sock=listener, limit=1024)
+    yield listener.getsockname()[1]
+    server.close()
+    await asyncio.wait(tasks)
+    for writer in writers:
+        await streams.abort(writer)
