--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import fcntl
+import logging
 import struct
 import termios
 from typing import Any
@@ -18,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+LOG = logging.getLogger(__name__)
+
 # Data up to this size is sent at once, and longer data in parts of this size.
 PART_BYTES = 16 * 1024
 # Limit of the data of all connections that the kernel has not sent or that is
@@ -25,6 +28,13 @@
 MAX_UNSENT_BYTES = 128 * 1024
 # The same for one connection, so that others go on while a client is slow.
 MAX_CONNECTION_UNSENT_BYTES = 96 * 1024
+# Part of the limit that is left to connections whose client takes data quickly
+# and of which all is acknowledged. The others would use up the limit where
+# their clients read slowly or have slower links than this node.
+RESERVED_BYTES = 32 * 1024
+# A client is quick if the last data was acknowledged within this time. Behind
+# the unreserved part of the limit, a link of 8 Mbit/s takes twice as long.
+QUICK_S = 0.05
 POLL_INTERVAL_S = 0.005
 # Data of which nothing was acknowledged for this time is not counted: it
 # waits for a client that does not read or can not be reached.
@@ -70,17 +80,19 @@
         while self._waiting and used < MAX_UNSENT_BYTES:
             transport = self._waiting.popleft()
             unsent = self._written.setdefault(transport, _Unsent())
-            if unsent.size >= MAX_CONNECTION_UNSENT_BYTES:
+            if not unsent.may_write(used):
                 blocked.append(transport)
                 continue
             before = unsent.counted
             if transport.write_part():
                 self._waiting.append(transport)
-            unsent.update(transport.unsent_bytes())
+            unsent.record_write(transport.unsent_bytes())
             used += unsent.counted - before
         # One of them may have been discarded while another one was written.
-        self._waiting.extend(
-            transport for transport in blocked if transport.has_pending_data()
+        self._waiting.extendleft(
+            transport
+            for transport in reversed(blocked)
+            if transport.has_pending_data()
         )
         if self._waiting and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
@@ -94,7 +106,7 @@
     def _refresh(self) -> None:
         for transport, unsent in list(self._written.items()):
             unsent.update(transport.unsent_bytes())
-            if not unsent.size:
+            if not unsent.size and not transport.has_pending_data():
                 del self._written[transport]
 
 
@@ -158,7 +170,12 @@
         if self._is_closing:
             self._transport.close()
         elif self._ends_after_write and not self._transport.is_closing():
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError as exc:
+                # The pacer still has the data of other connections to write.
+                LOG.debug('http: the client has reset its connection: %s', exc)
+                self._transport.close()
 
     def unsent_bytes(self) -> int:
         """Return how much written data is not acknowledged by the client."""
@@ -167,10 +184,9 @@
             # The socket may be closed, and its number in use again.
             return size
         try:
-            answer = fcntl.ioctl(self._fileno, termios.TIOCOUTQ, bytes(4))
+            return size + unacknowledged_bytes(self._fileno)
         except OSError:
             return size
-        return size + _INT.unpack(answer)[0]
 
     def has_pending_data(self) -> bool:
         """Return whether data waits for its turn."""
@@ -232,17 +248,37 @@
 class _Unsent:
     """Unacknowledged data of a connection."""
 
-    __slots__ = ('size', '_changed_at')
+    __slots__ = ('size', '_changed_at', '_written_at', '_is_quick')
 
     def __init__(self) -> None:
         self.size = 0
         self._changed_at = asyncio.get_running_loop().time()
+        self._written_at = self._changed_at
+        self._is_quick = True
+
+    def record_write(self, size: int) -> None:
+        """Set the size after more data has been written."""
+        self._written_at = asyncio.get_running_loop().time()
+        self._is_quick |= not size
+        self.update(size)
 
     def update(self, size: int) -> None:
         """Set the size, which changes when data is sent or written."""
-        if size != self.size:
-            self.size = size
-            self._changed_at = asyncio.get_running_loop().time()
+        if size == self.size:
+            return
+        self.size = size
+        self._changed_at = asyncio.get_running_loop().time()
+        if not size:
+            self._is_quick = self._changed_at - self._written_at <= QUICK_S
+
+    def may_write(self, used: int) -> bool:
+        """Return whether more data of the connection may be written.
+
+        :param used: unacknowledged data of all connections, below the limit
+        """
+        if used >= MAX_UNSENT_BYTES - RESERVED_BYTES:
+            return self._is_quick and not self.size
+        return self.size < MAX_CONNECTION_UNSENT_BYTES
 
     @property
     def counted(self) -> int:
@@ -258,6 +294,15 @@
 )
 
 
+def unacknowledged_bytes(fileno: int) -> int:
+    """Return how much data of the kernel is not sent or not acknowledged.
+
+    :param fileno: number of the socket
+    :raises OSError: if it is not a connected socket
+    """
+    return _INT.unpack(fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def running_pacer() -> Pacer:
     """Return the pacer that all servers on the running event loop share."""
     return _pacers.setdefault(asyncio.get_running_loop(), Pacer())
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -712,6 +712,8 @@
     for digit in b'0123456789':
         assert answers.count(digit) >= count // 10 * size
     assert answers.endswith(b'a' * size)
+    # The client has not closed its side yet.
+    conn.check_timeouts(started.clock())
     assert not started.unsent.used_bytes
 
 
@@ -796,12 +798,15 @@
     assert not limit.used_bytes
 
 
-async def test_client_that_takes_no_response_is_closed(serve, connect_slow):
+async def test_client_that_takes_no_response_is_closed(
+    serve, connect_slow, monkeypatch
+):
     """A client that takes nothing for the idle timeout loses its connection.
 
     Its response would be kept for as long as the client stays connected, also
     if the server has already closed its side.
     """
+    monkeypatch.setattr(pacing, 'STALL_TIMEOUT_S', 0.01)
     now = [0.0]
     limits = server.Limits(idle_timeout_s=10.0)
     started = await serve(_large, limits=lambda: limits, clock=lambda: now[0])
@@ -809,6 +814,16 @@
     kept.send(GET_A)
     last = await connect_slow(started)
     last.send(b'GET /a HTTP/1.1\r\nConnection: close\r\n\r\n')
+    await _until(lambda: started.unsent.used_bytes > 1.7 * LARGE)
+    # What the kernel takes counts as taken by the client.
+    await _until(
+        conftest.is_stable(
+            lambda: sum(
+                conn._transport.get_write_buffer_size()
+                for conn in started._connections
+            )
+        )
+    )
     slow = await connect_slow(started)
     slow.send(GET_B)
     await _until(lambda: started.unsent.used_bytes > 2.5 * LARGE)
@@ -838,3 +853,64 @@
     async with asyncio.timeout(conftest.TIMEOUT_S):
         while not condition():
             await asyncio.sleep(0)
+
+
+class _Arrivals:
+    """Counts the requests whose bodies are still to arrive."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def observe(self, fields: messages.Headers) -> Callable[[], None]:
+        """Count a request until the returned function is called."""
+        self.count += 1
+        return self._end
+
+    def _end(self) -> None:
+        self.count -= 1
+
+
+async def test_request_behind_the_last_response_is_not_waited_for(
+    serve, connect
+):
+    """A node that is stopped would wait for a body that it discards.
+
+    The client keeps its side of the connection open.
+    """
+    answered = asyncio.Event()
+
+    async def handler(request):
+        await answered.wait()
+        return messages.Response(200)
+
+    arrivals = _Arrivals()
+    started = await serve(handler, observe_arrival=arrivals.observe)
+    raw = await connect(started.port)
+    raw.send(GET_A + _start_post(10, b'part'))
+    await _until(lambda: started.running and arrivals.count)
+    started.start_draining()
+    answered.set()
+    assert b'Connection: close' in await raw.read_to_end()
+    assert arrivals.count == 0
+
+
+async def test_request_without_memory_is_not_waited_for(serve, connect):
+    """A node that is stopped would wait for a body that it discards.
+
+    The request is refused while its headers are read, and the client keeps
+    its side of the connection open.
+    """
+
+    async def handler(request):
+        return messages.Response(200)
+
+    arrivals = _Arrivals()
+    started = await serve(
+        handler,
+        observe_arrival=arrivals.observe,
+        memory_limit=memory.MemoryLimit(1),
+    )
+    raw = await connect(started.port)
+    raw.send(_start_post(1, b'b'))
+    assert b' 503 ' in await raw.read_to_end()
+    assert arrivals.count == 0
