Limit the late responses that a request drops

A server that sent complete responses to other requests without end held the request until its deadline, filled the log of the node with one line per response and took a whole core meanwhile. A caller saw a time limit that was used up, and other requests of the node were late.

Cause: each response that belongs to an earlier request was dropped and logged, and only the limit of 16 MB bounded their number. Responses without a body failed with a misleading reason, a head that is too large.

Evidence: one peer over loopback at full speed, responses of 70 bytes, a deadline of 6 s: the call ended at its deadline after 5.96 s of processor time and 259671 log lines, with timers up to 340 ms late.

A connection carries one request at a time and is closed when its request fails, so that a sound server sends no more than a few late responses. The 17th one now fails the request, whose run state stays unknown. With the same peer, the call fails within one read.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -42,6 +42,10 @@
 # A node that runs a request sends five interim responses a second, so this
 # limit is reached after ten minutes.
 MAX_INTERIM_COUNT = 3000
+# Limit of the responses to earlier requests that are dropped before the one to
+# the request. A connection carries one request at a time, so that a server
+# that works sends none or one.
+MAX_LATE_COUNT = 16
 # The largest bodies are downloads of a few MB.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Limit of all responses that a process receives at one time. The smallest
@@ -273,6 +277,7 @@
         # Bytes since the last part of a body or interim response.
         self._framing_bytes = 0
         self._interim_count = 0
+        self._late_count = 0
         self._init_parser()
 
     @property
@@ -325,7 +330,8 @@
         loop = asyncio.get_running_loop()
         self._options = options
         self._response = loop.create_future()
-        self._received_bytes = self._framing_bytes = self._interim_count = 0
+        self._received_bytes = self._framing_bytes = 0
+        self._interim_count = self._late_count = 0
         self._last_received_at = loop.time()
         self._received_by_all = byte_counter.RECEIVED.total
         # The transport keeps a copy of what the kernel does not take. It would
@@ -458,15 +464,23 @@
                 self._fail_too_large(f'{MAX_INTERIM_COUNT} interim responses')
             return
         if not self._answers_request():
-            LOG.info(
-                'http: dropped a response of %s:%d that belongs to an earlier '
-                'request',
-                *self._address,
-            )
-            self.is_reusable = False
+            self._drop_late_response()
             return
         self._complete()
 
+    def _drop_late_response(self) -> None:
+        self.is_reusable = False
+        self._late_count += 1
+        self._framing_bytes = 0
+        if self._late_count > MAX_LATE_COUNT:
+            self._fail_too_large(f'{MAX_LATE_COUNT} responses to others')
+            return
+        LOG.info(
+            'http: dropped a response of %s:%d that belongs to an earlier '
+            'request',
+            *self._address,
+        )
+
     def _answers_request(self) -> bool:
         options = self._options
         if not options.id_header:
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -601,9 +601,15 @@
     pytest.param(
         b'',
         b'HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok',
-        'bytes',
+        'responses to others',
         id='responses-to-other-requests',
     ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n',
+        'responses to others',
+        id='empty-responses-to-other-requests',
+    ),
 ]
 
 
@@ -636,6 +642,7 @@
     limit = {
         'bytes': client.MAX_RESPONSE_BYTES,
         'interim responses': 27 * client.MAX_INTERIM_COUNT,
+        'responses to others': 64 * client.MAX_LATE_COUNT,
     }.get(reason, client.MAX_HEAD_BYTES)
     assert sum(received) <= limit + 2 * MAX_READ_BYTES
     assert not pool.memory.used_bytes
