Limit the headers of all interim responses to a request

A server that sent interim responses with many headers without end held the event loop of the node: other requests and timers were late.

Cause: 3000 interim responses with 1000 headers each are allowed, and only the limit of 16 MB ended them. Each header is an object.

The headers of all interim responses to a request now share the limit of a single head, 64 KB of names and values. The interim responses of nodes have no headers, so that their number is limited as before.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -277,6 +277,7 @@
         # Bytes since the last part of a body or interim response.
         self._framing_bytes = 0
         self._interim_count = 0
+        self._interim_header_bytes = 0
         self._late_count = 0
         self._init_parser()
 
@@ -331,7 +332,8 @@
         self._options = options
         self._response = loop.create_future()
         self._received_bytes = self._framing_bytes = 0
-        self._interim_count = self._late_count = 0
+        self._interim_count = self._interim_header_bytes = 0
+        self._late_count = 0
         self._last_received_at = loop.time()
         self._received_by_all = byte_counter.RECEIVED.total
         # The transport keeps a copy of what the kernel does not take. It would
@@ -459,9 +461,16 @@
             return
         if self._parser.get_status_code() < 200:
             self._interim_count += 1
+            self._interim_header_bytes += self._header_bytes
             self._framing_bytes = 0
-            if self._interim_count > MAX_INTERIM_COUNT:
-                self._fail_too_large(f'{MAX_INTERIM_COUNT} interim responses')
+            if (
+                self._interim_count > MAX_INTERIM_COUNT
+                or self._interim_header_bytes > MAX_HEAD_BYTES
+            ):
+                self._fail_too_large(
+                    f'{MAX_INTERIM_COUNT} interim responses or '
+                    f'{MAX_HEAD_BYTES} bytes of their headers'
+                )
             return
         if not self._answers_request():
             self._drop_late_response()
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -574,6 +574,12 @@
         'interim responses',
         id='interim-responses',
     ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 103 Early Hints\r\n' + b'A: b\r\n' * 900 + b'\r\n',
+        'bytes of their headers',
+        id='interim-responses-with-headers',
+    ),
     pytest.param(
         CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n', 'bytes', id='chunks'
     ),
@@ -642,6 +648,8 @@
     limit = {
         'bytes': client.MAX_RESPONSE_BYTES,
         'interim responses': 27 * client.MAX_INTERIM_COUNT,
+        # A header takes 6 bytes, 2 of which are its name and its value.
+        'bytes of their headers': 4 * client.MAX_HEAD_BYTES,
         'responses to others': 64 * client.MAX_LATE_COUNT,
     }.get(reason, client.MAX_HEAD_BYTES)
     assert sum(received) <= limit + 2 * MAX_READ_BYTES
