Limit the memory of gRPC messages by their stated lengths

A node whose peer in the mesh sent a message with a large stated length kept all that arrived, and the kernel ended the node when its memory was used up: its calls had no answer, and its callers had to ask others.

Cause: grpclib reads a message whole, whatever length of up to 4 GB its prefix states, and opens the flow-control windows again for each part. Only the time limit of a call ended that, and a stream of the tree has none.

The messages that arrive share a limit of 72 MB, which a call with the largest configurable body fits in. They are counted by the length that they state, so that one above the limit is refused before its bytes arrive. The largest one ends first, as with HTTP/1.1, and calls that were sent end as unknown. The connection to a parent uses the same class of channels, which has the limit.

--- a/damaskpier/mesh/parent.py
+++ b/damaskpier/mesh/parent.py
@@ -7,14 +7,13 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-import grpclib.client
-
 from damaskpier import errors
 from damaskpier.mesh import links
 from damaskpier.mesh import wire
 from damaskpier.rollout import wire as rollout_wire
 from damaskpier.rpc import mesh_grpc
 from damaskpier.rpc import mesh_pb2
+from damaskpier.rpc import write_coalescing
 
 if TYPE_CHECKING:
     from damaskpier import application
@@ -70,7 +69,7 @@
         self._app = app
         self._tree = tree
         self._placed = placed
-        self._channel: grpclib.client.Channel | None = None
+        self._channel: write_coalescing.Channel | None = None
         self._digest_mismatches = 0
         self._older_config_count = 0
         self._hello_digest = 0
@@ -118,7 +117,7 @@
                 self.attach_result.set_result(AttachResult(False, (), reason))
 
     async def _attach_and_serve(self) -> str:
-        self._channel = grpclib.client.Channel(
+        self._channel = write_coalescing.Channel(
             self.peer.host, self.peer.rpc_port
         )
         stub = mesh_grpc.MeshStub(self._channel)
--- a/damaskpier/rpc/write_coalescing.py
+++ b/damaskpier/rpc/write_coalescing.py
@@ -1,7 +1,10 @@
-"""gRPC connections that write once per iteration of the event loop.
+"""gRPC connections with coalesced writes and limited messages.
 
 grpclib writes each frame separately: a reply takes three writes, each of
 which wakes the peer. Coalescing them saves system calls and wake-ups.
+
+grpclib keeps a message until it has arrived, whatever length of up to 4 GB
+its peer states, so that the messages that arrive share a limit.
 """
 
 from __future__ import annotations
@@ -10,9 +13,18 @@
 from typing import Any
 
 from grpclib import client
+from grpclib import exceptions
 from grpclib import protocol
 from grpclib import server
 
+from damaskpier.util import memory
+
+# Limit of all messages that a process receives at one time, by their stated
+# lengths. A call with the largest body that can be configured, 64 MB, fits.
+MAX_MESSAGE_BYTES = 72 * 1024 * 1024
+
+_MESSAGE_MEMORY = memory.MemoryLimit(MAX_MESSAGE_BYTES)
+
 
 class _CoalescingTransport:
     """Coalesce the writes of one iteration of the event loop."""
@@ -46,9 +58,44 @@
             self._transport.write(data)
 
 
+class _LimitedStream(protocol.Stream, memory.Receiver):
+    """Stream whose messages are counted while they arrive."""
+
+    _is_exhausted = False
+
+    async def recv_data(self, size: int) -> bytes:
+        """Return bytes of a message, or close the connection.
+
+        :param size: number of bytes, which the peer states
+        """
+        _MESSAGE_MEMORY.add(self, size)
+        try:
+            if not self._is_exhausted:
+                return await super().recv_data(size)
+        finally:
+            _MESSAGE_MEMORY.release(self)
+        raise exceptions.ProtocolError(
+            f'no memory for a message of {size} bytes'
+        )
+
+    def memory_exhausted(self) -> None:
+        """Close the connection, which ends the streams of its calls."""
+        self._is_exhausted = True
+        self._transport.close()
+
+
 class _CoalescingProtocol(protocol.H2Protocol):
     def connection_made(self, transport: Any) -> None:
         super().connection_made(_CoalescingTransport(transport))
+        conn = self.connection
+
+        def create_stream(**options: Any) -> protocol.Stream:
+            return _LimitedStream(
+                conn, conn._connection, conn._transport, **options
+            )
+
+        # grpclib has no other way to choose the class of the streams.
+        conn.create_stream = create_stream  # type: ignore[method-assign]
 
 
 class Channel(client.Channel):
--- a/damaskpier/traffic/peers.py
+++ b/damaskpier/traffic/peers.py
@@ -43,6 +43,7 @@
 _CONNECTION_ERRORS = (
     OSError,
     exceptions.GRPCError,
+    exceptions.ProtocolError,
     exceptions.StreamTerminatedError,
 )
 
