Report malformed responses of the upstream as unknown

A caller whose upstream answered with a malformed header got status 413 and the run state 'run', as if the request had run and its response were too large. Nothing is known of such a request.

Cause: Tornado refuses the header in the callback of libcurl, which then ends the transfer with E_WRITE_ERROR, and that error was taken for a body above the limit.

Evidence: with each of four malformed headers, the client reported a response that is too large. Now it reports a failure after sending, whose run state is unknown.

A body above the limit is recognized by Tornado's own mark, and its transfer fails with E_FILESIZE_EXCEEDED whichever check finds it.

--- a/damaskpier/traffic/curl_client.py
+++ b/damaskpier/traffic/curl_client.py
@@ -222,7 +222,6 @@
         sent=exc.errno not in _ERRORS_BEFORE_CONNECTING
         and (connected or not timed_out),
         timed_out=timed_out,
-        too_large=exc.errno
-        in (pycurl.E_WRITE_ERROR, pycurl.E_FILESIZE_EXCEEDED),
+        too_large=exc.errno == pycurl.E_FILESIZE_EXCEEDED,
         malformed=exc.errno == pycurl.E_URL_MALFORMAT,
     )
--- a/damaskpier/util/limited_curl.py
+++ b/damaskpier/util/limited_curl.py
@@ -121,4 +121,7 @@
             if transfer.is_exhausted:
                 curl_error = pycurl.E_ABORTED_BY_CALLBACK
                 curl_message = 'no memory for the response'
+            elif curl.info['body_too_large']:
+                # E_WRITE_ERROR also stands for a malformed header.
+                curl_error = pycurl.E_FILESIZE_EXCEEDED
         super()._finish(curl, curl_error, curl_message)
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -212,6 +212,31 @@
     assert outcome.too_large
 
 
+@pytest.mark.parametrize(
+    'line',
+    [b'Bad name: x', b'A: \x01', b': x', b' A: x'],
+    ids=['name', 'value', 'no-name', 'folded'],
+)
+async def test_malformed_header_is_not_a_too_large_answer(
+    client, listen, line
+):
+    """A response that is malformed does not count as one that is too large.
+
+    Callers would be told that the request has run, and get status 413, which
+    they do not send again, although nothing is known.
+    """
+    outcome = await _fetch(
+        client,
+        listen,
+        'GET',
+        b'HTTP/1.1 200 OK\r\n' + line + b'\r\nContent-Length: 2\r\n\r\nok',
+    )
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+    assert not outcome.too_large
+    assert not outcome.timed_out
+
+
 @pytest.mark.parametrize(
     ('method', 'status'),
     [('HEAD', 200), ('GET', 304)],
