Keep the operators' command within limits of a page

The operators' command ended with a traceback when an admin page was answered with a head without end, and kept up to 100 MB of a body without end.

Cause: Tornado raises UnsatisfiableReadError for a head above 64 KB, which is no HTTPError, and its limit of a body is 100 MB by default.

Evidence: a peer over loopback that sent each of 30 shapes of bytes without end at full speed: the exception escaped with 11 of them; with a body that ends with the connection, the resident size grew by 99 MB, and now by 15 MB. The new tests fail on seven of ten shapes without the change.

The exception now counts as a page that is missing, as other bytes that are no answer do, and a page may take 16 MB.

--- a/damaskpier/operator/admin.py
+++ b/damaskpier/operator/admin.py
@@ -13,6 +13,8 @@
 from typing import TYPE_CHECKING
 
 from tornado import httpclient
+from tornado import iostream
+from tornado import simple_httpclient
 
 from damaskpier import errors
 from damaskpier.store import object_keys
@@ -21,6 +23,8 @@
     from damaskpier.store import base
 
 PAGE_TIMEOUT_S = 2.0
+# Leaves 16 KB for each node on a list of 1000 nodes.
+MAX_PAGE_BYTES = 16 * 1024 * 1024
 FLEET_LEASE = 'fleet'
 REGION_LEASE_PREFIX = 'region-'
 
@@ -44,9 +48,14 @@
 async def fetch_json(url: str) -> Any:
     """Return the decoded JSON of a page.
 
-    :returns: None if the request fails or the body is not JSON
+    :returns: None if the request fails or the body is not JSON, also if it
+        is larger than any page
     """
-    client = httpclient.AsyncHTTPClient(force_instance=True)
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_buffer_size=MAX_PAGE_BYTES,
+        max_body_size=MAX_PAGE_BYTES,
+    )
     try:
         reply = await client.fetch(
             url,
@@ -54,7 +63,13 @@
             request_timeout=PAGE_TIMEOUT_S,
         )
         return json.loads(reply.body)
-    except (httpclient.HTTPError, OSError, ValueError):
+    except (
+        httpclient.HTTPError,
+        # A head above the limit.
+        iostream.UnsatisfiableReadError,
+        OSError,
+        ValueError,
+    ):
         return None
     finally:
         client.close()
