Limit the header lines of a response to the curl clients

A server that sent interim responses without end held the event loop of the node: other requests and timers were late by a few hundred milliseconds.

Cause: libcurl accepts interim responses of 300 KB, and heads of 5000 lines, and passes all lines that it has to Tornado in one go, which parses each one in Python.

A response with its interim responses and trailers may have 2000 lines, enough for an upstream that sends five interim responses a second for 200 s. Its transfer fails like one whose head is too large for libcurl, and its run state is unknown.

--- a/damaskpier/util/limited_curl.py
+++ b/damaskpier/util/limited_curl.py
@@ -15,6 +15,10 @@
 # Limit of the bodies that all clients of a process receive at one time. The
 # smallest nodes have 200 MB.
 MAX_RECEIVED_BYTES = 48 * 1024 * 1024
+# Limit of the lines in all heads and trailers of a response. libcurl accepts
+# 300 KB of interim responses and passes them on in one go, which holds the
+# event loop for a few hundred milliseconds.
+MAX_HEADER_LINES = 2000
 
 _RESPONSE_MEMORY = memory.MemoryLimit(MAX_RECEIVED_BYTES)
 
@@ -29,6 +33,7 @@
         self, client: LimitedCurlClient, curl: pycurl.Curl, buffer: io.BytesIO
     ) -> None:
         self.is_exhausted = False
+        self.line_count = 0
         self._client = client
         self._curl = curl
         self._buffer = buffer
@@ -105,6 +110,15 @@
         super()._curl_setup_request(curl, request, buffer, headers)
         self._transfers[curl] = transfer = _Transfer(self, curl, buffer)
         curl.setopt(pycurl.WRITEFUNCTION, transfer.write)
+
+        def add_header_line(line: bytes) -> int | None:
+            transfer.line_count += 1
+            if transfer.line_count > MAX_HEADER_LINES:
+                return 0  # ends the transfer
+            self._curl_header_callback(headers, request.header_callback, line)
+            return None
+
+        curl.setopt(pycurl.HEADERFUNCTION, add_header_line)
         if request.method != 'HEAD':
             # A body whose stated length is above the limit is not read.
             curl.setopt(pycurl.MAXFILESIZE_LARGE, self.max_body_size)
@@ -121,6 +135,9 @@
             if transfer.is_exhausted:
                 curl_error = pycurl.E_ABORTED_BY_CALLBACK
                 curl_message = 'no memory for the response'
+            elif transfer.line_count > MAX_HEADER_LINES:
+                curl_error = pycurl.E_RECV_ERROR
+                curl_message = f'more than {MAX_HEADER_LINES} header lines'
             elif curl.info['body_too_large']:
                 # E_WRITE_ERROR also stands for a malformed header.
                 curl_error = pycurl.E_FILESIZE_EXCEEDED
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -8,12 +8,14 @@
 import pytest
 
 from damaskpier.traffic import curl_client
+from damaskpier.util import limited_curl
 from damaskpier.util import memory
 from tests import streams
 from tests.test_traffic import conftest
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+MAX_HEADER_LINES = limited_curl.MAX_HEADER_LINES
 # Most bytes that a server without end writes.
 FLOOD_BYTES = 24 * 1024 * 1024
 
@@ -389,6 +391,42 @@
     client.close()
 
 
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (CHUNKED + b'1\r\nx\r\n0\r\n', b'A: b\r\n'),
+    ],
+    ids=['headers', 'interim-responses', 'trailers'],
+)
+async def test_header_lines_are_limited(
+    client, listen, monkeypatch, start, repeated
+):
+    """Header lines without end do not hold the event loop.
+
+    libcurl passes on thousands of lines in one go, and other requests of the
+    node wait meanwhile.
+    """
+    lines = 0
+    add_line = client._curl_header_callback
+
+    def count(*args):
+        nonlocal lines
+        lines += 1
+        add_line(*args)
+
+    monkeypatch.setattr(client, '_curl_header_callback', count)
+    outcome = await _fetch(
+        client, listen, 'GET', start + 8 * MAX_HEADER_LINES * repeated
+    )
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+    assert not outcome.timed_out
+    assert not outcome.too_large
+    assert lines == MAX_HEADER_LINES
+
+
 async def test_cancelled_transfer_is_not_counted(client, listen):
     """The body of a cancelled transfer no longer counts."""
     client.memory = memory.MemoryLimit(1_000_000)
