Refuse answers of the platform's store that can not be read

A node whose store answered with an empty body, or with JSON other than the store's, logged an exception and started the watch of the configuration or of the orders again after half a second, without the backoff that a store in trouble gets. One entry that is no object hid all others of its page.

Cause: the client checked only that a body is JSON, and took the fields of objects that it had not checked.

A body is now decoded as an object. Without a revision or a list of entries, the call is refused as one whose answer is not JSON. Entries without a name are skipped and counted in one log line for each page; a page that has only such entries and is not the last one is refused, because the next one can not be read.

--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -206,11 +206,18 @@
                 return answer
             if answer.status != 200:
                 return _unexpected_status(answer)
-            page = answer.body.get('items') or []
+            revision = _revision_in(answer)
+            entries = answer.body.get('items') or []
+            if revision is None or not isinstance(entries, list):
+                return _unreadable(answer)
+            page = _keep_named(entries)
             self._record_delivery(kind, 'list', len(page), answer)
             items += page
             if not answer.body.get('hasMore') or not page:
-                return store_watch.Page(items, int(answer.body['currentRev']))
+                if entries and not page and answer.body.get('hasMore'):
+                    # There is no name to continue after.
+                    return _unreadable(answer)
+                return store_watch.Page(items, revision)
             size += answer.size
             last_name = objects.object_name(page[-1])
             if last_name == after or size > MAX_LIST_BYTES:
@@ -243,13 +250,18 @@
             )
         if answer.status != 200:
             return _unexpected_status(answer)
+        revision = _revision_in(answer)
         events = answer.body.get('events') or []
+        if revision is None or not isinstance(events, list):
+            return _unreadable(answer)
         self._record_delivery(kind, 'watch', len(events), answer)
         changed = [
-            event['object'] for event in events if not event.get('deleted')
+            event.get('object')
+            for event in events
+            if isinstance(event, dict) and not event.get('deleted')
         ]
         return store_watch.Page(
-            changed, int(answer.body['currentRev']), answer.transfer_s
+            _keep_named(changed), revision, answer.transfer_s
         )
 
     def _record_delivery(
@@ -305,7 +317,9 @@
                 _CODE_BY_STATUS[outcome.status], f'{method} {target}'
             )
         try:
-            decoded = msgspec.json.decode(outcome.body or b'{}')
+            decoded = msgspec.json.decode(
+                outcome.body or b'{}', type=dict[str, Any]
+            )
         except msgspec.DecodeError as exc:
             return errors.Refusal(
                 errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
@@ -352,7 +366,35 @@
 
 def _object_in(answer: _Response) -> objects.Object:
     """Return the object in a response, with or without a wrapper."""
-    return answer.body.get('object') or answer.body
+    found = answer.body.get('object')
+    return found if isinstance(found, dict) else answer.body
+
+
+def _revision_in(answer: _Response) -> int | None:
+    """Return the store's revision; None if it can not be read."""
+    try:
+        return int(answer.body['currentRev'])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _keep_named(found: list[Any]) -> list[objects.Object]:
+    """Return the objects among the entries of an answer."""
+    named = [obj for obj in found if _has_name(obj)]
+    if len(named) < len(found):
+        LOG.error(
+            'platform: skipped %d of %d entries, which have no name',
+            len(found) - len(named),
+            len(found),
+        )
+    return named
+
+
+def _has_name(obj: Any) -> bool:
+    try:
+        return isinstance(objects.object_name(obj), str)
+    except (KeyError, TypeError):
+        return False
 
 
 def _convert(
@@ -365,6 +407,13 @@
         return None
 
 
+def _unreadable(answer: _Response) -> errors.Refusal:
+    return errors.Refusal(
+        errors.PLATFORM_UNKNOWN,
+        f'the answer can not be read: {str(answer.body)[:200]}',
+    )
+
+
 def _unexpected_status(answer: _Response) -> errors.Refusal:
     return errors.Refusal(
         errors.PLATFORM_UNKNOWN,
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -365,6 +365,11 @@
 
 async def _list_from(answer):
     """Return the result of a list call that a function answers."""
+    return await _call_from(answer, lambda store_: store_.list_objects('c'))
+
+
+async def _call_from(answer, call):
+    """Return the result of a call of the client that a function answers."""
 
     async def serve(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -376,11 +381,77 @@
         streams.serve(serve, conftest.HOST) as port,
     ):
         client = conftest.make_app(port).service('store')
-        found = await client.list_objects('config')
+        found = await call(client)
         await client.stop()
         return found
 
 
+@pytest.mark.parametrize(
+    'call',
+    [
+        lambda client: client.list_objects('config'),
+        lambda client: client.watch_objects('config', 3),
+        lambda client: client.directory(),
+    ],
+    ids=['list', 'watch', 'directory'],
+)
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'null',
+        b'[]',
+        b'5',
+        b'{}',
+        b'{"items": 5, "events": 5, "currentRev": 1}',
+        b'{"currentRev": "x"}',
+        b'{"currentRev": null}',
+        b'{"items": [5], "events": 5, "hasMore": true, "currentRev": 1}',
+        b'\xff\x00',
+    ],
+)
+async def test_answer_that_can_not_be_read_is_refused(call, body):
+    """A success with another body than the store's is a failed call.
+
+    The task that follows the configuration would end with an exception, and
+    start again without the backoff for a store in trouble.
+    """
+
+    async def answer(head, writer):
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
+
+    found = await _call_from(answer, call)
+    assert isinstance(found, errors.Refusal)
+    assert found.code is errors.PLATFORM_UNKNOWN
+
+
+@pytest.mark.parametrize('entry', [5, None, [], {}, {'metadata': 5}])
+@pytest.mark.parametrize('kind', ['items', 'events'])
+async def test_entry_that_can_not_be_read_is_skipped(kind, entry):
+    """An entry that is no object does not hide the others of its page."""
+    good = {'metadata': {'name': 'good', 'rev': 4}}
+
+    async def answer(head, writer):
+        entries = [entry, good]
+        if kind == 'events':
+            entries = [entry, {'object': entry}, {'object': good}]
+        body = msgspec.json.encode({kind: entries, 'currentRev': 7})
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
+
+    def call(client):
+        if kind == 'items':
+            return client.list_objects('config')
+        return client.watch_objects('config', 3)
+
+    found = await _call_from(answer, call)
+    assert found.items == [good]
+    assert found.revision == 7
+
+
 async def test_reply_without_end_is_not_kept():
     """A store that sends bytes without end must not fill the memory."""
     sent = 0
