Close gRPC connections after many frames without data

A peer in the mesh that sent pings or settings without end held the event loop of the node for seconds at a time, and as long as it sent: requests and timers of the node were late. Its connection was never closed.

Cause: grpclib and h2 accept any number of such frames and parse a read of 256 KB in one go, which may hold 28000 of them.

A read is parsed in parts of 8 KB, and a connection is closed after 16 KB of frames during which no data was sent or received and no stream began. Frames that open the window again follow data; a test sends 3000 calls and a message of 12 MB over one connection.

--- a/damaskpier/rpc/write_coalescing.py
+++ b/damaskpier/rpc/write_coalescing.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Any
 
 from grpclib import client
@@ -19,6 +20,14 @@
 
 from damaskpier.util import memory
 
+LOG = logging.getLogger(__name__)
+
+# Bytes that are parsed at a time. A read of 256 KB can hold 28000 frames,
+# which would hold the event loop for seconds.
+PARSED_BYTES = 8 * 1024
+# Limit of the frames that neither carry data nor begin a stream, since data
+# was last sent or received. A connection that works has a few of them.
+MAX_CONTROL_BYTES = 16 * 1024
 # Limit of all messages that a process receives at one time, by their stated
 # lengths. A call with the largest body that can be configured, 64 MB, fits.
 MAX_MESSAGE_BYTES = 72 * 1024 * 1024
@@ -96,6 +105,34 @@
 
         # grpclib has no other way to choose the class of the streams.
         conn.create_stream = create_stream  # type: ignore[method-assign]
+        self._control_bytes = 0
+        self._progress = self._measure_progress()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse frames; close the connection after too many without data."""
+        for start in range(0, len(data), PARSED_BYTES):
+            part = data[start : start + PARSED_BYTES]
+            super().data_received(part)
+            if self.connection.is_closing():
+                return
+            progress = self._measure_progress()
+            if progress != self._progress:
+                self._progress = progress
+                self._control_bytes = 0
+                continue
+            self._control_bytes += len(part)
+            if self._control_bytes > MAX_CONTROL_BYTES:
+                LOG.warning(
+                    'rpc: closing a connection after %d bytes of frames '
+                    'without data',
+                    self._control_bytes,
+                )
+                self.processor.close('too many frames without data')
+                return
+
+    def _measure_progress(self) -> tuple[int, int, int]:
+        conn = self.connection
+        return (conn.data_received, conn.data_sent, conn.streams_started)
 
 
 class Channel(client.Channel):
--- a/tests/test_rpc/test_limits.py
+++ b/tests/test_rpc/test_limits.py
@@ -19,6 +19,8 @@
 from damaskpier.rpc import write_coalescing
 from damaskpier.util import memory
 
+from tests import streams
+
 HOST = '127.0.0.1'
 TIMEOUT_S = 30.0
 LIMIT_BYTES = 1024 * 1024
@@ -99,6 +101,113 @@
         await running.wait_closed()
 
 
+PREFACE = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+SETTINGS = bytes((0, 0, 0, 4, 0, 0, 0, 0, 0))
+CONTROL_FRAMES = [
+    pytest.param(bytes((0, 0, 8, 6, 0, 0, 0, 0, 0)) + b'pingping', id='ping'),
+    pytest.param(SETTINGS, id='settings'),
+    pytest.param(
+        bytes((0, 0, 4, 8, 0, 0, 0, 0, 0, 0, 0, 0, 1)), id='window-update'
+    ),
+    pytest.param(
+        bytes((0, 0, 5, 2, 0, 0, 0, 0, 1, 0, 0, 0, 0, 9)), id='priority'
+    ),
+]
+
+
+async def _send_frames(writer, frame) -> bool:
+    """Send a frame until the peer closes, and return whether it did."""
+    block = frame * (1 + len(PART) // len(frame))
+    try:
+        for _ in range(FLOOD_BYTES // len(block)):
+            writer.write(block)
+            await writer.drain()
+    except ConnectionError:
+        return True
+    return False
+
+
+@pytest.mark.parametrize('frame', CONTROL_FRAMES)
+async def test_server_closes_after_frames_without_data(received, frame):
+    """Frames without data and without end close their connection.
+
+    They would hold the event loop of the node for seconds at a time, and for
+    as long as the peer sends.
+    """
+    async with (
+        asyncio.timeout(TIMEOUT_S),
+        _serve(write_coalescing.Server, _Handler()) as port,
+    ):
+        _, writer = await asyncio.open_connection(HOST, port)
+        try:
+            writer.write(PREFACE + SETTINGS)
+            assert await _send_frames(writer, frame)
+        finally:
+            await streams.abort(writer)
+        assert sum(received) <= (
+            write_coalescing.MAX_CONTROL_BYTES
+            + 2 * write_coalescing.PARSED_BYTES
+        )
+        channel = write_coalescing.Channel(HOST, port)
+        stub = mesh_grpc.MeshStub(channel)
+        reply = await stub.Ping(mesh_pb2.PingRequest())
+        assert reply.node_id == 'n'
+        channel.close()
+
+
+@pytest.mark.parametrize('frame', CONTROL_FRAMES)
+async def test_client_closes_after_frames_without_data(received, frame):
+    """Frames in place of a reply fail the call and close its connection."""
+    is_cut = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        await reader.read(1)
+        writer.write(SETTINGS)
+        is_cut.set_result(await _send_frames(writer, frame))
+
+    async with asyncio.timeout(TIMEOUT_S), streams.serve(serve, HOST) as port:
+        channel = write_coalescing.Channel(HOST, port)
+        stub = mesh_grpc.MeshStub(channel)
+        with pytest.raises(exceptions.StreamTerminatedError):
+            await stub.Ping(mesh_pb2.PingRequest())
+        assert await is_cut
+        assert sum(received) <= (
+            write_coalescing.MAX_CONTROL_BYTES
+            + 2 * write_coalescing.PARSED_BYTES
+        )
+        channel.close()
+
+
+async def test_large_messages_are_not_control_frames(monkeypatch):
+    """Messages of any number and size keep their connection.
+
+    They make the peer send frames without data, which open its window again.
+    """
+    monkeypatch.setattr(
+        write_coalescing,
+        '_MESSAGE_MEMORY',
+        memory.MemoryLimit(write_coalescing.MAX_MESSAGE_BYTES),
+    )
+    async with (
+        asyncio.timeout(TIMEOUT_S),
+        _serve(write_coalescing.Server, _Handler()) as port,
+    ):
+        channel = write_coalescing.Channel(HOST, port)
+        stub = mesh_grpc.MeshStub(channel)
+        for _ in range(3000):
+            await stub.Ping(mesh_pb2.PingRequest())
+        protocol_before = channel._protocol
+        unknown_field = b'\x82\x7d'  # field 2000, with a length
+        size = 12 * 1024 * 1024
+        padding = unknown_field + b'\x80\x80\x80\x06' + b'x' * size
+        request = mesh_pb2.PingRequest.FromString(padding)
+        assert request.ByteSize() > size
+        reply = await stub.Ping(request)
+        assert reply.node_id == 'n'
+        assert channel._protocol is protocol_before
+        channel.close()
+
+
 async def test_server_refuses_a_message_above_the_limit(limit, received):
     """A message with a stated length above the limit is not kept.
 
@@ -168,9 +277,9 @@
         _serve(write_coalescing.Server, handler) as port,
     ):
         channels = [client.Channel(HOST, port) for _ in range(3)]
-        async with contextlib.AsyncExitStack() as streams:
+        async with contextlib.AsyncExitStack() as calls:
             for channel, share in zip(channels, (5, 6, 2), strict=False):
-                stream = await streams.enter_async_context(
+                stream = await calls.enter_async_context(
                     channel.request(
                         '/damaskpier.Mesh/Ping',
                         const.Cardinality.UNARY_UNARY,
@@ -186,4 +295,4 @@
             assert handler.outcomes.empty()
             for channel in channels:
                 channel.close()
-            streams.pop_all()
+            calls.pop_all()
