Limit the time of requests to the admin port

A client that sent a request to the admin port slowly and without end held a connection of the node as long as it sent.

Cause: by default, Tornado allows an hour for a head and any time for a body. Only the size of a body was limited.

Evidence: one peer over loopback that sent a header line every 20 ms was still connected when it stopped after 34 s. The three new tests, with one piece every 10 ms and limits of 0.2 s, fail without the change.

A head may take 75 s, as for requests of callers, and a body 10 s: an announcement has 16 KB at most and comes from the node's own machine.

--- a/damaskpier/traffic/admin.py
+++ b/damaskpier/traffic/admin.py
@@ -21,6 +21,10 @@
     from damaskpier import application
 
 MAX_ANNOUNCEMENT_BYTES = 16 * 1024
+# Limits of the time for a head, also between two requests, and for a body.
+# Tornado's default is an hour for a head and no limit for a body.
+IDLE_TIMEOUT_S = 75.0
+BODY_TIMEOUT_S = 10.0
 MAX_COUNT = 100_000  # slots or connections of an announcement
 
 
@@ -58,7 +62,10 @@
             ('/status', _StatusHandler, handler_args),
         ]
         self._server = httpserver.HTTPServer(
-            web.Application(handlers), max_body_size=MAX_ANNOUNCEMENT_BYTES
+            web.Application(handlers),
+            max_body_size=MAX_ANNOUNCEMENT_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
         )
         sockets = netutil.bind_sockets(
             self._app.cfg.integer('node', 'admin_port'),
--- a/tests/test_traffic/test_request_path.py
+++ b/tests/test_traffic/test_request_path.py
@@ -8,8 +8,10 @@
 import pytest
 
 from damaskpier.fakes import upstream as fake_upstream
+from damaskpier.traffic import admin
 from damaskpier.traffic import frontend
 from damaskpier.traffic import headers
+from tests import streams
 from tests.test_traffic import conftest
 from tools import bench
 
@@ -145,6 +147,42 @@
     assert bad.code == 400
 
 
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [
+        (b'', b'A: b\r\n'),
+        (b'Content-Length: 9999\r\n\r\n', b' '),
+        (b'Transfer-Encoding: chunked\r\n\r\n', b'1\r\n \r\n'),
+    ],
+    ids=['head', 'body', 'chunks'],
+)
+async def test_slow_request_does_not_hold_the_admin_port(
+    start_node, monkeypatch, start, piece
+):
+    """A request that arrives slowly and without end ends its connection.
+
+    Each one would hold a connection of the node for ever.
+    """
+    monkeypatch.setattr(admin, 'IDLE_TIMEOUT_S', 0.2)
+    monkeypatch.setattr(admin, 'BODY_TIMEOUT_S', 0.2)
+    node = await start_node('n1')
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', node.app.service('admin').port
+    )
+    try:
+        writer.write(b'POST /announce HTTP/1.1\r\nHost: a\r\n' + start)
+        closed = asyncio.ensure_future(reader.read())
+        # Far more time than the limits, so that a slow machine is no failure.
+        for _ in range(1000):
+            if (await asyncio.wait((closed,), timeout=0.01))[0]:
+                break
+            writer.write(piece)
+        assert closed.done()
+    finally:
+        closed.cancel()
+        await streams.abort(writer)
+
+
 async def test_connections_stay_below_the_announced_limit(start_node, http):
     """The node stays below the connection limit that the upstream announced.
 
