--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -46,6 +46,10 @@
 # A node that runs a request sends five interim responses a second, so this
 # limit is reached after ten minutes.
 MAX_INTERIM_COUNT = 3000
+# Limit of the responses to earlier requests that are dropped before the one to
+# the request. A connection carries one request at a time, so that a server
+# that works sends none or one.
+MAX_LATE_COUNT = 16
 # The largest bodies are downloads of a few MB.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Limit of all responses that a process receives at one time. The smallest
@@ -281,6 +285,8 @@
         self._framing_bytes = 0
         self._interim_count = 0
         self._has_long_user_timeout = False
+        self._interim_header_bytes = 0
+        self._late_count = 0
         self._init_parser()
 
     @property
@@ -333,7 +339,9 @@
         loop = asyncio.get_running_loop()
         self._options = options
         self._response = loop.create_future()
-        self._received_bytes = self._framing_bytes = self._interim_count = 0
+        self._received_bytes = self._framing_bytes = 0
+        self._interim_count = self._interim_header_bytes = 0
+        self._late_count = 0
         self._last_received_at = loop.time()
         self._received_by_all = byte_counter.RECEIVED.total
         if options.may_stay_unread and len(data) > LONG_REQUEST_BYTES:
@@ -477,20 +485,35 @@
             return
         if self._parser.get_status_code() < 200:
             self._interim_count += 1
+            self._interim_header_bytes += self._header_bytes
             self._framing_bytes = 0
-            if self._interim_count > MAX_INTERIM_COUNT:
-                self._fail_too_large(f'{MAX_INTERIM_COUNT} interim responses')
+            if (
+                self._interim_count > MAX_INTERIM_COUNT
+                or self._interim_header_bytes > MAX_HEAD_BYTES
+            ):
+                self._fail_too_large(
+                    f'{MAX_INTERIM_COUNT} interim responses or '
+                    f'{MAX_HEAD_BYTES} bytes of their headers'
+                )
             return
         if not self._answers_request():
-            LOG.info(
-                'http: dropped a response of %s:%d that belongs to an earlier '
-                'request',
-                *self._address,
-            )
-            self.is_reusable = False
+            self._drop_late_response()
             return
         self._complete()
 
+    def _drop_late_response(self) -> None:
+        self.is_reusable = False
+        self._late_count += 1
+        self._framing_bytes = 0
+        if self._late_count > MAX_LATE_COUNT:
+            self._fail_too_large(f'{MAX_LATE_COUNT} responses to others')
+            return
+        LOG.info(
+            'http: dropped a response of %s:%d that belongs to an earlier '
+            'request',
+            *self._address,
+        )
+
     def _answers_request(self) -> bool:
         options = self._options
         if not options.id_header:
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -574,6 +574,12 @@
         'interim responses',
         id='interim-responses',
     ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 103 Early Hints\r\n' + b'A: b\r\n' * 900 + b'\r\n',
+        'bytes of their headers',
+        id='interim-responses-with-headers',
+    ),
     pytest.param(
         CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n', 'bytes', id='chunks'
     ),
@@ -601,9 +607,15 @@
     pytest.param(
         b'',
         b'HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok',
-        'bytes',
+        'responses to others',
         id='responses-to-other-requests',
     ),
+    pytest.param(
+        b'',
+        b'HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n',
+        'responses to others',
+        id='empty-responses-to-other-requests',
+    ),
 ]
 
 
@@ -636,6 +648,9 @@
     limit = {
         'bytes': client.MAX_RESPONSE_BYTES,
         'interim responses': 27 * client.MAX_INTERIM_COUNT,
+        # A header takes 6 bytes, 2 of which are its name and its value.
+        'bytes of their headers': 4 * client.MAX_HEAD_BYTES,
+        'responses to others': 64 * client.MAX_LATE_COUNT,
     }.get(reason, client.MAX_HEAD_BYTES)
     assert sum(received) <= limit + 2 * MAX_READ_BYTES
     assert not pool.memory.used_bytes
