Count request heads towards the memory limit while they arrive

A node to which many clients sent heads without end kept them all, and the kernel would end it when its memory was used up.

Cause: a head counted towards the limit of 24 MB only when it was complete, and without the objects of its headers. Each connection may hold a head of 64 KB or 1000 headers for as long as a request may take to arrive.

Evidence: with 400 connections, the resident size grew by 54 MB with one header line of 64 KB each and by 86 MB with 990 headers each, and nothing was counted; a node has 4100 descriptors. The three new tests fail without the change.

The bytes of a head that is not complete are now counted as they arrive, with 200 bytes for each header, which is what was measured. When the limit is exceeded, the largest message is refused with 503, as before.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -39,6 +39,8 @@
 PARSED_BYTES = 1024
 # The objects of a short header take far more memory than its bytes.
 MAX_HEADER_COUNT = 1000
+# Memory of the objects of a header beside its bytes.
+HEADER_OBJECT_BYTES = 200
 # Limit of all requests of a process, from their arrival to the end of their
 # handlers. The smallest nodes have 200 MB, and a body is copied twice when it
 # is passed on.
@@ -318,6 +320,11 @@
             and self._framing_bytes > self._limits.header_bytes
         ):
             self._reject(431, 'request headers too large')
+        if not self._is_discarding and self._framing_bytes:
+            # The head is not complete yet.
+            self._count_head(
+                self._framing_bytes + HEADER_OBJECT_BYTES * len(self._headers)
+            )
 
     def eof_received(self) -> bool:
         """Cancel the handlers of the requests and close the connection.
@@ -422,10 +429,12 @@
 
     def on_headers_complete(self) -> None:
         """Request the body if the client waits for that, check its length."""
+        if self._is_discarding:
+            return
+        self._count_head(self._header_bytes)
         if self._is_discarding:
             return
         self._framing_bytes = 0
-        self._server.memory.add(self, self._header_bytes)
         for name, value in self._headers:
             lower = name.lower()
             if lower == 'expect' and value.lower() == '100-continue':
@@ -441,6 +450,16 @@
                 tuple(self._headers)
             )
 
+    def _count_head(self, size: int) -> None:
+        """Count what has arrived of a head, which may exhaust the memory.
+
+        :param size: size of the head so far, in bytes
+        """
+        added = size - self._counted_head_bytes
+        if added > 0:
+            self._counted_head_bytes = size
+            self._server.memory.add(self, added)
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         if self._is_discarding:
@@ -487,6 +506,7 @@
         self._url = b''
         self._headers: list[tuple[str, str]] = []
         self._header_bytes = 0
+        self._counted_head_bytes = 0
         self._body = bytearray()
 
     @property
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -530,6 +530,39 @@
     assert not limit.used_bytes
 
 
+@pytest.mark.parametrize(
+    'part',
+    [b'A: ' + b'x' * 60_000, b'A: b\r\n' * 300, b'x' * 60_000],
+    ids=['header-line', 'headers', 'header-name'],
+)
+async def test_heads_that_arrive_share_the_memory_limit(serve, connect, part):
+    """Heads that are not complete count towards the memory limit.
+
+    Many clients with a head without end would use up the memory of the node,
+    although each one is within the limit of a head.
+    """
+    limit = memory.MemoryLimit(200_000)
+    started = await serve(_echo, memory_limit=limit)
+    clients = [await connect(started.port) for _ in range(6)]
+    for raw in clients:
+        raw.send(b'GET / HTTP/1.1\r\n' + part)
+    refusals = [asyncio.create_task(raw.read_to_end()) for raw in clients]
+    done, waiting = await asyncio.wait(
+        refusals, return_when=asyncio.FIRST_COMPLETED
+    )
+    assert done.pop().result().startswith(b'HTTP/1.1 503')
+    assert 60_000 < limit.used_bytes <= 200_000
+    other = await connect(started.port)
+    other.send(_start_post(1, b'y'))
+    assert (await other.read_until(b'\r\n')).startswith(b'HTTP/1.1 200')
+    for raw in clients:
+        raw.writer.transport.abort()
+    await _until(lambda: not limit.used_bytes)
+    await asyncio.wait(refusals)
+    for task in refusals:
+        task.exception()
+
+
 async def test_running_requests_count_towards_the_memory_limit(serve, connect):
     """The bodies of running requests count until the handlers end.
 
