Test more bytes without end against the curl clients

Tests did not cover bytes that are not HTTP, empty lines without end, and bytes without end behind a complete response. All of them hold with the present code: the first two fail after sending, and with the third the response is whole and its connection is closed.

--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -256,6 +256,8 @@
 @pytest.mark.parametrize(
     ('start', 'repeated'),
     [
+        (b'', b'x'),
+        (b'', b'\r\n'),
         (b'HTTP/1.1 200 ', b'x'),
         (b'HTTP/1.1 200 OK\r\nNa', b'm'),
         (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
@@ -268,6 +270,8 @@
         (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
     ],
     ids=[
+        'no-http',
+        'empty-lines',
         'status-line',
         'header-name',
         'header-line',
@@ -309,6 +313,32 @@
         await cut.wait()
 
 
+@pytest.mark.parametrize('repeated', [b'x', OK], ids=['bytes', 'responses'])
+async def test_bytes_without_end_behind_a_response_close_its_connection(
+    client, listen, repeated
+):
+    """The response is whole, and no later request gets what follows it."""
+    cut = asyncio.Event()
+    block = repeated * (1 + 65536 // len(repeated))
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        # One write, so that the client finds these bytes with the response.
+        writer.write(OK + block)
+        try:
+            for _ in range(FLOOD_BYTES // len(block)):
+                writer.write(block)
+                await writer.drain()
+        except ConnectionError:
+            cut.set()
+
+    url = await listen(serve)
+    outcome = await client.run(request(url, fresh=True))
+    assert outcome.body == b'ok'
+    async with asyncio.timeout(30):
+        await cut.wait()
+
+
 @pytest.mark.parametrize(
     ('start', 'repeated'),
     [
