Accept configurations with other kinds of routes

Cause: the decoder of the platform's configuration knows three kinds of routes, and raised ValueError for the kind upload. Change: requests of uploads run once at most. So do those of kinds that are not known, which is right for all of them, and a log line names the route. Test: test_other_kinds_of_routes_are_not_repeated failed with the ValueError before.

--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 import zlib
 
 from damaskpier.fleet import model
 from damaskpier.platform import notation
 
+LOG = logging.getLogger(__name__)
+
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
 ORDER_KIND = 'rollouts'
@@ -20,6 +23,8 @@
     model.Phase.TAKEN_BACK: 'rolled_back',
 }
 _PHASE_BY_STATE = {word: phase for phase, word in STATE_BY_PHASE.items()}
+# Requests with large bodies, which may run once at most.
+_UPLOAD_KIND = 'upload'
 
 Object = dict[str, Any]
 
@@ -159,7 +164,7 @@
         rule['name'],
         host.lower(),
         rule['match']['pathPrefix'],
-        model.RouteKind(rule['routeKind']),
+        _route_kind(rule),
         tuple(
             model.WeightedService(
                 destination['service'], float(destination.get('weight', 1))
@@ -171,3 +176,21 @@
         int(action.get('maxAttempts', 1)),
         int(rule.get('priority', 0)),
     )
+
+
+def _route_kind(rule: Object) -> model.RouteKind:
+    kind = rule['routeKind']
+    if kind == _UPLOAD_KIND:
+        return model.RouteKind.NON_IDEMPOTENT
+    try:
+        return model.RouteKind(kind)
+    except ValueError:
+        # Running a request once at most is right for all kinds, whereas the
+        # whole configuration would be refused without this route.
+        LOG.warning(
+            'platform: route %r has the unknown kind %r; its requests are '
+            'not repeated',
+            rule['name'],
+            kind,
+        )
+        return model.RouteKind.NON_IDEMPOTENT
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -125,6 +125,18 @@
     assert after == before._replace(version=14)
 
 
+@pytest.mark.parametrize('kind', ['upload', 'later-kind'])
+def test_other_kinds_of_routes_are_not_repeated(operator_config, kind):
+    """One unknown kind must not keep all routes out of force."""
+    spec = operator_config()
+    spec['listeners'][0]['routeRules'][0]['routeKind'] = kind
+    first, second = (
+        objects.ConfigurationDecoder().decode({'spec': spec}).routes
+    )
+    assert first.kind is model.RouteKind.NON_IDEMPOTENT
+    assert second.prefix
+
+
 async def test_later_configuration_comes_by_the_watch(
     fake, client, operator_config
 ):
