Choose workers by the wait for their node's link, too

Requests for long responses went to nodes at which such responses waited for seconds for the link, while the worker had free slots.

Change: replies tell how long a long response would wait, in a header that older builds do not send and ignore. The selector adds the wait, less its age, for responses above 16 KiB.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -40,6 +40,9 @@
 REPEATABLE = 'Damaskpier-Repeatable'
 REPEAT = 'Damaskpier-Repeat'
 LOAD = 'Damaskpier-Load'
+# Time that a long response waits for the link of the worker's node; nodes of
+# earlier builds do not send it.
+LINK_WAIT = 'Damaskpier-Link-Wait-Ms'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
 ATTEMPT = 'Damaskpier-Attempt'
@@ -269,7 +272,12 @@
         return self._attempts.begin_arrival(token)
 
     async def _call_worker(self, request: messages.Request) -> messages.Reply:
-        return await self._app.service('worker').call(request)
+        reply = await self._app.service('worker').call(request)
+        return reply._replace(
+            load=reply.load._replace(
+                link_wait_s=pacing.running_pacer().expected_wait_s
+            )
+        )
 
 
 def _do_nothing() -> None:
@@ -397,6 +405,9 @@
     if reply.load is not None:
         load = reply.load
         fields = ((LOAD, f'{load.in_use},{load.queued},{load.slots}'),)
+        link_wait_ms = int(load.link_wait_s * 1000)
+        if link_wait_ms > 0:
+            fields += ((LINK_WAIT, str(link_wait_ms)),)
     result = reply.result
     if isinstance(result, errors.Refusal):
         run = errors.RUN_STATE_NAMES[result.run]
@@ -426,7 +437,10 @@
     load_text = own_headers.get(LOAD.lower())
     if load_text:
         in_use, queued, slots = load_text.split(',')
-        load = messages.Load(int(slots), int(in_use), int(queued))
+        link_wait = own_headers.get(LINK_WAIT.lower(), '0')
+        load = messages.Load(
+            int(slots), int(in_use), int(queued), int(link_wait) / 1000
+        )
     number = own_headers.get(headers.RESULT.lower())
     if number is None and load is None and response.status == 503:
         # The worker's node always states its load. Its HTTP server refuses a
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.http1 import pacing
 from damaskpier.traffic.balancer import base
 from damaskpier.traffic import ejection
 from damaskpier.traffic import messages
@@ -62,6 +63,17 @@
         """Return the weight of past observations, from 1 down to 0."""
         return math.exp(-max(0.0, now - self.last_result_at) / DECAY_TIME_S)
 
+    def link_wait_s(self, now: float) -> float:
+        """Return how long a long response waits for the node's link.
+
+        What has come to the node since its last reply is not known. A decay
+        as slow as that of other observations moves so many requests that the
+        next link fills.
+        """
+        if self.load is None:
+            return 0.0
+        return max(0.0, self.load.link_wait_s - (now - self.load_at))
+
 
 class Selector:
     """Selects among the workers of one version of a service.
@@ -248,6 +260,9 @@
         tier = worker.tier
         if now < worker.full_until:
             expected_latency_s += 1.0
+        if size > pacing.PART_BYTES:
+            # Shorter responses do not wait for others.
+            expected_latency_s += worker.link_wait_s(now)
         return (
             expected_latency_s
             + DISTANCE_PENALTY_S[tier]
--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -29,6 +29,12 @@
 # Data of which nothing was acknowledged for this time is not counted: it
 # waits for a client that does not read or can not be reached.
 STALL_TIMEOUT_S = 0.25
+# The rate of the link is measured over intervals of this length, and is the
+# moving average of the rates measured with this weight.
+RATE_INTERVAL_S = 0.1
+RATE_WEIGHT = 0.3
+# Limit of the expected wait, for a link that sends almost nothing.
+MAX_EXPECTED_WAIT_S = 10.0
 
 _INT = struct.Struct('i')
 
@@ -45,12 +51,30 @@
         # Connections with data in the kernel.
         self._written: dict[PacedTransport, _Unsent] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._rate = _Rate()
 
     @property
     def pending_bytes(self) -> int:
         """Return how much data waits for its turn."""
         return sum(transport.pending_bytes for transport in self._waiting)
 
+    @property
+    def expected_wait_s(self) -> float:
+        """Return how long a new response would wait for the link, in seconds.
+
+        It is 0 unless data of all connections waits for the link, and until
+        the rate of the link has been measured.
+        """
+        if not self._rate.is_measuring or not self._rate.per_s:
+            return 0.0
+        # Clients that take nothing do not use the link.
+        backlog = sum(
+            transport.pending_bytes
+            for transport in self._waiting
+            if not self._is_stalled(transport)
+        ) + sum(unsent.counted for unsent in self._written.values())
+        return min(backlog / self._rate.per_s, MAX_EXPECTED_WAIT_S)
+
     def add(self, transport: PacedTransport) -> None:
         """Write the data of a connection when it is its turn."""
         if transport not in self._waiting:
@@ -63,8 +87,13 @@
         if transport in self._waiting:
             self._waiting.remove(transport)
 
+    def _is_stalled(self, transport: PacedTransport) -> bool:
+        unsent = self._written.get(transport)
+        return unsent is not None and unsent.size > 0 and not unsent.counted
+
     def _write_parts(self) -> None:
         self._refresh()
+        written = 0
         used = sum(unsent.counted for unsent in self._written.values())
         blocked = []
         while self._waiting and used < MAX_UNSENT_BYTES:
@@ -74,14 +103,20 @@
                 blocked.append(transport)
                 continue
             before = unsent.counted
+            pending_bytes = transport.pending_bytes
             if transport.write_part():
                 self._waiting.append(transport)
             unsent.update(transport.unsent_bytes())
             used += unsent.counted - before
+            written += pending_bytes - transport.pending_bytes
         # One of them may have been discarded while another one was written.
         self._waiting.extend(
             transport for transport in blocked if transport.has_pending_data()
         )
+        # Below the limit, data waits for single slow clients only.
+        self._rate.record(
+            written, bool(self._waiting) and used >= MAX_UNSENT_BYTES
+        )
         if self._waiting and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
                 POLL_INTERVAL_S, self._poll
@@ -253,6 +288,43 @@
         return self.size
 
 
+class _Rate:
+    """Rate at which a full link sends the data of all connections.
+
+    ``per_s`` is in bytes per second, 0 until it has been measured.
+    ``is_measuring`` is set while the link is full.
+    """
+
+    def __init__(self) -> None:
+        self.per_s = 0.0
+        self.is_measuring = False
+        self._began = 0.0
+        self._bytes = 0
+
+    def record(self, size: int, is_full: bool) -> None:
+        """Record that data has been written.
+
+        :param size: number of bytes since the last call
+        :param is_full: whether more data waits for the link
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.is_measuring or not is_full:
+            # What fills the kernel's buffer says nothing about the link.
+            self.is_measuring = is_full
+            self._began, self._bytes = now, 0
+            return
+        self._bytes += size
+        took_s = now - self._began
+        if took_s < RATE_INTERVAL_S:
+            return
+        # Data of clients that have just stalled is counted for a while.
+        if self._bytes:
+            per_s = self._bytes / took_s
+            weight = RATE_WEIGHT if self.per_s else 1.0
+            self.per_s += weight * (per_s - self.per_s)
+        self._began, self._bytes = now, 0
+
+
 _pacers: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, Pacer] = (
     weakref.WeakKeyDictionary()
 )
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -56,11 +56,14 @@
     """Load of a worker as reported by its node.
 
     ``in_use`` counts the requests that run, ``queued`` those that wait.
+    ``link_wait_s`` is the time in seconds that a long response waits for the
+    node's link.
     """
 
     slots: int
     in_use: int
     queued: int
+    link_wait_s: float = 0.0
 
 
 class Reply(NamedTuple):
--- a/tests/test_http1/test_pacing.py
+++ b/tests/test_http1/test_pacing.py
@@ -19,6 +19,7 @@
 from damaskpier.http1 import server
 
 from tests import streams
+from tests.test_fleet import virtual_time
 from tests.test_http1 import conftest
 
 GET_A = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -225,3 +226,83 @@
         pacer._write_parts()
     assert not slow.has_pending_data()
     assert slow not in pacer._waiting
+
+
+class _LinkTransport(asyncio.Transport):
+    """Transport whose data leaves at a constant rate.
+
+    :param per_s: rate in bytes per second
+    """
+
+    def __init__(self, sock: socket.socket, per_s: float) -> None:
+        super().__init__({'socket': sock})
+        self._per_s = per_s
+        self._bytes = 0.0
+        self._at = 0.0
+
+    def write(self, data: bytes) -> None:
+        self._bytes = self.get_write_buffer_size() + len(data)
+
+    def get_write_buffer_size(self) -> int:
+        now = asyncio.get_running_loop().time()
+        self._bytes = max(0.0, self._bytes - self._per_s * (now - self._at))
+        self._at = now
+        return int(self._bytes)
+
+    def set_write_buffer_limits(self, high: int, low: int) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+
+async def _expected_waits(
+    rates: list[float], times: list[float], stalled_count: int = 0
+) -> list[float]:
+    """Return the expected waits at some times while ``BODY`` is sent.
+
+    :param rates: rate of each client in bytes per second
+    :param times: seconds since the data was written
+    :param stalled_count: clients that have taken nothing before
+    """
+    loop = asyncio.get_running_loop()
+    pacer = pacing.Pacer()
+
+    def write(per_s: float) -> None:
+        transport = pacing.PacedTransport(
+            _LinkTransport(sock, per_s), pacer, lambda: None
+        )
+        transport.write(BODY)
+
+    waits = []
+    with socket.socket() as sock:
+        for _ in range(stalled_count):
+            write(0)
+        await asyncio.sleep(10 * pacing.STALL_TIMEOUT_S)
+        began = loop.time()
+        for rate in rates:
+            write(rate)
+        for time in times:
+            await asyncio.sleep(began + time - loop.time())
+            waits.append(pacer.expected_wait_s)
+    return waits
+
+
+@pytest.mark.parametrize('stalled_count', [0, 4])
+def test_expected_wait_is_that_for_the_data_of_all_connections(stalled_count):
+    """Callers' nodes must learn how long responses wait for a full link.
+
+    Responses whose clients take nothing do not use the link.
+    """
+    total_s = 4 * len(BODY) / 1e6
+    waits = virtual_time.run(
+        _expected_waits([250e3] * 4, [1, 3, total_s + 0.1], stalled_count)
+    )
+    assert waits == pytest.approx([total_s - 1, total_s - 3, 0], abs=0.3)
+
+
+@pytest.mark.parametrize('stalled_count', [0, 2])
+def test_client_that_reads_slowly_causes_no_expected_wait(stalled_count):
+    """The link is not full; requests must not avoid the node for it."""
+    waits = virtual_time.run(_expected_waits([20e3], [1], stalled_count))
+    assert waits == [0]
