Restore the user timeout behind unread requests, too

What callers would see: nothing at once. A node whose upstream answers long requests without reading their bodies, as with a 413, kept each such connection, with its descriptor and the rest of the body, until the deadline of the request that had already been answered.

Cause: the longer user timeout of long requests was taken back only if the server had read the whole request. Otherwise the connection is closed after what is written, and with the long timeout the kernel did not end it.

The user timeout of the pool applies again as soon as the response is complete, as it did to all requests before the longer one was added, so that the kernel ends a connection whose server reads no more.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -550,7 +550,9 @@
         if self._has_unread_request():
             # The server has answered before it received the whole request.
             self.is_reusable = False
-        elif self._has_long_user_timeout:
+        if self._has_long_user_timeout:
+            # Also limits the time in which a server that does not read keeps
+            # the connection open, with the rest of the request.
             self._set_user_timeout(self._pool.user_timeout_ms)
             self._has_long_user_timeout = False
         self.idle_since = now
--- a/tests/test_fleet/test_upstream_silence.py
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -338,6 +338,45 @@
     await service.stop()
 
 
+async def test_connection_ends_after_an_answer_without_its_body(monkeypatch):
+    """An upstream may answer a long request and never read its body.
+
+    The connection and the rest of the body would be kept until the deadline
+    of a request that has ended.
+    """
+    monkeypatch.setattr(worker, 'USER_TIMEOUT_MS', 100)
+    has_ended = asyncio.Event()
+    connection_lost = client.Connection.connection_lost
+
+    def record_end(conn: client.Connection, exc: Exception | None) -> None:
+        connection_lost(conn, exc)
+        has_ended.set()
+
+    monkeypatch.setattr(client.Connection, 'connection_lost', record_end)
+
+    async def run(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.transport.pause_reading()
+        writer.write(messages.encode_response(SIGNED))
+
+    async with _serve_with_small_buffer(run) as port:
+        service = _make_worker()
+        service.apply_announcement(_announcement()._replace(port=port))
+        now = asyncio.get_running_loop().time()
+        request = _request()._replace(
+            method='POST',
+            body=LONG_BODY,
+            deadline=now + 10 * conftest.TEST_TIMEOUT_S,
+        )
+        reply = await service.call(request)
+        assert isinstance(reply.result, traffic_messages.Answer)
+        async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+            await has_ended.wait()
+    await service.stop()
+
+
 @contextlib.asynccontextmanager
 async def _serve_with_small_buffer(
     handler: streams.Handler,
