Serve long requests whose deadline is more than 24 days away

What callers would see: a request of more than 64 KiB on a route with a timeout of 25 days or more fails with an internal error and is not sent to the upstream. The connection to the upstream is neither used again nor closed, because the exception passes by the code that does so.

Cause: the user timeout of long requests is set to the time until the deadline. A socket option holds 2**31 - 1 at most, so that setsockopt() raised TypeError.

Evidence: the new test failed before with "TypeError: a bytes-like object is required, not 'int'" for 30 days, and with OverflowError for no limit. Whether an operator sets such a timeout is not known.

The user timeout is now limited to what the option holds.

--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -31,6 +31,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
+# Largest value that a socket option of Python can have.
+MAX_USER_TIMEOUT_MS = 2**31 - 1
 # A request up to this size fits into the receive buffer of a server that does
 # not read yet.
 LONG_REQUEST_BYTES = 64 * 1024
@@ -360,8 +362,10 @@
     def _extend_user_timeout(self, timeout_s: float) -> None:
         # The user timeout also ends a connection whose peer acknowledges each
         # probe, but has no room for more data as long as it does not read.
-        timeout_ms = max(self._pool.user_timeout_ms, int(timeout_s * 1000) + 1)
-        self._set_user_timeout(timeout_ms)
+        timeout_ms = min(timeout_s * 1000 + 1, MAX_USER_TIMEOUT_MS)
+        self._set_user_timeout(
+            max(self._pool.user_timeout_ms, int(timeout_ms))
+        )
         self._has_long_user_timeout = True
 
     def _set_user_timeout(self, timeout_ms: int) -> None:
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 import tracemalloc
@@ -504,6 +505,32 @@
     assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
 
 
+@pytest.mark.parametrize('timeout_s', [30 * 86400.0, math.inf])
+async def test_long_request_may_have_a_distant_deadline(
+    scripted, options, timeout_s
+):
+    """A route may have a timeout that the kernel's user timeout can not hold.
+
+    Its long requests would fail before they are sent.
+    """
+    body = bytes(2 * client.LONG_REQUEST_BYTES)
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        await reader.readexactly(len(body))
+        writer.write(OK)
+
+    pool = await scripted(script)
+    response = await pool.request(
+        messages.encode_request('POST', '/', (('Host', 'a'),), body),
+        options(
+            deadline=asyncio.get_running_loop().time() + timeout_s,
+            may_stay_unread=True,
+        ),
+    )
+    assert response.body == b'ok'
+
+
 async def test_cancelled_request_closes_its_connection(scripted, options):
     """Cancelling a request closes its connection."""
     arrived = asyncio.Event()
