Republish the record of a node that becomes the fleet root

A running node was marked as gone 3 s after the planned stop of the fleet root, and its worker got no requests until the node refuted that.

Cause: two region roots merge after the stop, and the one that attached to the other may still get the fleet lease. It then closes its stream to its parent and attaches to no other node. Other children that leave a parent attach elsewhere, which gives their record a higher order; the record of the new fleet root kept its order, so that the former parent took it for lost. Seen in a trace of that test beside 3 busy processes (load 20): old2 became the fleet root at 34.67 s, old1 attached to it at 36.16 s, "marking lost children as gone: old2" at 38.14 s, refuted at 38.19 s. In that trace old1 was still in use, so that no request failed by it. Change: the new fleet root publishes its record again when it closes the stream to its parent. Test: test_child_that_becomes_the_fleet_root_is_not_lost sets the order of the messages on purpose; without the change the former parent marks the node as gone.

--- a/damaskpier/mesh/tree.py
+++ b/damaskpier/mesh/tree.py
@@ -362,6 +362,9 @@
         """Publish the new tier after a lease was acquired or lost."""
         if self.parent is not None and self.needs_no_parent():
             self.parent.close('this node is the fleet root')
+            # The fleet root attaches to no other node. A record of a higher
+            # order stops the former parent from marking it as gone.
+            self._app.service('membership').republish_local()
         self.parent_search.wake()
         self.publish_path()
 
--- a/tests/test_mesh/test_tree.py
+++ b/tests/test_mesh/test_tree.py
@@ -315,6 +315,70 @@
     assert holder.leases.epoch('region-souss') == 8
 
 
+async def test_child_that_becomes_the_fleet_root_is_not_lost(
+    fleet, monkeypatch
+):
+    """A parent does not mark a child as gone that became the fleet root.
+
+    Such a child closes its stream and attaches to no other node. Marked as
+    gone, its worker gets no requests until the node refutes this.
+    """
+    fleet.lease_factor = 200.0  # no lease expires within the test
+    fleet.timing = fleet.timing._replace(silence_timeout_s=3600.0)
+    (stopping,) = await fleet.start('moyen-atlas')
+    await fleet.wait_for_one_tree()
+    (former_parent,) = await fleet.start('rif')
+    await fleet.wait_for_one_tree()
+    (child,) = await fleet.start('souss')
+    await fleet.wait_for_one_tree()
+    await conftest.eventually(lambda: len(stopping.tree.children) == 2)
+
+    def is_child_attached():
+        parent = child.tree.parent
+        return parent and parent.peer.node_id == former_parent.node_id
+
+    def is_child_the_root():
+        return (
+            child.tree.role() == 'fleet-root'
+            and child.node_id not in former_parent.tree.children
+        )
+
+    # The child requests the lease, attaches and then gets the lease.
+    delay_calls(monkeypatch, child.leases, 'acquire', is_child_attached)
+    for owner, name in (
+        (former_parent.leases, 'acquire'),
+        (former_parent.tree.parent_search, '_try_attach'),
+    ):
+        delay_calls(monkeypatch, owner, name, is_child_the_root)
+    fleet.nodes.remove(stopping)
+    await stopping.app.stop()
+    await fleet.wait_for_one_tree()
+    membership = former_parent.membership
+    await conftest.eventually(
+        lambda: (
+            membership.get(child.node_id) == child.membership.local_record()
+        )
+    )
+    children = former_parent.tree.children
+    assert child.node_id in children._loss_deadlines
+    clock = former_parent.tree.clock
+    with monkeypatch.context() as patch:
+        patch.setattr(former_parent.tree, 'clock', lambda: clock() + 3600)
+        children.check_timeouts()
+    assert not membership.get(child.node_id).gone
+
+
+def delay_calls(monkeypatch, owner, name, condition):
+    """Let the calls of a coroutine function wait until a condition holds."""
+    function = getattr(owner, name)
+
+    async def call_later(*args):
+        await conftest.eventually(condition, f'condition of {name}')
+        return await function(*args)
+
+    monkeypatch.setattr(owner, name, call_later)
+
+
 async def test_planned_stop_of_a_parent_moves_its_children(fleet):
     """Children of a node that stops are redirected at once.
 
