Restart the timeout of announcements after a pause of the node

Cause: a node that gets no processor time has timers that are due before it reads its sockets again, so that the announcement expires while newer ones wait to be read. In a trace of the test beside 3 busy processes (load 20), 1 of 2 runs failed with 30 such answers, from 50.095 s on; the node of the last worker, old2, logged "no announcement of the upstream for 3 s" at 50.085 s and "this process sent no heartbeat for 3.5 s" at 50.091 s. Ruled out: overlapping stops, as old0 had ended 9.5 s before; callers that do not know the workers yet, as the first refusal came 20 s after the first call. Change: both timeouts of announcements, of the service upstream and of the membership, start again after a wait that ended late by 0.5 s or more. Tests: test_pause_of_a_node_keeps_its_worker and test_pause_of_the_process_expires_no_upstream fail without the change; test_silent_upstream_of_a_running_node_expires guards the expiry itself, which had no test in this service.

--- a/damaskpier/mesh/membership.py
+++ b/damaskpier/mesh/membership.py
@@ -313,8 +313,20 @@
                 del self._records[node_id]
 
     async def _expire_loop(self) -> None:
+        interval_s = self._timing.announce_expiry_s / 6
         while True:
-            await asyncio.sleep(self._timing.announce_expiry_s / 6)
+            due_at = self._clock() + interval_s
+            await asyncio.sleep(interval_s)
+            late_s = self._clock() - due_at
+            if self._announced_at is not None and late_s > interval_s:
+                # The process was paused or got no processor time, and the
+                # announcements that arrived meanwhile are not read yet.
+                LOG.warning(
+                    'mesh: this process was paused for %.1f s, restarting '
+                    'the timeout of the local upstream',
+                    late_s,
+                )
+                self._announced_at = self._clock()
             self.expire_records()
 
     def _update_local(self, **fields: object) -> None:
--- a/damaskpier/traffic/upstream.py
+++ b/damaskpier/traffic/upstream.py
@@ -27,6 +27,9 @@
 
 # An announcement that is not repeated expires after this time.
 ANNOUNCEMENT_TTL_S = 3.0
+# The TTL is divided into this many waits. If one of them ends late by more
+# than its length, the process was paused or got no processor time.
+EXPIRY_CHECK_COUNT = 6
 PROBE_INTERVAL_S = 5.0
 PROBE_TIMEOUT_S = 1.0
 PROBE_PATH = '/healthz'
@@ -58,6 +61,8 @@
         self._rng = rng or random.Random()
         self._client: curl_client.UpstreamClient | None = None
         self._expiry_timer: asyncio.TimerHandle | None = None
+        self._expiry_check_at = 0.0
+        self._remaining_expiry_checks = 0
         self._probe_task: asyncio.Task[None] | None = None
         self._node_draining = False
         self._is_draining = False
@@ -107,11 +112,7 @@
         Requests that wait for a slot are refused, so that they can be retried
         on another worker.
         """
-        if self._expiry_timer is not None:
-            self._expiry_timer.cancel()
-        self._expiry_timer = asyncio.get_running_loop().call_later(
-            ANNOUNCEMENT_TTL_S, self._on_announcement_expired
-        )
+        self._restart_expiry()
         changed = announcement != self.announcement
         self.announcement = announcement
         if changed:
@@ -181,6 +182,37 @@
                 announcement = announcement._replace(ready=False)
         self._app.service('membership').apply_announcement(announcement)
 
+    def _restart_expiry(self) -> None:
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+        self._remaining_expiry_checks = EXPIRY_CHECK_COUNT
+        self._schedule_expiry_check()
+
+    def _schedule_expiry_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        interval_s = ANNOUNCEMENT_TTL_S / EXPIRY_CHECK_COUNT
+        self._expiry_check_at = loop.time() + interval_s
+        self._expiry_timer = loop.call_at(
+            self._expiry_check_at, self._check_expiry
+        )
+
+    def _check_expiry(self) -> None:
+        late_s = asyncio.get_running_loop().time() - self._expiry_check_at
+        if late_s > ANNOUNCEMENT_TTL_S / EXPIRY_CHECK_COUNT:
+            # Announcements that arrived during a pause are not read yet.
+            LOG.warning(
+                'traffic: this process was paused for %.1f s, restarting the '
+                'timeout of the announcement',
+                late_s,
+            )
+            self._restart_expiry()
+            return
+        self._remaining_expiry_checks -= 1
+        if self._remaining_expiry_checks:
+            self._schedule_expiry_check()
+        else:
+            self._on_announcement_expired()
+
     def _on_announcement_expired(self) -> None:
         LOG.warning(
             'traffic: no announcement of the upstream for %g s, removing it '
--- a/tests/test_mesh/test_membership.py
+++ b/tests/test_mesh/test_membership.py
@@ -14,6 +14,7 @@
 from damaskpier.mesh import model
 from damaskpier.mesh import timing as timing_module
 from damaskpier.mesh import wire
+from tests import loop_time
 from tests.test_mesh import conftest
 
 TIMING = timing_module.Timing()
@@ -78,6 +79,32 @@
     assert view.workers('ledger') == ()
 
 
+async def test_pause_of_the_process_expires_no_upstream(monkeypatch):
+    """A node that was paused does not withdraw its worker at once.
+
+    The announcements that arrived during the pause are still to be read, and
+    without the worker callers get 503 if it is the only one of its version.
+    A silent upstream still expires while the node runs.
+    """
+    time = loop_time.LoopTime(monkeypatch)
+    _, view = make_view(clock=time.time)
+    checks = []
+    expire_records = view.expire_records
+    monkeypatch.setattr(
+        view, 'expire_records', lambda: checks.append(expire_records())
+    )
+    await view.start()
+    view.apply_announcement(LEDGER)
+    # The expiry task starts its first wait.
+    await time.advance(0)
+    await time.advance(2 * TIMING.announce_expiry_s)
+    await conftest.eventually(lambda: checks)
+    assert view.workers('ledger')
+    while view.workers('ledger'):
+        await time.advance(TIMING.announce_expiry_s / 30)
+    await view.stop()
+
+
 def test_draining_outlives_announcements():
     """An announcement does not reset the draining of a stopping node.
 
--- a/tests/test_traffic/test_failures.py
+++ b/tests/test_traffic/test_failures.py
@@ -9,9 +9,12 @@
 
 from damaskpier.bundle import model as bundle_model
 from damaskpier.fakes import upstream as fake_upstream
+from damaskpier.mesh import model as mesh_model
 from damaskpier.traffic import frontend
 from damaskpier.traffic import headers
 from damaskpier.traffic import retry
+from damaskpier.traffic import upstream as upstream_module
+from tests import loop_time
 from tests.test_traffic import conftest
 
 NOT_RUN = 'not-run'
@@ -116,6 +119,44 @@
     assert third.fake.sequence >= 50
 
 
+async def test_pause_of_a_node_keeps_its_worker(
+    start_node, fleet, monkeypatch
+):
+    """A node that was paused does not withdraw its worker.
+
+    The announcements that arrived during the pause are still to be read, and
+    without the worker callers get 503 if it is the only one of its version.
+    """
+    time = loop_time.LoopTime(monkeypatch)
+    node = await start_node('n1', service='ledger')
+    published = []
+    node.app.events.connect(
+        'workers-changed',
+        lambda _: published.append(fleet.records['n1'].service),
+    )
+    await time.advance(2 * upstream_module.ANNOUNCEMENT_TTL_S)
+    await conftest.until(lambda: len(published) > 1)
+    assert set(published) == {'ledger'}
+
+
+async def test_silent_upstream_of_a_running_node_expires(
+    start_node, fleet, monkeypatch
+):
+    """A worker whose upstream no longer announces itself is withdrawn.
+
+    Otherwise requests are sent to an upstream that may have stopped.
+    """
+    time = loop_time.LoopTime(monkeypatch)
+    node = await start_node('n1')
+    node.app.service('upstream').apply_announcement(
+        mesh_model.Announcement('ledger', 'v1', '127.0.0.1', 9)
+    )
+    began = time.time()
+    while fleet.records['n1'].service:
+        await time.advance(upstream_module.ANNOUNCEMENT_TTL_S / 30)
+    assert time.time() - began >= upstream_module.ANNOUNCEMENT_TTL_S
+
+
 async def test_queued_requests_of_a_draining_upstream_are_refused(
     start_node, http
 ):
