Send announcements of the fake upstream at a fixed rate

A worker of the system tests was removed from routing after a single announcement that timed out, although three may be missed.

Cause: the fake waited a whole interval after each announcement, so that one that times out after 2 s leaves 3 s without an announcement, the time after which the node removes the worker. Seen in one of 4 traces of test_planned_stops_interrupt_no_request beside 3 busy processes (load 21): the only failed announcement of the upstream of old2 was followed by "no announcement of the upstream for 3 s" on its node, before the first call. Change: the time that an announcement takes counts as part of the interval. Test: test_slow_announcement_does_not_delay_the_next_one fails without the change.

--- a/damaskpier/fakes/upstream.py
+++ b/damaskpier/fakes/upstream.py
@@ -308,9 +308,15 @@
         }
 
     async def _announce_periodically(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            began = loop.time()
             await self.announce()
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            # The time of an announcement counts as part of the interval.
+            # Otherwise a single one that times out leaves a gap of 3 s, in
+            # which the node removes the worker from routing.
+            remaining_s = began + ANNOUNCE_INTERVAL_S - loop.time()
+            await asyncio.sleep(max(0.0, remaining_s))
 
 
 class _Server(httpserver.HTTPServer):
--- a/tests/test_fakes/test_upstream.py
+++ b/tests/test_fakes/test_upstream.py
@@ -10,6 +10,7 @@
 
 from damaskpier.fakes import upstream
 from damaskpier.traffic import headers
+from tests import loop_time
 
 
 @pytest.fixture
@@ -48,6 +49,34 @@
             await asyncio.sleep(0.002)
 
 
+async def test_slow_announcement_does_not_delay_the_next_one(monkeypatch):
+    """An announcement that takes an interval is followed by another at once.
+
+    With a whole interval after one that times out, the node hears nothing
+    for 3 s and removes the worker from routing.
+    """
+    interval_s = 3600.0
+    monkeypatch.setattr(upstream, 'ANNOUNCE_INTERVAL_S', interval_s)
+    time = loop_time.LoopTime(monkeypatch)
+    fake = upstream.FakeUpstream(
+        upstream.Options('ledger', node_admin='127.0.0.1:9')
+    )
+    announcements = []
+
+    async def announce():
+        if not announcements:
+            await time.advance(interval_s)
+        announcements.append(time.time())
+        return False
+
+    monkeypatch.setattr(fake, 'announce', announce)
+    await fake.start()
+    while not announcements:
+        await asyncio.sleep(0)
+    await until(lambda: len(announcements) > 1)
+    await fake.stop()
+
+
 async def test_answer_names_the_service_and_runs_are_counted(fake, fetch):
     response = await fetch('/any/path', headers={headers.REQUEST_ID: 'r1'})
     content = json.loads(response.body)
