Show how long responses wait for the link

Change: the latency summary response_link_wait and a line for each response that waited more than 0.5 s. Test: test_wait_of_a_long_response_is_observed.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import secrets
 import time
@@ -104,6 +105,9 @@
         metrics_service.register_gauge(
             'response_bytes_waiting', lambda: pacer.pending_bytes
         )
+        pacer.observe_wait = functools.partial(
+            metrics_service.observe, 'response_link_wait'
+        )
 
     async def stop(self) -> None:
         """Close the idle connections and end the cancellations."""
--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -13,6 +13,7 @@
 import struct
 import termios
 from typing import Any
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 import weakref
 
@@ -39,18 +40,33 @@
 # Data of which nothing was acknowledged for this time is not counted: it
 # waits for a client that does not read or can not be reached.
 STALL_TIMEOUT_S = 0.25
+# Responses that waited longer than this are logged.
+LOGGED_WAIT_S = 0.5
 
 _INT = struct.Struct('i')
 
 
+class _Pending(NamedTuple):
+    """Data that waits for its turn since ``since``, a time of the loop.
+
+    ``size`` is the number of bytes that were written together with it.
+    """
+
+    data: memoryview
+    size: int
+    since: float
+
+
 class Pacer:
     """Writes the data of many connections in turn, within a limit.
 
     Works on the event loop that runs when data is written; see
-    :func:`running_pacer`.
+    :func:`running_pacer`. ``observe_wait`` is called with the time in seconds
+    that long data has waited until the kernel took the last part of it.
     """
 
     def __init__(self) -> None:
+        self.observe_wait: Callable[[float], None] | None = None
         self._waiting: collections.deque[PacedTransport] = collections.deque()
         # Connections with data in the kernel.
         self._written: dict[PacedTransport, _Unsent] = {}
@@ -67,6 +83,21 @@
             self._waiting.append(transport)
         self._write_parts()
 
+    def record_written(self, pending: _Pending) -> None:
+        """Record that the kernel has taken the last part of long data."""
+        waited_s = asyncio.get_running_loop().time() - pending.since
+        if self.observe_wait is not None:
+            self.observe_wait(waited_s)
+        if waited_s > LOGGED_WAIT_S:
+            LOG.info(
+                'http: a response of %d bytes waited %d ms for the link; '
+                '%d bytes of %d connections wait',
+                pending.size,
+                waited_s * 1000,
+                self.pending_bytes,
+                len(self._waiting),
+            )
+
     def remove(self, transport: PacedTransport) -> None:
         """Forget a connection that has been lost."""
         self._written.pop(transport, None)
@@ -133,7 +164,7 @@
         self._low_bytes = 0
         self._is_paused = False
         self._ends_after_write = False
-        self._pending: collections.deque[memoryview] = collections.deque()
+        self._pending: collections.deque[_Pending] = collections.deque()
         self.pending_bytes = 0
         self._is_closing = False
         self._fileno = transport.get_extra_info('socket').fileno()
@@ -143,7 +174,13 @@
         if not self._pending and len(data) <= PART_BYTES:
             self._transport.write(data)
             return
-        self._pending.append(memoryview(data))
+        self._pending.append(
+            _Pending(
+                memoryview(data),
+                len(data),
+                asyncio.get_running_loop().time(),
+            )
+        )
         self.pending_bytes += len(data)
         self._is_paused |= self.get_write_buffer_size() > self._high_bytes
         self._pacer.add(self)
@@ -153,13 +190,15 @@
 
         :returns: whether there is more data
         """
-        data = self._pending.popleft()
-        part, rest = data[:PART_BYTES], data[PART_BYTES:]
+        pending = self._pending.popleft()
+        part, rest = pending.data[:PART_BYTES], pending.data[PART_BYTES:]
         self.pending_bytes -= len(part)
         self._transport.write(part)
         if rest:
-            self._pending.appendleft(rest)
-        elif not self._pending:
+            self._pending.appendleft(pending._replace(data=rest))
+        else:
+            self._pacer.record_written(pending)
+        if not self._pending:
             self._end_output()
         if self._is_paused and self.get_write_buffer_size() <= self._low_bytes:
             self._is_paused = False
--- a/tests/test_http1/test_pacing.py
+++ b/tests/test_http1/test_pacing.py
@@ -401,3 +401,22 @@
                         link.appendleft((transport, size - sent))
 
     virtual_time.run(run())
+
+
+async def test_wait_of_a_long_response_is_observed(
+    serve, connect_slowly, monkeypatch, caplog
+):
+    """Without it, a full link can not be told from a slow upstream."""
+    monkeypatch.setattr(pacing, 'LOGGED_WAIT_S', 0.0)
+    caplog.set_level('INFO')
+    waits = []
+    started = await serve(_answer)
+    pacing.running_pacer().observe_wait = waits.append
+    raw = await connect_slowly(started.port)
+    raw.send(GET_A)
+    await _until(_unsent_bytes_is_stable(started))
+    assert not waits
+    assert await _read_response(raw) == BODY
+    assert len(waits) == 1
+    assert waits[0] > 0
+    assert 'ms for the link' in caplog.text
