Send long responses one after the other

Cause: connections took turns of 16 KiB, so that on a full link every response ended about when the last one did. The reserved part of the limit gave each waiting connection a part, too. Change: a response is sent as a whole before the next one. The order is that of their ends on an idle link, so that a short response does not wait for a much longer one, and a long one is not passed for ever. In the reserved part, a connection waits until the one before it has shown whether it is quick. Evidence: test_responses_over_a_full_link_are_not_all_late failed before (1 of 20 responses ended in half of the time, now 8 or more), as did test_long_response_ends_although_shorter_ones_keep_arriving (3.2 s instead of less than 2).

--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import collections
 import fcntl
 import logging
@@ -40,6 +41,10 @@
 # Data of which nothing was acknowledged for this time is not counted: it
 # waits for a client that does not read or can not be reached.
 STALL_TIMEOUT_S = 0.25
+# Responses are sent one after the other, because all would be late if they
+# shared the link. A response goes first if it would end first on an idle link
+# of this rate, so that no short one waits for a much longer one.
+TURN_BYTES_PER_S = 1_000_000
 # Responses that waited longer than this are logged.
 LOGGED_WAIT_S = 0.5
 
@@ -58,7 +63,7 @@
 
 
 class Pacer:
-    """Writes the data of many connections in turn, within a limit.
+    """Writes the responses of many connections in turn, within a limit.
 
     Works on the event loop that runs when data is written; see
     :func:`running_pacer`. ``observe_wait`` is called with the time in seconds
@@ -67,7 +72,8 @@
 
     def __init__(self) -> None:
         self.observe_wait: Callable[[float], None] | None = None
-        self._waiting: collections.deque[PacedTransport] = collections.deque()
+        # Connections with data that waits, in the order of their turns.
+        self._waiting: list[PacedTransport] = []
         # Connections with data in the kernel.
         self._written: dict[PacedTransport, _Unsent] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -80,7 +86,7 @@
     def add(self, transport: PacedTransport) -> None:
         """Write the data of a connection when it is its turn."""
         if transport not in self._waiting:
-            self._waiting.append(transport)
+            bisect.insort(self._waiting, transport, key=_turn)
         self._write_parts()
 
     def record_written(self, pending: _Pending) -> None:
@@ -107,29 +113,49 @@
     def _write_parts(self) -> None:
         self._refresh()
         used = sum(unsent.counted for unsent in self._written.values())
-        blocked = []
-        while self._waiting and used < MAX_UNSENT_BYTES:
-            transport = self._waiting.popleft()
-            unsent = self._written.setdefault(transport, _Unsent())
-            if not unsent.may_write(used):
-                blocked.append(transport)
-                continue
-            before = unsent.counted
-            if transport.write_part():
-                self._waiting.append(transport)
-            unsent.record_write(transport.unsent_bytes())
-            used += unsent.counted - before
-        # One of them may have been discarded while another one was written.
-        self._waiting.extendleft(
-            transport
-            for transport in reversed(blocked)
-            if transport.has_pending_data()
-        )
+        # A transport may be discarded while another one is written to.
+        for transport in list(self._waiting):
+            used = self._write_response(transport, used)
+            if used >= MAX_UNSENT_BYTES or self._is_on_trial(transport, used):
+                break
         if self._waiting and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
                 POLL_INTERVAL_S, self._poll
             )
 
+    def _write_response(self, transport: PacedTransport, used: int) -> int:
+        """Write as much of a connection's next response as is allowed.
+
+        :param used: unacknowledged data of all connections
+        :returns: the same after that
+        """
+        unsent = self._written.setdefault(transport, _Unsent())
+        has_more = transport.has_pending_data()
+        while has_more and used < MAX_UNSENT_BYTES and unsent.may_write(used):
+            before = unsent.counted
+            has_more = transport.write_part()
+            unsent.record_write(transport.unsent_bytes())
+            used += unsent.counted - before
+        if not has_more and transport in self._waiting:
+            self._waiting.remove(transport)
+            if transport.has_pending_data():
+                bisect.insort(self._waiting, transport, key=_turn)
+        return used
+
+    def _is_on_trial(self, transport: PacedTransport, used: int) -> bool:
+        """Return whether the connections behind wait for this one.
+
+        The reserved part of the limit would otherwise be shared by all of
+        them while the link is full.
+        """
+        unsent = self._written.get(transport)
+        return (
+            unsent is not None
+            and used >= MAX_UNSENT_BYTES - RESERVED_BYTES
+            and transport.has_pending_data()
+            and unsent.may_be_quick
+        )
+
     def _poll(self) -> None:
         self._timer = None
         self._write_parts()
@@ -185,10 +211,16 @@
         self._is_paused |= self.get_write_buffer_size() > self._high_bytes
         self._pacer.add(self)
 
+    @property
+    def turn(self) -> float:
+        """Return the sort key of the data that waits; the lowest is next."""
+        pending = self._pending[0]
+        return pending.since + pending.size / TURN_BYTES_PER_S
+
     def write_part(self) -> bool:
-        """Write the next part of the data.
+        """Write the next part of the response that is next.
 
-        :returns: whether there is more data
+        :returns: whether that response has more data
         """
         pending = self._pending.popleft()
         part, rest = pending.data[:PART_BYTES], pending.data[PART_BYTES:]
@@ -203,7 +235,7 @@
         if self._is_paused and self.get_write_buffer_size() <= self._low_bytes:
             self._is_paused = False
             self._resume_writing()
-        return bool(self._pending)
+        return bool(rest)
 
     def _end_output(self) -> None:
         if self._is_closing:
@@ -319,6 +351,16 @@
             return self._is_quick and not self.size
         return self.size < MAX_CONNECTION_UNSENT_BYTES
 
+    @property
+    def may_be_quick(self) -> bool:
+        """Return whether the client still has time to acknowledge the data."""
+        now = asyncio.get_running_loop().time()
+        return (
+            self._is_quick
+            and 0 < self.size < MAX_CONNECTION_UNSENT_BYTES
+            and now - self._written_at <= QUICK_S
+        )
+
     @property
     def counted(self) -> int:
         """Return the size, or 0 if the client acknowledges nothing."""
@@ -328,6 +370,10 @@
         return self.size
 
 
+def _turn(transport: PacedTransport) -> float:
+    return transport.turn
+
+
 _pacers: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, Pacer] = (
     weakref.WeakKeyDictionary()
 )
