Keep sending interim responses while a response waits for the link

A response that waits for its turn sends nothing on its connection.

Change: the interim responses go on until the first part of the response has been written. Test: test_response_that_waits_for_the_link_is_announced timed out before.

--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -211,6 +211,20 @@
         self._is_paused |= self.get_write_buffer_size() > self._high_bytes
         self._pacer.add(self)
 
+    def write_ahead(self, data: bytes) -> bool:
+        """Write short data before a response that waits for its turn.
+
+        :returns: False if no response waits, or a part of the next one has
+            been written
+        """
+        if not self._pending:
+            return False
+        pending = self._pending[0]
+        if len(pending.data) < pending.size:
+            return False
+        self._transport.write(data)
+        return True
+
     @property
     def turn(self) -> float:
         """Return the sort key of the data that waits; the lowest is next."""
--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -238,6 +238,8 @@
         self._discards_until: float | None = None
         self._arrival_end: Callable[[], None] | None = None
         self._waiting_since = server.clock()
+        # Runs while a response waits for the link.
+        self._waiting_timer: asyncio.TimerHandle | None = None
         # Bytes since the last part of a message that the parser has reported.
         self._framing_bytes = 0
         self._reset_message()
@@ -260,6 +262,8 @@
         self._server.remove_connection(self)
         self._server.memory.release(self)
         self._unsent.clear()
+        if self._waiting_timer is not None:
+            self._waiting_timer.cancel()
         self._end_arrival()
         self._is_closed = True
         self._cancel_handlers()
@@ -570,6 +574,26 @@
             self._server.progress.interval_s, self._send_progress, exchange
         )
 
+    def _keep_sending_progress(self) -> None:
+        """Send interim responses while a response waits for the link.
+
+        A client that heard nothing would take the connection for a lost one.
+        """
+        progress = self._server.progress
+        if (
+            progress is not None
+            and self._waiting_timer is None
+            and self._transport.has_pending_data()
+        ):
+            self._waiting_timer = asyncio.get_running_loop().call_later(
+                progress.interval_s, self._send_waiting_progress
+            )
+
+    def _send_waiting_progress(self) -> None:
+        self._waiting_timer = None
+        if self._unsent.write_ahead(PROCESSING_RESPONSE):
+            self._keep_sending_progress()
+
     def _write_ready(self) -> None:
         while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
@@ -588,6 +612,7 @@
                 )
             )
             self._waiting_since = self._server.clock()
+            self._keep_sending_progress()
             if close:
                 self._close_after_response(exchange)
                 return
--- a/damaskpier/http1/unsent.py
+++ b/damaskpier/http1/unsent.py
@@ -135,6 +135,16 @@
         self.check_progress()
         self._limit.update(self)
 
+    def write_ahead(self, data: bytes) -> bool:
+        """Send data before a response that waits for the link.
+
+        :returns: False if no response waits, or it is being sent
+        """
+        if not self._transport.write_ahead(data):
+            return False
+        self._written_bytes += len(data)
+        return True
+
     def clear(self) -> None:
         """Stop counting the responses of a connection that has ended."""
         self._waiting_bytes = 0
--- a/tests/test_http1/test_pacing.py
+++ b/tests/test_http1/test_pacing.py
@@ -114,6 +114,28 @@
     assert await _read_response(other) == BODY
 
 
+async def test_response_that_waits_for_the_link_is_announced(
+    serve, connect, monkeypatch
+):
+    """A node that hears nothing sends its request to another worker, too.
+
+    The second response would then wait for a link as well.
+    """
+    limit_bytes = pacing.MAX_UNSENT_BYTES
+    monkeypatch.setattr(pacing, 'MAX_UNSENT_BYTES', 0)
+    started = await serve(_answer, progress=server.Progress(3600, 0.01))
+    raw = await connect(started.port)
+    raw.send(GET_A)
+    for _ in range(3):
+        head = await raw.read_until(b'\r\n\r\n')
+        assert head == server.PROCESSING_RESPONSE
+    monkeypatch.setattr(pacing, 'MAX_UNSENT_BYTES', limit_bytes)
+    while head == server.PROCESSING_RESPONSE:
+        head = await raw.read_until(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200')
+    assert await raw.reader.readexactly(len(BODY)) == BODY
+
+
 async def test_interim_response_waits_for_the_response_before_it(
     serve, connect_slowly
 ):
