Count an attempt that was given up as a slow one

Cause: an attempt that ended because its caller left, or because another one was answered, left no trace in the selector. Only answers counted, which were the quickest ones. Change: the time until an attempt is given up is a lower bound of the worker's latency and counts if it is above the expected latency. Test: test_worker_whose_callers_leave_is_avoided failed before, as there was no trace; a short attempt that is given up changes nothing.

--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -359,7 +359,7 @@
             )
         finally:
             if reply is None:
-                selector_.record_inconclusive(worker)
+                selector_.record_abandoned(worker, self._clock() - began)
         took_s = self._clock() - began
         selector_.record_outcome(worker, reply, took_s)
         if _is_unreachable(reply.result):
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -152,9 +152,19 @@
         """Record that an attempt on a worker begins."""
         worker.outstanding += 1
 
-    def record_inconclusive(self, worker: WorkerState) -> None:
-        """Record that an attempt ended without a result."""
+    def record_abandoned(self, worker: WorkerState, took_s: float) -> None:
+        """Record that an attempt was given up while it ran.
+
+        The time is a lower bound of the worker's latency. Without it, a worker
+        that answers after its callers have left would seem as quick as before.
+
+        :param took_s: time since the start of the attempt in seconds
+        """
         worker.outstanding -= 1
+        now = self._clock()
+        if took_s > self.expected_latency_s(worker, now):
+            worker.last_result_at = now
+            self._record_latency(worker, took_s)
 
     def record_silence(self, worker: WorkerState) -> None:
         """Record that a worker's node is not heard during an attempt."""
--- a/tests/test_fleet/test_selector.py
+++ b/tests/test_fleet/test_selector.py
@@ -125,6 +125,35 @@
     assert _picks(selector_, LARGE) == {'a1': 200}
 
 
+def test_worker_whose_callers_leave_is_avoided(selector_):
+    """A request that was given up says that the worker was not quick.
+
+    Callers of downloads went on to a node that answered after they had left
+    (issue 20, SHORT).
+    """
+    for domain in DOMAINS:
+        _answer(selector_, domain, 100.0)
+    worker = selector_._workers['n-a1']
+    for _ in range(5):
+        selector_.record_start(worker)
+        selector_.record_abandoned(worker, 2.5)
+    assert worker.outstanding == 0
+    assert _picks(selector_, SMALL) == {'a2': 200}
+
+
+def test_attempt_that_is_given_up_early_does_not_make_a_worker_quick(
+    selector_,
+):
+    for domain in DOMAINS:
+        _answer(selector_, domain, 200.0 if domain == 'a1' else 100.0)
+    worker = selector_._workers['n-a1']
+    latency_s = worker.latency_s
+    for _ in range(20):
+        selector_.record_start(worker)
+        selector_.record_abandoned(worker, 0.01)
+    assert worker.latency_s == latency_s
+
+
 def test_failing_worker_is_ejected(selector_, now):
     for domain in DOMAINS:
         for _ in range(20):
