Start requests for long responses as the link can carry them

Cause: a worker's node admitted requests by the slots of the upstream alone. Nine slots are 30 downloads of 90 kB a second, and the link carries 11. The class is admission against the wrong resource. Change: limits of an admission hold back the start of a request while a slot is free. The first one is the link: the rate at which a full link takes data is measured, and expected responses beyond it wait in the queue, in which the order by objectives, the refusal of hopeless requests and the longest wait apply to them. Short responses do not wait. Ruled out: a fixed number of downloads, which does not follow the link.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -21,10 +21,12 @@
 from damaskpier.fleet import model
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
+from damaskpier.http1 import pacing
 from damaskpier.mesh import model as mesh_model
 from damaskpier import registry
 from damaskpier.traffic import admission
 from damaskpier.traffic import messages
+from damaskpier.traffic import start_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +61,8 @@
 # The upstream runs on the same host, where an acknowledgement takes far less
 # than this unless the upstream has stopped.
 USER_TIMEOUT_MS = 500
+# Interval between two looks at requests that a limit holds back.
+MIN_START_DELAY_S = 0.005
 # Window over which the ratio of retries among the runs is computed.
 RETRY_RATIO_WINDOW_S = 5.0
 
@@ -90,6 +94,13 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.admission = admission.Admission(clock)
+        self._link = start_limits.LinkLimit(
+            lambda: pacing.running_pacer().backlog_bytes,
+            lambda: pacing.running_pacer().bytes_per_s,
+        )
+        self.admission.limits = (self._link,)
+        self.admission.on_delay = self._start_waiting_later
+        self._start_timer: asyncio.TimerHandle | None = None
         self.announcement: model.Announcement | None = None
         self._app = app
         self._codec = codec
@@ -133,6 +144,8 @@
             self._expiry_timer.cancel()
         if self._health_task is not None:
             self._health_task.cancel()
+        if self._start_timer is not None:
+            self._start_timer.cancel()
         if self._pool is not None:
             self._pool.close_idle()
 
@@ -237,7 +250,7 @@
         except asyncio.CancelledError:
             self._log_cancellation(call, request)
             raise
-        load = self.admission.load
+        load = self.load
         if isinstance(result, errors.Refusal):
             self._app.service('metrics').increment(
                 'worker_refusals', code=str(result.code)
@@ -256,6 +269,23 @@
             )
         return messages.Reply(result, load)
 
+    @property
+    def load(self) -> messages.Load:
+        """Return the load that replies report to the callers' nodes."""
+        return self.admission.load._replace(
+            link_busy_s=self._link.busy_s(self.admission.waiting)
+        )
+
+    def _start_waiting_later(self, delay_s: float) -> None:
+        if self._start_timer is None:
+            self._start_timer = asyncio.get_running_loop().call_later(
+                max(delay_s, MIN_START_DELAY_S), self._start_waiting
+            )
+
+    def _start_waiting(self) -> None:
+        self._start_timer = None
+        self.admission.start_waiting()
+
     def _log_cancellation(
         self, call: _Call, request: messages.Request
     ) -> None:
@@ -539,6 +569,8 @@
                 f'not an answer of the upstream: status {outcome.status}',
                 errors.RunState.UNKNOWN,
             )
+        if outcome.status < 300:
+            self._link.record_response(request.route, len(outcome.body))
         return messages.Answer(
             outcome.status, outcome.headers, outcome.body, took_s
         )
--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -45,6 +45,10 @@
 # shared the link. A response goes first if it would end first on an idle link
 # of this rate, so that no short one waits for a much longer one.
 TURN_BYTES_PER_S = 1_000_000
+# The rate of the link is measured over intervals of this length, and is the
+# moving average of the measured rates with this weight.
+RATE_INTERVAL_S = 0.1
+RATE_WEIGHT = 0.3
 # Responses that waited longer than this are logged.
 LOGGED_WAIT_S = 0.5
 
@@ -77,12 +81,30 @@
         # Connections with data in the kernel.
         self._written: dict[PacedTransport, _Unsent] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._rate = _Rate()
 
     @property
     def pending_bytes(self) -> int:
         """Return how much data waits for its turn."""
         return sum(transport.pending_bytes for transport in self._waiting)
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Return how much data is on its way or waits for the link.
+
+        Data that waits for a slow client is left out.
+        """
+        return sum(
+            transport.pending_bytes
+            for transport in self._waiting
+            if not self._waits_for_client(transport)
+        ) + sum(unsent.counted for unsent in self._written.values())
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Return the rate of the link; 0 until it has been measured."""
+        return self._rate.per_s
+
     def add(self, transport: PacedTransport) -> None:
         """Write the data of a connection when it is its turn."""
         if transport not in self._waiting:
@@ -112,12 +134,18 @@
 
     def _write_parts(self) -> None:
         self._refresh()
+        waiting_bytes = self.pending_bytes
         used = sum(unsent.counted for unsent in self._written.values())
         # A transport may be discarded while another one is written to.
         for transport in list(self._waiting):
             used = self._write_response(transport, used)
             if used >= MAX_UNSENT_BYTES or self._is_on_trial(transport, used):
                 break
+        self._rate.record(
+            waiting_bytes - self.pending_bytes,
+            is_full=used >= MAX_UNSENT_BYTES - RESERVED_BYTES
+            and not all(map(self._waits_for_client, self._waiting)),
+        )
         if self._waiting and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
                 POLL_INTERVAL_S, self._poll
@@ -142,6 +170,14 @@
                 bisect.insort(self._waiting, transport, key=_turn)
         return used
 
+    def _waits_for_client(self, transport: PacedTransport) -> bool:
+        """Return whether a client takes its data more slowly than the link."""
+        unsent = self._written.get(transport)
+        if unsent is None or not unsent.size:
+            return False
+        limit = MAX_CONNECTION_UNSENT_BYTES - PART_BYTES
+        return not unsent.counted or unsent.size >= limit
+
     def _is_on_trial(self, transport: PacedTransport, used: int) -> bool:
         """Return whether the connections behind wait for this one.
 
@@ -384,6 +420,41 @@
         return self.size
 
 
+class _Rate:
+    """Rate at which a full link takes the data of all connections.
+
+    ``per_s`` is in bytes per second, 0 until it has been measured.
+    """
+
+    def __init__(self) -> None:
+        self.per_s = 0.0
+        self._is_measuring = False
+        self._began = 0.0
+        self._bytes = 0
+
+    def record(self, size: int, *, is_full: bool) -> None:
+        """Record that data has been written.
+
+        :param size: number of bytes since the last call
+        :param is_full: whether more data waits for the link
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._is_measuring or not is_full:
+            # What fills the kernel's buffer says nothing about the link.
+            self._is_measuring = is_full
+            self._began, self._bytes = now, 0
+            return
+        self._bytes += size
+        took_s = now - self._began
+        if took_s < RATE_INTERVAL_S:
+            return
+        # Data of clients that have just stalled is counted for a while.
+        if self._bytes:
+            weight = RATE_WEIGHT if self.per_s else 1.0
+            self.per_s += weight * (self._bytes / took_s - self.per_s)
+        self._began, self._bytes = now, 0
+
+
 def _turn(transport: PacedTransport) -> float:
     return transport.turn
 
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -16,8 +16,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from damaskpier import metrics
+    from damaskpier.traffic import start_limits
 
 # Weight of a new service time in the exponential moving averages.
 SERVICE_TIME_WEIGHT = 0.1
@@ -150,10 +152,16 @@
     The class does no input or output, so that a simulation can run it on a
     virtual clock.
 
+    ``limits`` may hold a request back while a slot is free. Then ``on_delay``
+    is called with the time in seconds after which :meth:`start_waiting` should
+    be called.
+
     :param clock: returns the time in seconds
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.limits: tuple[start_limits.StartLimit, ...] = ()
+        self.on_delay: Callable[[float], None] | None = None
         self.in_use = 0
         self.draining = False
         self.service_s = 0.0  # moving average over all routes
@@ -181,6 +189,11 @@
         """Return how many requests may run at the same time."""
         return self._slots or int(self._adaptive.limit)
 
+    @property
+    def waiting(self) -> tuple[Ticket, ...]:
+        """Return the waiting requests, in no particular order."""
+        return tuple(self._queue)
+
     @property
     def load(self) -> messages.Load:
         """Return the load that replies report to the callers' nodes."""
@@ -222,7 +235,7 @@
             next(self._arrival_numbers),
         )
         refusal = self._immediate_refusal(ticket, now)
-        if refusal is None and self.in_use < self.slots:
+        if refusal is None and self._may_start_at_once(ticket):
             self._grant_slot(ticket, now)
             return ticket
         if refusal is None:
@@ -230,8 +243,14 @@
         if refusal is not None:
             ticket.closed = True
             done(refusal)
+        elif self.limits:
+            self._grant_free_slots()
         return ticket
 
+    def start_waiting(self) -> None:
+        """Start the waiting requests that the limits no longer hold back."""
+        self._grant_free_slots()
+
     def release(self, ticket: Ticket, *, finished: bool = True) -> None:
         """Free the slot of a ticket, or remove a waiting one from the queue.
 
@@ -247,6 +266,8 @@
             self._queue.remove(ticket)
             return
         self.in_use -= 1
+        for limit in self.limits:
+            limit.record_end(ticket)
         if finished:
             service_s = self._clock() - ticket.granted_at
             self._record_service_time(ticket.route, service_s)
@@ -302,10 +323,32 @@
         # An idle worker accepts the request anyway: without new requests, an
         # average that is too long would never be corrected.
         if 0 < self.in_use < self.slots:
-            if now + self._expected_service_s(ticket.route) > deadline:
+            if now + self._expected_run_s(ticket) > deadline:
                 return self._deadline_refusal()
         return None
 
+    def _may_start_at_once(self, ticket: Ticket) -> bool:
+        if self.in_use >= self.slots:
+            return False
+        if not self.limits:
+            return True
+        # The waiting requests may have been held back until now.
+        return not self._queue and not self._delay_s(ticket, ())
+
+    def _delay_s(self, ticket: Ticket, ahead: Sequence[Ticket]) -> float:
+        """Return how long the limits hold a request back, in seconds."""
+        service_s = self._expected_service_s(ticket.route)
+        return max(
+            (limit.delay_s(ticket, ahead, service_s) for limit in self.limits),
+            default=0.0,
+        )
+
+    def _expected_run_s(self, ticket: Ticket) -> float:
+        """Return the expected time from the start to the end, in seconds."""
+        return self._expected_service_s(ticket.route) + sum(
+            limit.transfer_s(ticket) for limit in self.limits
+        )
+
     def _enqueue(
         self, ticket: Ticket, now: float, max_wait_s: float
     ) -> errors.Refusal | None:
@@ -323,37 +366,44 @@
         )
         if ahead >= self._queue_limit:
             return self._overload_refusal()
-        if self._expected_wait_s(ahead) > max_wait_s:
+        before, behind = ranked[:ahead], ranked[ahead:]
+        if self._expected_wait_s(ticket, before) > max_wait_s:
             return self._overload_refusal()
-        if self._would_miss_deadline(ticket, ahead, now):
+        if self._would_miss_deadline(ticket, before, now):
             return self._deadline_refusal()
         self._queue.append(ticket)
         if len(self._queue) > self._queue_limit:
-            self._refuse_waiting(ranked.pop(), self._overload_refusal())
-        ahead_of_other = ahead + 1
-        for other in ranked[ahead:]:
-            if self._would_miss_deadline(other, ahead_of_other, now):
+            self._refuse_waiting(behind.pop(), self._overload_refusal())
+        before.append(ticket)
+        for other in behind:
+            if self._would_miss_deadline(other, before, now):
                 self._refuse_waiting(other, self._deadline_refusal())
             else:
-                ahead_of_other += 1
+                before.append(other)
         return None
 
     def _would_miss_deadline(
-        self, ticket: Ticket, ahead: int, now: float
+        self, ticket: Ticket, ahead: Sequence[Ticket], now: float
     ) -> bool:
         """Return whether a request is expected to end after its deadline."""
-        needed_s = self._expected_wait_s(ahead) + self._expected_service_s(
-            ticket.route
+        needed_s = self._expected_wait_s(ticket, ahead) + self._expected_run_s(
+            ticket
         )
         return now + needed_s > ticket.deadline
 
-    def _expected_wait_s(self, ahead: int) -> float:
-        return (ahead + 1) * self.service_s / self.slots
+    def _expected_wait_s(
+        self, ticket: Ticket, ahead: Sequence[Ticket]
+    ) -> float:
+        """Return how long a request is expected to wait, in seconds.
+
+        :param ahead: requests that start before it
+        """
+        beyond_slots = self.in_use + len(ahead) + 1 - self.slots
+        slot_wait_s = max(0, beyond_slots) * self.service_s / self.slots
+        return max(slot_wait_s, self._delay_s(ticket, ahead))
 
     def _rank(self, ticket: Ticket, now: float) -> Rank:
-        needed_s = OBJECTIVE_MARGIN_RATIO * self._expected_service_s(
-            ticket.route
-        )
+        needed_s = OBJECTIVE_MARGIN_RATIO * self._expected_run_s(ticket)
         misses = now + needed_s > ticket.objective
         by = ticket.deadline if misses else ticket.objective
         return Rank(ticket.priority, misses, by, ticket.number)
@@ -376,6 +426,8 @@
     def _grant_slot(self, ticket: Ticket, now: float) -> None:
         self.in_use += 1
         ticket.granted_at = now
+        for limit in self.limits:
+            limit.record_start(ticket)
         ticket.done(None)
 
     def _refuse_waiting(self, ticket: Ticket, refusal: errors.Refusal) -> None:
@@ -386,15 +438,27 @@
     def _grant_free_slots(self) -> None:
         now = self._clock()
         for ticket in list(self._queue):
-            if now + self._expected_service_s(ticket.route) > ticket.deadline:
+            if now + self._expected_run_s(ticket) > ticket.deadline:
                 self._refuse_waiting(ticket, self._deadline_refusal())
         while self._queue and self.in_use < self.slots:
-            ticket = min(
-                self._queue, key=lambda ticket: self._rank(ticket, now)
-            )
+            ready = [
+                ticket
+                for ticket in self._queue
+                if not self._delay_s(ticket, ())
+            ]
+            if not ready:
+                self._announce_delay()
+                return
+            ticket = min(ready, key=lambda ticket: self._rank(ticket, now))
             self._queue.remove(ticket)
             self._grant_slot(ticket, now)
 
+    def _announce_delay(self) -> None:
+        if self.on_delay is not None:
+            self.on_delay(
+                min(self._delay_s(ticket, ()) for ticket in self._queue)
+            )
+
 
 async def acquire(
     admission: Admission,
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -56,11 +56,14 @@
     """Load of a worker as reported by its node.
 
     ``in_use`` counts the requests that run, ``queued`` those that wait.
+    ``link_busy_s`` is the time in seconds that the node's link needs for the
+    long responses of these requests, and for those that are ready.
     """
 
     slots: int
     in_use: int
     queued: int
+    link_busy_s: float = 0.0
 
 
 class Reply(NamedTuple):
--- a/tests/test_http1/test_pacing.py
+++ b/tests/test_http1/test_pacing.py
@@ -571,3 +571,51 @@
 
 def test_long_response_ends_although_shorter_ones_keep_arriving():
     assert virtual_time.run(_end_of_long_one_among_arrivals()) < 2
+
+
+def test_rate_and_backlog_of_a_full_link_are_known():
+    """Without them, more responses are promised than the link carries."""
+
+    async def run() -> None:
+        link = _TimedLink(1e6)
+        pacer = pacing.Pacer()
+        with socket.socket() as sock:
+            for _ in range(4):
+                pacing.PacedTransport(
+                    _TimedLinkTransport(sock, link), pacer, lambda: None
+                ).write(BODY)
+            total = 4 * len(BODY)
+            assert pacer.bytes_per_s == 0
+            for seconds in (1, 2, 3):
+                await asyncio.sleep(1)
+                assert pacer.bytes_per_s == pytest.approx(1e6, rel=0.2)
+                left = total - 1e6 * seconds
+                assert pacer.backlog_bytes == pytest.approx(left, abs=5e4)
+            await asyncio.sleep(2)
+            assert pacer.backlog_bytes == 0
+            assert pacer.bytes_per_s == pytest.approx(1e6, rel=0.2)
+
+    virtual_time.run(run())
+
+
+@pytest.mark.parametrize('taken_bytes', [0, 1024])
+def test_client_that_reads_slowly_does_not_count_as_a_full_link(taken_bytes):
+    """Requests of other clients would be refused for its sake."""
+
+    async def run() -> None:
+        pacer = pacing.Pacer()
+        with socket.socket() as sock:
+            raw = _ReadTransport(sock)
+            slow = pacing.PacedTransport(raw, pacer, lambda: None)
+            slow.write(BODY)
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                raw.take(taken_bytes)
+            assert pacer.bytes_per_s == 0
+            assert pacer.backlog_bytes <= (
+                pacing.MAX_CONNECTION_UNSENT_BYTES + pacing.PART_BYTES
+            )
+            assert pacer.pending_bytes > len(BODY) // 2
+            slow.discard()
+
+    virtual_time.run(run())
