Choose workers for long responses by their links, too

Callers of souss-b sent all downloads to souss-b-8, whose responses waited for its link for 1.6 s in the median, while the two workers of souss-a had none that was late.

Cause: neither latency, which is one figure for short and long responses, nor load, which counts slots, shows the wait for the link to the callers' nodes. Change: replies tell for how long the link is taken, in a header that nodes of earlier builds do not send and ignore. The selector expects a long response no earlier than that, less the age of the reply. Tests: test_large_responses_leave_a_full_link and test_reply_tells_for_how_long_the_link_is_taken fail without the change.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -41,6 +41,9 @@
 REPEATABLE = 'Damaskpier-Repeatable'
 REPEAT = 'Damaskpier-Repeat'
 LOAD = 'Damaskpier-Load'
+# Time for which the link of the worker's node is taken. Nodes of earlier
+# builds do not send it.
+LINK_BUSY = 'Damaskpier-Link-Busy-Ms'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
 ATTEMPT = 'Damaskpier-Attempt'
@@ -401,6 +404,9 @@
     if reply.load is not None:
         load = reply.load
         fields = ((LOAD, f'{load.in_use},{load.queued},{load.slots}'),)
+        link_busy_ms = int(load.link_busy_s * 1000)
+        if link_busy_ms:
+            fields += ((LINK_BUSY, str(link_busy_ms)),)
     result = reply.result
     if isinstance(result, errors.Refusal):
         run = errors.RUN_STATE_NAMES[result.run]
@@ -430,7 +436,10 @@
     load_text = own_headers.get(LOAD.lower())
     if load_text:
         in_use, queued, slots = load_text.split(',')
-        load = messages.Load(int(slots), int(in_use), int(queued))
+        link_busy_ms = int(own_headers.get(LINK_BUSY.lower(), 0))
+        load = messages.Load(
+            int(slots), int(in_use), int(queued), link_busy_ms / 1000
+        )
     number = own_headers.get(headers.RESULT.lower())
     is_of_handler = load is not None or ATTEMPT.lower() in own_headers
     if number is None and not is_of_handler and response.status == 503:
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -9,6 +9,7 @@
 from damaskpier.traffic.balancer import base
 from damaskpier.traffic import ejection
 from damaskpier.traffic import messages
+from damaskpier.traffic import start_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,6 +63,15 @@
         """Return the weight of past observations, from 1 down to 0."""
         return math.exp(-max(0.0, now - self.last_result_at) / DECAY_TIME_S)
 
+    def link_busy_s(self, now: float) -> float:
+        """Return for how long the link of the worker's node is taken.
+
+        What the node got since its last reply is not known.
+        """
+        if self.load is None:
+            return 0.0
+        return max(0.0, self.load.link_busy_s - (now - self.load_at))
+
 
 class Selector:
     """Selects among the workers of one version of a service.
@@ -258,6 +268,11 @@
         tier = worker.tier
         if now < worker.full_until:
             expected_latency_s += 1.0
+        if size > start_limits.LONG_RESPONSE_BYTES:
+            # Shorter responses do not wait for the link.
+            expected_latency_s = max(
+                expected_latency_s, worker.link_busy_s(now)
+            )
         return (
             expected_latency_s
             + DISTANCE_PENALTY_S[tier]
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -12,6 +12,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import model
+from damaskpier.fleet import peers
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
 from damaskpier.traffic import messages as traffic_messages
@@ -211,6 +212,37 @@
     assert response.status == 504
 
 
+async def test_reply_tells_for_how_long_the_link_is_taken(fleet, monkeypatch):
+    """Without it, callers choose nodes whose links are full."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    link = other.app.service('worker')._link
+    monkeypatch.setattr(link, 'busy_s', lambda queued: 1.25)
+    record = other.app.service('membership').local_record()
+    reply = await caller.app.service('peers').call(
+        record, _traffic_request(b'')
+    )
+    assert reply.load.link_busy_s == 1.25
+
+
+def test_time_of_the_link_is_optional_between_builds():
+    """Nodes of earlier builds neither send it nor accept a longer load."""
+    reply = traffic_messages.Reply(
+        traffic_messages.Answer(200, (), b'a'),
+        traffic_messages.Load(6, 2, 1, 0.75),
+    )
+    response = peers._encode_reply(reply)
+    assert peers._decode_reply(response) == reply
+    assert response.header(peers.LOAD.lower()) == '2,1,6'
+    older = response._replace(
+        headers=tuple(
+            field for field in response.headers if field[0] != peers.LINK_BUSY
+        )
+    )
+    assert peers._decode_reply(older).load == traffic_messages.Load(6, 2, 1)
+
+
 async def test_refusal_by_the_server_of_a_node_is_no_answer(fleet):
     """A node without memory for a request refuses it before it runs.
 
--- a/tests/test_fleet/test_selector.py
+++ b/tests/test_fleet/test_selector.py
@@ -154,6 +154,49 @@
     assert worker.latency_s == latency_s
 
 
+def _report_busy_link(
+    selector_: selector.Selector, domain: str, link_busy_s: float
+) -> None:
+    """Receive a short answer from a node whose link is taken."""
+    worker = selector_._workers[f'n-{domain}']
+    selector_.record_start(worker)
+    selector_.record_outcome(
+        worker,
+        messages.Reply(
+            messages.Answer(200, (), b''),
+            messages.Load(6, 1, 0, link_busy_s),
+        ),
+        0.1,
+    )
+
+
+def test_large_responses_leave_a_full_link(selector_, now):
+    """Large responses wait for seconds at a node with free slots.
+
+    Its short answers are quick, so that its latency does not show the wait,
+    as for the downloads of benkirane-registre-grown (issue 20, SHORT).
+    """
+    for domain in DOMAINS:
+        _answer(selector_, domain, 100.0)
+    _report_busy_link(selector_, 'a1', 1.5)
+    assert _picks(selector_, LARGE) == {'a2': 200}
+    # Short responses do not wait for the others.
+    assert _picks(selector_, SMALL) == {'a1': 200}
+    _report_busy_link(selector_, 'a2', 1.5)
+    assert not {'a1', 'a2'} & set(_picks(selector_, LARGE))
+    # What waited has been sent.
+    now[0] = 1.5
+    assert _picks(selector_, LARGE) == {'a1': 200}
+
+
+def test_short_wait_for_the_link_is_cheaper_than_another_region(selector_):
+    for domain in DOMAINS:
+        _answer(selector_, domain, 100.0)
+    for domain in ('a1', 'a2'):
+        _report_busy_link(selector_, domain, 0.4)
+    assert _picks(selector_, LARGE) == {'a1': 200}
+
+
 def test_failing_worker_is_ejected(selector_, now):
     for domain in DOMAINS:
         for _ in range(20):
