Send nothing to an upstream whose answer says that it is leaving

Cause: nothing read Server-Leaving, so that a worker whose announcements said ready went on to get requests, as did one whose node had restarted or was cut off from the caller's node. Change: the node beside the upstream treats the header like a leave notice. Its reply tells the caller's node, which leaves out that start of the instance whatever the record of the other node says. Records have the start of the worker, so that a worker that starts again with its instance is used; nodes of earlier builds ignore the field. make proto finds the plugin in the virtual environment. Tests: test_leaving_worker_gets_no_request_after_its_answer, test_failure_of_a_leaving_worker_counts_too and test_caller_remembers_a_leaving_worker_whose_node_does_not; without the change, each of these workers stays in routing.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,6 @@
 	$(BIN)/python -m tools.capacity
 
 proto: setup
-	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
+	PATH=$(abspath $(BIN)):$$PATH \
+		$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
 		--grpclib_python_out=. damaskpier/rpc/mesh.proto
--- a/damaskpier/fleet/header_codec.py
+++ b/damaskpier/fleet/header_codec.py
@@ -79,6 +79,10 @@
         :raises ValueError: if the limit can not be read
         """
 
+    @abc.abstractmethod
+    def is_leaving(self, response: messages.Response) -> bool:
+        """Return whether the upstream says that it is leaving."""
+
     @abc.abstractmethod
     def decode_health(
         self, response: messages.Response
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -44,8 +44,10 @@
 # Time for which the link of the worker's node is taken. Nodes of earlier
 # builds do not send it.
 LINK_BUSY = 'Damaskpier-Link-Busy-Ms'
-# Time until the worker takes another request; not sent by earlier builds.
+# Time until the worker takes another request, and the start in milliseconds
+# since the epoch of a worker that is leaving; not sent by earlier builds.
 WAIT = 'Damaskpier-Wait-Ms'
+LEAVING = 'Damaskpier-Leaving'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
 ATTEMPT = 'Damaskpier-Attempt'
@@ -412,6 +414,8 @@
         wait_ms = int(load.wait_s * 1000)
         if wait_ms:
             fields += ((WAIT, str(wait_ms)),)
+    if reply.leaving_started_ms is not None:
+        fields += ((LEAVING, str(reply.leaving_started_ms)),)
     result = reply.result
     if isinstance(result, errors.Refusal):
         run = errors.RUN_STATE_NAMES[result.run]
@@ -449,6 +453,8 @@
             link_busy_ms / 1000,
             int(own_headers.get(WAIT.lower(), 0)) / 1000,
         )
+    leaving = own_headers.get(LEAVING.lower())
+    leaving_started_ms = None if leaving is None else int(leaving)
     number = own_headers.get(headers.RESULT.lower())
     is_of_handler = load is not None or ATTEMPT.lower() in own_headers
     if number is None and not is_of_handler and response.status == 503:
@@ -466,7 +472,7 @@
         answer = messages.Answer(
             response.status, tuple(other_headers), response.body
         )
-        return messages.Reply(answer, load)
+        return messages.Reply(answer, load, leaving_started_ms)
     try:
         code = errors.code_by_number(int(number))
     except (KeyError, ValueError):
@@ -475,7 +481,9 @@
         own_headers.get(headers.RUN.lower(), ''), errors.RunState.UNKNOWN
     )
     reason = response.body.decode('utf-8', 'replace')
-    return messages.Reply(errors.Refusal(code, reason, run), load)
+    return messages.Reply(
+        errors.Refusal(code, reason, run), load, leaving_started_ms
+    )
 
 
 def setup(app: application.Application) -> None:
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier.mesh import model as mesh_model
     from damaskpier.traffic.balancer import base
 
 LOG = logging.getLogger(__name__)
@@ -41,6 +42,8 @@
 # Part of the latency objective that a request may wait for a slot of the first
 # worker, because other workers may have a free one.
 FIRST_WAIT_RATIO = 0.25
+# Workers of which answers said that they leave, the latest ones.
+MAX_LEFT_COUNT = 1024
 # Size of a response that is assumed until the route has had one.
 DEFAULT_RESPONSE_BYTES = 2000.0
 RESPONSE_SIZE_WEIGHT = 0.1
@@ -147,6 +150,7 @@
 
     :param clock: returns the time in seconds
     :param rng: source of the choices among services and workers
+    :param wall: returns the time in seconds since the epoch
     """
 
     def __init__(
@@ -154,13 +158,18 @@
         app: application.Application,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self._app = app
         self._clock = clock
+        self._wall = wall
         self._rng = rng or random.Random()
         self._selectors: dict[tuple[str, str], _SelectorEntry] = {}
         self._budgets: dict[str, retry.FleetRetryBudget] = {}
         self._response_bytes: dict[str, float] = {}
+        # Latest start of the workers of which an answer said that they leave,
+        # by node and instance.
+        self._left_started_ms: dict[tuple[str, str], int] = {}
         # Done when the running requests are to end without further waiting.
         self._abandoned: asyncio.Future[None] | None = None
         app.events.connect('workers-changed', self._workers_changed)
@@ -343,6 +352,7 @@
     ) -> messages.Answer | errors.Refusal:
         selector_.record_start(worker)
         began = self._clock()
+        record = worker.record
         reply = None
 
         def on_silence() -> None:
@@ -362,12 +372,44 @@
                 selector_.record_abandoned(worker, self._clock() - began)
         took_s = self._clock() - began
         selector_.record_outcome(worker, reply, took_s)
+        if reply.leaving_started_ms is not None:
+            self._record_left(record, reply.leaving_started_ms)
         if _is_unreachable(reply.result):
             self._app.service('exchange').check_node(worker.record)
         if isinstance(reply.result, errors.Refusal):
             self._log_refusal(request, worker, reply.result, began)
         return reply.result
 
+    def _record_left(
+        self, record: mesh_model.NodeRecord, started_ms: int
+    ) -> None:
+        """Send no more requests to a worker that said that it is leaving.
+
+        The node beside it may be unable to announce that, or may have
+        forgotten it in a restart.
+
+        :param started_ms: start of the worker since the epoch; 0 if unknown
+        """
+        key = record.node_id, record.instance
+        if not started_ms:
+            # The start is unknown, but it is in the past.
+            started_ms = record.started_ms or int(self._wall() * 1000)
+        if self._left_started_ms.get(key, -1) >= started_ms:
+            return
+        LOG.info(
+            'router: %s on %s says that it is leaving',
+            record.instance,
+            record.node_id,
+        )
+        self._left_started_ms[key] = started_ms
+        if len(self._left_started_ms) > MAX_LEFT_COUNT:
+            del self._left_started_ms[next(iter(self._left_started_ms))]
+        self._workers_changed(record.service)
+
+    def _has_left(self, record: mesh_model.NodeRecord) -> bool:
+        left_ms = self._left_started_ms.get((record.node_id, record.instance))
+        return left_ms is not None and record.started_ms <= left_ms
+
     def _log_refusal(
         self,
         request: messages.Request,
@@ -422,6 +464,7 @@
                 record
                 for record in membership.workers(service)
                 if rollouts.accepts_worker(service, version, record.version)
+                and not self._has_left(record)
             )
         return entry.selector
 
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -68,13 +68,19 @@
 
 
 class _Call:
-    """Times of a request; ``sent_at`` is None while it waits for a slot."""
+    """State of a request.
 
-    __slots__ = ('received_at', 'sent_at')
+    ``sent_at`` is None while the request waits for a slot.
+    ``leaving_started_ms`` is the start of the upstream if it has said in its
+    answer that it is leaving.
+    """
+
+    __slots__ = ('received_at', 'sent_at', 'leaving_started_ms')
 
     def __init__(self, received_at: float) -> None:
         self.received_at = received_at
         self.sent_at: float | None = None
+        self.leaving_started_ms: int | None = None
 
 
 class LocalWorker(registry.Service):
@@ -268,7 +274,7 @@
                 load.slots,
                 self.admission.service_s * 1000,
             )
-        return messages.Reply(result, load)
+        return messages.Reply(result, load, call.leaving_started_ms)
 
     @property
     def load(self) -> messages.Load:
@@ -472,6 +478,18 @@
         self._rate.set(per_s)
         self.admission.start_waiting()
 
+    def _leave(self, known: model.Announcement) -> int:
+        """Apply that the upstream says in an answer that it is leaving.
+
+        :returns: start of the upstream since the epoch; 0 if unknown
+        """
+        if self._is_current(known):
+            known = self.announcement
+        left_ms = self._left_started_ms.get(known.instance)
+        if left_ms is None or left_ms < known.started_ms:
+            self.left(known.instance, known.started_ms)
+        return known.started_ms
+
     def _health_path(self, service: str) -> str:
         cfg = self._app.service('configuration').current()
         spec = None if cfg is None else cfg.services.get(service)
@@ -507,6 +525,7 @@
                 slots=known.slots,
                 draining=known.draining or self._node_draining,
                 instance=known.instance,
+                started_ms=known.started_ms,
             )
         )
 
@@ -595,6 +614,8 @@
             self._record_answer(known)
         if self._is_current(known):
             self._apply_rate_limit(outcome)
+        if self._codec.is_leaving(outcome):
+            call.leaving_started_ms = self._leave(known)
         if self._codec.is_not_run(outcome):
             return errors.Refusal(
                 errors.CALL_UPSTREAM_REFUSED,
--- a/damaskpier/mesh/membership.py
+++ b/damaskpier/mesh/membership.py
@@ -213,6 +213,7 @@
             ready=announcement.ready,
             draining=announcement.draining or self._draining,
             instance=announcement.instance,
+            started_ms=announcement.started_ms,
         )
 
     def set_draining(self) -> None:
--- a/damaskpier/mesh/model.py
+++ b/damaskpier/mesh/model.py
@@ -10,8 +10,9 @@
 
     Records of one node are ordered by ``(incarnation, seq)``. ``gone`` marks
     a tombstone. ``service`` is empty if no upstream has announced itself.
-    ``instance`` identifies one run of the worker if the upstream's
-    announcement contains it. ``left_instance`` is the instance that has left
+    ``instance`` identifies the worker if the upstream's announcement contains
+    it, and ``started_ms`` is the start of the worker since the epoch, 0 if
+    unknown. ``left_instance`` is the instance that has left
     most recently, and ``left_started_ms`` its start since the epoch; a node
     that restarts learns of it from the other nodes.
     """
@@ -33,6 +34,7 @@
     instance: str = ''
     left_instance: str = ''
     left_started_ms: int = 0
+    started_ms: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -59,3 +61,4 @@
     ready: bool = True
     draining: bool = False
     instance: str = ''
+    started_ms: int = 0
--- a/damaskpier/mesh/wire.py
+++ b/damaskpier/mesh/wire.py
@@ -50,6 +50,7 @@
         msg.instance,
         msg.left_instance,
         msg.left_started_ms,
+        msg.started_ms,
     )
 
 
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -25,6 +25,8 @@
 # Requests a second, a decimal number, that an upstream takes from all nodes
 # together; not a limit of the platform's servers.
 RATE_LIMIT = 'Server-Limit'
+# Set in all responses of an upstream that is leaving.
+LEAVING = 'Server-Leaving'
 
 OTHER_INSTANCE_STATUS = 421
 
@@ -92,6 +94,10 @@
             raise ValueError(f'{text[:40]!r} is not a decimal number')
         return float(text)
 
+    def is_leaving(self, response: messages.Response) -> bool:
+        """Return whether the upstream says that it is leaving."""
+        return response.header(LEAVING.lower()) == '1'
+
     def decode_health(
         self, response: messages.Response
     ) -> model.Health | None:
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -72,8 +72,11 @@
 class Reply(NamedTuple):
     """Outcome of one attempt and the load that came with it.
 
-    ``load`` is None if the worker did not report it.
+    ``load`` is None if the worker did not report it. ``leaving_started_ms`` is
+    set if the worker has said that it is leaving, to its start since the epoch
+    or to 0 if that is unknown.
     """
 
     result: Answer | errors.Refusal
     load: Load | None = None
+    leaving_started_ms: int | None = None
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -243,6 +243,22 @@
     assert peers._decode_reply(older).load == traffic_messages.Load(6, 2, 1)
 
 
+@pytest.mark.parametrize('started_ms', [None, 0, 1700000000123])
+@pytest.mark.parametrize(
+    'result',
+    [
+        traffic_messages.Answer(200, (), b'a'),
+        errors.Refusal(errors.CALL_UPSTREAM_REFUSED, 'full'),
+    ],
+)
+def test_reply_tells_that_the_worker_leaves(result, started_ms):
+    """The callers' nodes must not depend on the record of its node."""
+    reply = traffic_messages.Reply(
+        result, traffic_messages.Load(6, 2, 1, wait_s=0.25), started_ms
+    )
+    assert peers._decode_reply(peers._encode_reply(reply)) == reply
+
+
 async def test_refusal_by_the_server_of_a_node_is_no_answer(fleet):
     """A node without memory for a request refuses it before it runs.
 
--- a/tests/test_fleet/test_upstream_notices.py
+++ b/tests/test_fleet/test_upstream_notices.py
@@ -1,7 +1,8 @@
-"""Rate limits in the answers of upstreams.
+"""Rate limits and notices of leaving in the answers of upstreams.
 
 The tests guard against requests beyond the limit that an upstream names (issue
-20, LIMIT).
+20, LIMIT), and against requests to an upstream that has said in an answer that
+it leaves (DRAIN).
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 import pytest
 
+from damaskpier.fleet import worker
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
 from damaskpier.traffic import start_limits
@@ -162,3 +164,67 @@
     resume.set()
     await sending
     assert len(node.upstream.ran) <= first + EXTRA_COUNT
+
+
+async def test_leaving_worker_gets_no_request_after_its_answer(
+    fleet, monkeypatch
+):
+    """Its announcements may go on to say that it is ready."""
+    monkeypatch.setattr(worker, 'LEAVING_ADMIT_S', 0.01)
+    first = await fleet.add(domain='a')
+    second = await fleet.add(domain='b')
+    await fleet.wait_converged()
+    _add_headers(first, (headers.LEAVING, '1'))
+    assert (await first.request()).status == 200
+    assert not first.announce()
+    count = len(first.upstream.ran)
+    assert count == 1
+    await conftest.wait_until(
+        lambda: first.app.service('worker').admission.draining
+    )
+    for _ in range(20):
+        assert (await first.request()).body == b'i-1'
+    assert len(first.upstream.ran) == count
+    assert len(second.upstream.ran) == 20
+
+
+async def test_failure_of_a_leaving_worker_counts_too(fleet):
+    """A worker says in all its answers that it is leaving."""
+    first = await fleet.add()
+    await fleet.wait_converged()
+    _add_headers(first, (headers.LEAVING, '1'), status=500)
+    assert (await first.request()).status == 500
+    record = first.app.service('membership').local_record()
+    assert record.draining
+    assert record.left_instance == 'i-0'
+
+
+async def test_caller_remembers_a_leaving_worker_whose_node_does_not(fleet):
+    """The node beside the worker may have restarted, or be cut off.
+
+    Its record then says that the worker is ready.
+    """
+    left = await fleet.add(domain='a')
+    caller = await fleet.add('pages', domain='a')
+    other = await fleet.add(domain='b')
+    await fleet.wait_converged()
+    _add_headers(left, (headers.LEAVING, '1'))
+    membership = caller.app.service('membership')
+    ready = membership.get(left.name)
+    assert ready.routable
+    while not left.upstream.ran:
+        await caller.request()
+    for _ in range(3):
+        ready = ready._replace(seq=ready.seq + 1000)
+        membership.merge([ready])
+        assert membership.get(left.name).routable
+        count = len(left.upstream.ran)
+        assert (
+            await caller.request()
+        ).body == other.upstream.instance.encode()
+        assert len(left.upstream.ran) == count
+    # The instance has started again.
+    ready = ready._replace(seq=ready.seq + 1000, started_ms=10**15)
+    membership.merge([ready])
+    router = caller.app.service('router')
+    assert len(router._selector('reads', '')) == 2
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -170,6 +170,37 @@
     assert headers.PlatformHeaderCodec().decode_health(response) == expected
 
 
+@pytest.mark.parametrize(
+    ('text', 'expected'), [('48.1', 48.1), ('3', 3.0), ('0', 0.0), ('', None)]
+)
+def test_rate_limit_is_translated(text, expected):
+    response = messages.Response(200, ((headers.RATE_LIMIT, text),))
+    codec = headers.PlatformHeaderCodec()
+    assert codec.decode_rate_limit(response) == expected
+    assert codec.decode_rate_limit(messages.Response(200)) is None
+
+
+@pytest.mark.parametrize('text', ['-1', 'inf', 'nan', '1e3', '1.', '9' * 40])
+def test_unreadable_rate_limit_is_an_error(text):
+    response = messages.Response(200, ((headers.RATE_LIMIT, text),))
+    with pytest.raises(ValueError, match='not a decimal number'):
+        headers.PlatformHeaderCodec().decode_rate_limit(response)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'expected'),
+    [
+        ((), False),
+        (((headers.LEAVING, '1'),), True),
+        (((headers.LEAVING, '0'),), False),
+    ],
+)
+def test_notice_of_leaving_is_translated(fields, expected):
+    response = messages.Response(200, fields)
+    codec = headers.PlatformHeaderCodec()
+    assert codec.is_leaving(response) is expected
+
+
 @pytest.mark.parametrize(
     ('status', 'phase', 'has_status'),
     [
