Keep following a list that has an odd entry

Cause: a page of the store's list was decoded as a whole. A deeply nested entry raised RecursionError, which nothing expected: the registration of a node ended for good, and tasks that follow the store were restarted again and again. A number too large made the whole page unreadable. Entries with ports such as 99999, or with a host that is no address, were taken, and connecting to them raised in the registration; slots beyond 32 bits could not be encoded for other nodes. Change: if a response can not be decoded as a whole, its entries are found without recursion and decoded one by one; those that can not be decoded are left out, with a log line. Ports, hosts, slots, starts, sequence numbers, versions, durations and names are checked where they are decoded, for heartbeats, leave notices, orders and the directory. Log lines name an invalid object and do not write it out, which would recurse, too. Tests: tests/test_platform/test_store.py and test_translation.py; without the change, those for odd entries fail with RecursionError, or as the entry hides the others or is taken.

--- a/damaskpier/platform/endpoints.py
+++ b/damaskpier/platform/endpoints.py
@@ -31,10 +31,13 @@
 DECODE_ERRORS = (
     AttributeError,
     KeyError,
+    RecursionError,
     TypeError,
     ValueError,
     msgspec.MsgspecError,
 )
+# A worker with more slots is taken for an error of the writer.
+MAX_SLOTS = 100_000
 # Whether an upstream is draining, by the platform's state.
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 
@@ -128,17 +131,17 @@
     heartbeat: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
     info = heartbeat['info']
     status = heartbeat['status']
-    host, _, port = heartbeat['address'].rpartition(':')
+    host, port = notation.parse_address(heartbeat['address'])
     return model.Announcement(
         instance=instance,
-        service=_require_text(info['service']),
-        version=_require_text(info['version']),
+        service=notation.require_text(info['service']),
+        version=notation.require_text(info['version']),
         host=host,
-        port=int(port),
-        slots=_require_count(info['slots']),
+        port=port,
+        slots=notation.require_count(info['slots'], MAX_SLOTS),
         draining=_DRAINING_BY_STATE[status['state']],
-        sequence=_require_count(status['sequence']),
-        started_ms=_require_count(heartbeat.get('born', 0)),
+        sequence=notation.require_count(status['sequence']),
+        started_ms=notation.require_count(heartbeat.get('born', 0)),
         warmup_s=notation.parse_duration_s(status.get('coldLeft', '0ms')),
     )
 
@@ -152,7 +155,7 @@
     if not body:
         return 0
     notice: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
-    return _require_count(notice.get('born', 0))
+    return notation.require_count(notice.get('born', 0))
 
 
 def _decode_leave_start(instance: str, body: bytes) -> int:
@@ -167,18 +170,6 @@
         return 0
 
 
-def _require_text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a non-empty string')
-    return value
-
-
-def _require_count(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise TypeError(f'{value!r} is not a non-negative integer')
-    return value
-
-
 def setup(app: application.Application) -> None:
     """Register the service ``endpoints``."""
     app.add_service(
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -105,7 +105,7 @@
     """
     spec = obj['spec']
     status = obj.get('status') or {}
-    version = spec['targetVersion']
+    version = notation.require_text(spec['targetVersion'])
     phase = model.Phase.RUNNING
     # The status of an earlier order contains another version.
     has_status = status.get('targetVersion') == version
@@ -116,7 +116,7 @@
     # version that was deleted before.
     order_id = zlib.crc32(f'{version}/{meta["createRevision"]}'.encode())
     return model.Order(
-        spec['service'],
+        notation.require_text(spec['service']),
         order_id,
         version,
         notation.parse_duration_s(spec['duration']),
@@ -149,10 +149,10 @@
     spec = obj['spec']
     return model.NodeAddress(
         object_name(obj),
-        spec['host'],
-        int(spec['port']),
-        spec['region'],
-        spec['failure_domain'],
+        notation.require_host(spec['host']),
+        notation.require_port(spec['port']),
+        notation.require_text(spec['region']),
+        notation.require_text(spec['failure_domain']),
     )
 
 
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -20,6 +20,7 @@
 from damaskpier.fleet import store_watch
 from damaskpier.http1 import client
 from damaskpier.http1 import messages
+from damaskpier.platform import entry_lists
 from damaskpier.platform import objects
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# Length of the part of a response that is logged if it can not be read.
+EXCERPT_BYTES = 200
 
 # Statuses with which the store refuses a call without effect.
 _CODE_BY_STATUS = {
@@ -50,18 +53,39 @@
 }
 
 
+# Exceptions of the decoders for an object of another writer.
+_CONVERT_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 class _Response(NamedTuple):
     """Decoded response.
 
-    ``size`` is the length of the encoded body in bytes; ``transfer_s`` is
-    the time from the first to the last byte of the response in seconds.
+    ``encoded`` is the body as it was received; ``transfer_s`` is the time from
+    the first to the last byte of the response in seconds.
     """
 
     status: int
     body: dict[str, Any]
-    size: int
+    encoded: bytes
     transfer_s: float
 
+    @property
+    def size(self) -> int:
+        """Return the length of the encoded body in bytes."""
+        return len(self.encoded)
+
+    @property
+    def excerpt(self) -> str:
+        """Return the beginning of the body, for log lines."""
+        return self.encoded[:EXCERPT_BYTES].decode('utf-8', 'replace')
+
 
 class PlatformStore(store.FleetStore):
     """Client of the platform's store for its HTTP API.
@@ -316,15 +340,13 @@
                 _CODE_BY_STATUS[outcome.status], f'{method} {target}'
             )
         try:
-            decoded = msgspec.json.decode(
-                outcome.body or b'{}', type=dict[str, Any]
-            )
-        except msgspec.DecodeError as exc:
+            decoded = entry_lists.decode_response(outcome.body)
+        except entry_lists.DECODE_ERRORS as exc:
             return errors.Refusal(
                 errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
             )
         return _Response(
-            outcome.status, decoded, len(outcome.body), outcome.transfer_s
+            outcome.status, decoded, outcome.body, outcome.transfer_s
         )
 
 
@@ -347,9 +369,7 @@
         if isinstance(found, errors.Refusal):
             return found
         changed = [
-            obj
-            for obj in found.items
-            if objects.object_revision(obj) > changed_after
+            obj for obj in found.items if _has_changed(obj, changed_after)
         ]
         return store_watch.Page(changed, found.revision)
 
@@ -363,6 +383,14 @@
     return f'{path}/{parse.quote(name, safe="")}' if name else path
 
 
+def _has_changed(obj: objects.Object, changed_after: int) -> bool:
+    """Return whether an object has changed after a revision, or may have."""
+    try:
+        return objects.object_revision(obj) > changed_after
+    except _CONVERT_ERRORS:
+        return True
+
+
 def _object_in(answer: _Response) -> objects.Object:
     """Return the object in a response, with or without a wrapper."""
     found = answer.body.get('object')
@@ -373,13 +401,13 @@
     """Return the store's revision; None if it can not be read."""
     try:
         return int(answer.body['currentRev'])
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
 def _keep_named(found: list[Any]) -> list[objects.Object]:
     """Return the objects among the entries of an answer."""
-    named = [obj for obj in found if _has_name(obj)]
+    named = [obj for obj in found if _name_of(obj) is not None]
     if len(named) < len(found):
         LOG.error(
             'platform: skipped %d of %d entries, which have no name',
@@ -389,11 +417,13 @@
     return named
 
 
-def _has_name(obj: Any) -> bool:
+def _name_of(obj: Any) -> str | None:
+    """Return the name of what may be an object; None if it has none."""
     try:
-        return isinstance(objects.object_name(obj), str)
+        name = objects.object_name(obj)
     except (KeyError, TypeError):
-        return False
+        return None
+    return name if isinstance(name, str) else None
 
 
 def _convert(
@@ -401,22 +431,27 @@
 ) -> Any | None:
     try:
         return decode(obj)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        LOG.error('platform: invalid object: %r; %.200r', exc, obj)
+    except _CONVERT_ERRORS as exc:
+        # The object may be too deeply nested to be written out.
+        LOG.error(
+            'platform: invalid object %.200r: %.200r',
+            _name_of(obj),
+            exc,
+        )
         return None
 
 
 def _unreadable(answer: _Response) -> errors.Refusal:
     return errors.Refusal(
         errors.PLATFORM_UNKNOWN,
-        f'the answer can not be read: {str(answer.body)[:200]}',
+        f'the answer can not be read: {answer.excerpt}',
     )
 
 
 def _unexpected_status(answer: _Response) -> errors.Refusal:
     return errors.Refusal(
         errors.PLATFORM_UNKNOWN,
-        f'unexpected status {answer.status}: {str(answer.body)[:200]}',
+        f'unexpected status {answer.status}: {answer.excerpt}',
     )
 
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -516,6 +516,116 @@
     assert found.revision == 7
 
 
+DEEP = b'[' * 100_000 + b']' * 100_000
+# Text of an entry's specification, as another writer may leave it.
+ODD_SPECS = [
+    DEEP,
+    b'{"a":' * 5000 + b'1' + b'}' * 5000,
+    b'[' * 900 + b']' * 900,
+    b'1e999',
+    b'1' + b'0' * 30,
+    b'1' + b'0' * 6000,
+    b'-1e400',
+    b'NaN',
+    b'Infinity',
+    b'"\xff"',
+    b'"\\ud800"',
+    b'"]}{[\\""',
+]
+
+
+@pytest.mark.parametrize('spec', ODD_SPECS, ids=range(len(ODD_SPECS)))
+@pytest.mark.parametrize('kind', ['items', 'events'])
+async def test_entry_of_another_writer_does_not_hide_the_others(kind, spec):
+    """Nodes ended, or stopped following the list, for one odd entry.
+
+    It may be nested deeply or have a number that is too large (issue 20).
+    """
+    odd = b'{"metadata":{"name":"odd","rev":5},"spec":%s}' % spec
+    good = b'{"metadata":{"name":"%s","rev":4}}'
+    entries = [good % b'a', odd, good % b'b']
+    if kind == 'events':
+        entries = [b'{"object":%s,"deleted":false}' % item for item in entries]
+    body = b'{"currentRev":7,"hasMore":false,"%s":[%s]}' % (
+        kind.encode(),
+        b' , '.join(entries),
+    )
+
+    async def answer(head, writer):
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
+
+    def call(client):
+        if kind == 'items':
+            return client.list_objects('config')
+        return client.watch_objects('config', 3)
+
+    found = await _call_from(answer, call)
+    assert found.revision == 7
+    names = [objects.object_name(obj) for obj in found.items]
+    assert names in (['a', 'b'], ['a', 'odd', 'b'])
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        {'port': 99999},
+        {'port': 0},
+        {'port': -1},
+        {'port': 1e300},
+        {'port': 7.0},
+        {'port': True},
+        {'port': '7'},
+        {'port': 10**30},
+        {'host': ['10.0.0.1']},
+        {'host': 'no-address'},
+        {'host': ''},
+        {'host': 'a' * 100},
+        {'region': 5},
+        {'region': None},
+        {'failure_domain': {}},
+        {'failure_domain': ''},
+    ],
+    ids=str,
+)
+async def test_odd_entry_of_the_directory_is_skipped(fake, client, spec):
+    """A node could not register while there was one (issue 20)."""
+    assert await client.register(NODE) is None
+    fake.put(
+        objects.NODE_KIND, 'odd', {**objects.spec_from_node(NODE), **spec}
+    )
+    assert await client.directory() == [NODE]
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        {'service': ['s1']},
+        {'service': ''},
+        {'targetVersion': {}},
+        {'targetVersion': None},
+        {'duration': '9' * 400 + 's'},
+        {'duration': '٣s'},
+    ],
+    ids=str,
+)
+async def test_odd_order_is_skipped(fake, client, spec):
+    fake.put(objects.ORDER_KIND, 'odd', {**ORDER, **spec})
+    fake.put(objects.ORDER_KIND, 's1', ORDER)
+    (order,) = await _next_good(client.orders())
+    assert order.service == 's1'
+
+
+async def test_odd_revision_does_not_end_the_reads_of_a_burst(fake, client):
+    """An entry whose revision can not be read counts as changed."""
+    fake.put('config', 'odd', {})
+    fake.objects['config']['odd']['metadata']['rev'] = 'x'
+    reader = store._KindReader(client, 'config')
+    found = await reader.read(1)
+    assert [objects.object_name(obj) for obj in found.items] == ['odd']
+
+
 async def test_reply_without_end_is_not_kept():
     """A store that sends bytes without end must not fill the memory."""
     sent = 0
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -105,7 +105,17 @@
     assert endpoints.decode_leave(body) == expected
 
 
-@pytest.mark.parametrize('body', [b'\xff\xfe', b'[]', b'{"born":1.5}'])
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'\xff\xfe',
+        b'[]',
+        b'{"born":1.5}',
+        b'{"born":%d}' % 10**30,
+        b'[' * 100_000,
+        b'{"a":' * 100_000 + b'1' + b'}' * 100_000,
+    ],
+)
 def test_invalid_leave_notice_is_refused(body: bytes):
     with pytest.raises(endpoints.DECODE_ERRORS):
         endpoints.decode_leave(body)
@@ -123,7 +133,32 @@
         _beat(status={'state': 'ready', 'sequence': 'one'}),
         _beat(status={'state': ['ready'], 'sequence': 1}),
         _beat(address=7),
+        _beat(address='10.0.0.1:99999'),
+        _beat(address='10.0.0.1:0'),
+        _beat(address='10.0.0.1:-1'),
+        _beat(address='10.0.0.1:' + '9' * 5000),
+        _beat(address='10.0.0.1: 80'),
+        _beat(address='10.0.0.1:٣'),
+        _beat(address='10.0.0.1'),
+        _beat(address='no-address:80'),
+        _beat(address=':80'),
         _beat(born=1.5),
+        _beat(born=-1),
+        _beat(born=10**30),
+        _beat(status={'state': 'ready', 'sequence': 10**30}),
+        _beat(info={'service': 'reads', 'version': 'v1', 'slots': 10**30}),
+        _beat(info={'service': 'reads', 'version': 'v1', 'slots': 2**32}),
+        _beat(info={'service': 'reads', 'version': 'v1', 'slots': True}),
+        _beat(
+            status={
+                'state': 'ready',
+                'sequence': 1,
+                'coldLeft': '9' * 400 + 's',
+            }
+        ),
+        b'{"info":' + b'[' * 100_000 + b']' * 100_000 + b'}',
+        _beat().replace(b'6', b'1e999', 1),
+        b'{"address":NaN}',
     ],
 )
 def test_invalid_heartbeat_is_refused(body: bytes):
