--- a/damaskpier/util/limited_curl.py
+++ b/damaskpier/util/limited_curl.py
@@ -34,6 +34,8 @@
     ) -> None:
         self.is_exhausted = False
         self.line_count = 0
+        # Whether a head has begun and its empty line has not arrived.
+        self.is_in_head = False
         self._client = client
         self._curl = curl
         self._buffer = buffer
@@ -48,6 +50,14 @@
             self._client.end_exhausted, self._curl, self
         )
 
+    def add_header_line(self, line: bytes) -> None:
+        """Record a line of a head or of the trailers."""
+        self.line_count += 1
+        if line.startswith(b'HTTP/'):
+            self.is_in_head = True
+        elif not line.strip(b'\r\n'):
+            self.is_in_head = False
+
     def write(self, chunk: bytes) -> int:
         """Add a part of the body; the result 0 ends the transfer."""
         if self._buffer.tell() + len(chunk) > self._client.max_body_size:
@@ -112,7 +122,7 @@
         curl.setopt(pycurl.WRITEFUNCTION, transfer.write)
 
         def add_header_line(line: bytes) -> int | None:
-            transfer.line_count += 1
+            transfer.add_header_line(line)
             if transfer.line_count > MAX_HEADER_LINES:
                 return 0  # ends the transfer
             self._curl_header_callback(headers, request.header_callback, line)
@@ -138,6 +148,11 @@
             elif transfer.line_count > MAX_HEADER_LINES:
                 curl_error = pycurl.E_RECV_ERROR
                 curl_message = f'more than {MAX_HEADER_LINES} header lines'
+            elif curl_error is None and transfer.is_in_head:
+                # libcurl takes the end of the connection for that of the head
+                # unless a length was stated before.
+                curl_error = pycurl.E_RECV_ERROR
+                curl_message = 'the connection was closed within the head'
             elif curl.info['body_too_large']:
                 # E_WRITE_ERROR also stands for a malformed header.
                 curl_error = pycurl.E_FILESIZE_EXCEEDED
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -113,6 +113,31 @@
     assert outcome.sent
 
 
+LATE_UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Id: earlier\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'before', [b'', b'HTTP/1.1 102 Processing\r\n\r\n', LATE_UNFRAMED]
+)
+async def test_head_that_is_cut_off_is_a_failure(scripted, options, before):
+    """A head counts only with its empty line, whatever came before it."""
+    head = b'HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Server: s\r\n\r\n'
+    length = 0
+
+    async def script(reader, writer):
+        await _read_request(reader)
+        writer.write(before + head[:length])
+        await writer.drain()
+
+    pool = await scripted(script)
+    for length in range(len(head)):
+        outcome = await pool.request(
+            conftest.GET, options(id_header='x-id', request_id='r')
+        )
+        assert isinstance(outcome, messages.Failure), length
+        assert outcome.sent
+
+
 async def test_response_without_length_ends_with_the_connection(
     scripted, options
 ):
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -485,3 +485,52 @@
     return await client.run(
         curl_client.make_request(url, method, (), b'', 5, fresh=True)
     )
+
+
+STAMPED = (
+    b'HTTP/1.1 200 OK\r\nX-Server: s\r\n'
+    b'Content-Length: 2\r\nX-Last: l\r\n\r\nok'
+)
+HEAD_END = STAMPED.index(b'\r\n\r\n') + 4
+
+
+@pytest.mark.parametrize('length', range(HEAD_END))
+async def test_head_that_is_cut_off_is_a_failure(client, listen, length):
+    """libcurl takes it for a complete answer without a body.
+
+    Callers got 200 with an empty body (issue 20).
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(STAMPED[:length])
+        writer.close()
+
+    url = await listen(serve)
+    outcome = await client.run(
+        curl_client.make_request(url, 'GET', (), b'', 5.0, fresh=True)
+    )
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\nok',
+        b'HTTP/1.1 102 Processing\r\n\r\n' + OK,
+        CHUNKED + b'2\r\nok\r\n0\r\nX-A: b\r\n\r\n',
+    ],
+    ids=['no-length', 'interim', 'trailers'],
+)
+async def test_head_that_has_ended_is_no_failure(client, listen, answer):
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        writer.close()
+
+    url = await listen(serve)
+    response = await client.run(
+        curl_client.make_request(url, 'GET', (), b'', 5.0, fresh=True)
+    )
+    assert response.body == b'ok'
