Believe a refusal only if it can not be an earlier one

Cause: the identifier of a response shows that it belongs to another request only if it is there and differs. A refusal without one, or of a request that came back to the worker that had refused it, was taken for the refusal of the request that ran. Change: a request uses no connection on which a request with its identifier was refused; a refusal without an identifier ends the use of its connection, and behind other refusals it is a failure with an unknown run. Other refusals keep their connection, up to 64.

--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -599,6 +599,7 @@
                 id_header=self._codec.id_header,
                 request_id=request.request_id,
                 may_stay_unread=True,
+                is_refusal=self._is_refusal,
             ),
         )
         took_s = self._clock() - began
@@ -633,6 +634,11 @@
             outcome.status, outcome.headers, outcome.body, took_s
         )
 
+    def _is_refusal(self, response: http_messages.Response) -> bool:
+        return self._codec.is_not_run(
+            response
+        ) or self._codec.is_other_instance(response)
+
     def _handle_failure(
         self, failure: http_messages.Failure
     ) -> errors.Refusal:
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -52,6 +52,8 @@
 # the request. A connection carries one request at a time, so that a server
 # that works sends none or one.
 MAX_LATE_COUNT = 16
+# Refusals after which a connection is not used again.
+MAX_REFUSED_COUNT = 64
 # The largest bodies are downloads of a few MB.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Limit of all responses that a process receives at one time. The smallest
@@ -87,7 +89,8 @@
     records when data arrives. ``connect_timeout_s`` limits the time to connect
     beside the limit of the pool. ``may_stay_unread`` tells that the server may
     read a long request late, so that the user timeout of the pool does not
-    apply to it.
+    apply to it. ``is_refusal`` returns whether a response promises that the
+    request did not run; see :class:`Connection`.
     """
 
     deadline: float
@@ -100,6 +103,7 @@
     activity: Activity | None = None
     connect_timeout_s: float = float('inf')
     may_stay_unread: bool = False
+    is_refusal: Callable[[messages.Response], bool] | None = None
 
 
 class Pool:
@@ -148,7 +152,7 @@
         :param data: encoded request
         """
         loop = asyncio.get_running_loop()
-        conn = self._pop_reusable(loop.time(), options.max_idle_s)
+        conn = self._pop_reusable(loop.time(), options)
         self.in_use += 1
         try:
             if conn is None:
@@ -216,22 +220,20 @@
             conn.close()
         return outcome
 
-    def _pop_reusable(
-        self, now: float, max_idle_s: float
-    ) -> Connection | None:
+    def _pop_reusable(self, now: float, options: Options) -> Connection | None:
         if self._silent_since is not None:
             return None
-        while self._idle:
-            conn = self._idle.pop()
+        for conn in reversed(self._idle[:]):
             if not conn.is_open or now >= conn.expires_at:
+                self._idle.remove(conn)
                 conn.close()
-            elif now - conn.idle_since <= max_idle_s:
-                return conn
-            else:
+            elif now - conn.idle_since > options.max_idle_s:
                 # The list is ordered by last use, so all others have been
                 # idle for longer.
-                self._idle.append(conn)
                 return None
+            elif conn.may_carry(options):
+                self._idle.remove(conn)
+                return conn
         return None
 
     async def _connect(
@@ -263,6 +265,12 @@
 class Connection(asyncio.Protocol, memory.Receiver):
     """One connection to a server.
 
+    A faulty server may write a refusal again when the next request has been
+    sent, which may run. If the refusal is not identified, or identifies that
+    request, it would be taken for its own. So no request uses a connection on
+    which one with its identifier was refused, and a refusal without one ends
+    the use of its connection.
+
     :param pool: pool that the connection belongs to
     """
 
@@ -289,8 +297,18 @@
         self._has_long_user_timeout = False
         self._interim_header_bytes = 0
         self._late_count = 0
+        self._refused_ids: set[str] = set()
         self._init_parser()
 
+    def may_carry(self, options: Options) -> bool:
+        """Return whether a refusal of a request would be its own."""
+        if not self._refused_ids or options.is_refusal is None:
+            return True
+        return (
+            options.request_id != ''
+            and options.request_id not in self._refused_ids
+        )
+
     @property
     def is_open(self) -> bool:
         """Return whether a request can be sent.
@@ -549,6 +567,10 @@
             now - self._began_at,
         )
         self._discard_message()
+        if self._options.is_refusal and self._options.is_refusal(response):
+            if not self._record_refusal(response):
+                self._fail_unidentified(fut)
+                return
         if self._is_ended_by_close or not self._parser.should_keep_alive():
             self.is_reusable = False
         if self._has_unread_request():
@@ -564,6 +586,34 @@
         if not fut.done():
             fut.set_result(response)
 
+    def _record_refusal(self, response: messages.Response) -> bool:
+        """Record a refusal.
+
+        :returns: whether it is certain to be that of the request, and not an
+            earlier one
+        """
+        options = self._options
+        identifier = response.header(options.id_header)
+        if not identifier:
+            self.is_reusable = False
+            return not self._refused_ids
+        self._refused_ids.add(identifier)
+        if len(self._refused_ids) >= MAX_REFUSED_COUNT:
+            self.is_reusable = False
+        return True
+
+    def _fail_unidentified(
+        self, fut: asyncio.Future[messages.Response | messages.Failure]
+    ) -> None:
+        if not fut.done():
+            fut.set_result(
+                messages.Failure(
+                    'a refusal without an identifier on a connection with '
+                    'earlier ones',
+                    True,
+                )
+            )
+
     def _has_unread_request(self) -> bool:
         if self._transport.get_write_buffer_size():
             return True
--- a/tests/test_fleet/test_retries.py
+++ b/tests/test_fleet/test_retries.py
@@ -13,6 +13,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.http1 import messages
+from damaskpier.platform import headers
 from damaskpier.traffic import admission
 from damaskpier.traffic import retry
 
@@ -253,3 +254,38 @@
     resume.set()
     bodies = {(await task).body for task in tasks}
     assert bodies == {b'i-0x', b'i-1x'}
+
+
+async def test_refused_request_comes_back_on_another_connection(
+    fleet, monkeypatch
+):
+    """A faulty worker may write the refusal again while it runs the request.
+
+    The caller of a request that may run once at most was told that it had not
+    run (issue 20, REFUSED).
+    """
+    node = await fleet.add()
+    await fleet.wait_converged()
+    opened = []
+    add_connection = node.upstream.server.add_connection
+
+    def count_connection(conn):
+        opened.append(conn)
+        add_connection(conn)
+
+    monkeypatch.setattr(
+        node.upstream.server, 'add_connection', count_connection
+    )
+
+    async def refuse(request: messages.Request) -> messages.Response:
+        return messages.Response(503, ((headers.NOT_RUN, '1'),))
+
+    node.upstream.answer = refuse
+    assert (await node.request('/write/1', 'POST')).status == 503
+    node.upstream.answer = node.upstream.ok
+    assert (await node.request('/write/1', 'POST')).status == 200
+    assert len(opened) == 2
+    assert (
+        await node.request('/write/1', 'POST', request_id='r2')
+    ).status == 200
+    assert len(opened) == 2
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -1057,3 +1057,126 @@
         await asyncio.sleep(0)
     assert (await pool.request(conftest.GET, options())).body == b'ok'
     assert pool.opened_count == 2
+
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n'
+
+
+def _is_refusal(response: messages.Response) -> bool:
+    return bool(response.header('x-not-run'))
+
+
+def _refusal(identifier: str) -> bytes:
+    if not identifier:
+        return REFUSAL + b'\r\n'
+    return REFUSAL + b'X-Id: %s\r\n\r\n' % identifier.encode()
+
+
+@pytest.fixture
+async def refuse_again(scripted, options):
+    """Return a function that sends two requests to a faulty server.
+
+    The server refuses the first request. When it has the second one on the
+    same connection, it runs that and writes a refusal again; on a new
+    connection, it answers with ``ok``.
+    """
+
+    async def send(
+        ids: tuple[str, str], refusals: tuple[bytes, bytes]
+    ) -> tuple[list[messages.Response | messages.Failure], int]:
+        connections = 0
+
+        async def script(reader, writer):
+            nonlocal connections
+            connections += 1
+            await _read_request(reader)
+            if connections > 1:
+                writer.write(OK)
+                return
+            writer.write(refusals[0])
+            await _read_request(reader)
+            writer.write(refusals[1])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(OK)
+
+        pool = await scripted(script)
+        outcomes = [
+            await pool.request(
+                conftest.GET,
+                options(
+                    id_header='x-id',
+                    request_id=identifier,
+                    is_refusal=_is_refusal,
+                ),
+            )
+            for identifier in ids
+        ]
+        return outcomes, connections
+
+    return send
+
+
+@pytest.mark.parametrize(
+    ('ids', 'refusals', 'connections'),
+    [
+        # The request comes back to the server that has refused it.
+        (('a', 'a'), (_refusal('a'), _refusal('a')), 2),
+        (('a', 'a'), (_refusal('a'), _refusal('')), 2),
+        (('a', 'b'), (_refusal(''), _refusal('')), 2),
+        (('', ''), (_refusal(''), _refusal('')), 2),
+        (('a', ''), (_refusal('a'), _refusal('a')), 2),
+        # The refusal of another request is dropped.
+        (('a', 'b'), (_refusal('a'), _refusal('a')), 1),
+    ],
+)
+async def test_refusal_that_is_written_again_is_not_believed(
+    refuse_again, ids, refusals, connections
+):
+    """Callers were told that a request had not run while it ran.
+
+    It then ran at a second worker, too (issue 20, REFUSED, TWICE).
+    """
+    outcomes, opened = await refuse_again(ids, refusals)
+    assert outcomes[0].status == 503
+    assert outcomes[1].status == 200
+    assert opened == connections
+
+
+async def test_unidentified_refusal_after_another_one_proves_nothing(
+    refuse_again,
+):
+    """The request may run, so that it is neither refused nor sent again."""
+    outcomes, opened = await refuse_again(
+        ('a', 'b'), (_refusal('a'), _refusal(''))
+    )
+    assert isinstance(outcomes[1], messages.Failure)
+    assert outcomes[1].sent
+    assert opened == 1
+
+
+async def test_connection_of_refused_requests_is_used_again(scripted, options):
+    """A worker that is full must not get a connection for each refusal."""
+    connections = 0
+
+    async def script(reader, writer):
+        nonlocal connections
+        connections += 1
+        for number in range(client.MAX_REFUSED_COUNT):
+            await _read_request(reader)
+            writer.write(_refusal(f'r{number}'))
+        await reader.read()
+
+    pool = await scripted(script)
+    for number in range(client.MAX_REFUSED_COUNT):
+        outcome = await pool.request(
+            conftest.GET,
+            options(
+                id_header='x-id',
+                request_id=f'r{number}',
+                is_refusal=_is_refusal,
+            ),
+        )
+        assert outcome.status == 503
+    assert connections == 1
+    assert not pool._idle
