--- a/tests/test_fleet/test_selector.py
+++ b/tests/test_fleet/test_selector.py
@@ -73,13 +73,15 @@
     ms: float,
     in_use: int = 0,
     status: int = 200,
+    **load: float,
 ) -> None:
     worker = selector_._workers[f'n-{domain}']
     selector_.record_start(worker)
     selector_.record_outcome(
         worker,
         messages.Reply(
-            messages.Answer(status, (), b''), messages.Load(6, in_use, 0)
+            messages.Answer(status, (), b''),
+            messages.Load(6, in_use, 0, **load),
         ),
         ms / 1000,
     )
@@ -154,22 +156,6 @@
     assert worker.latency_s == latency_s
 
 
-def _report_busy_link(
-    selector_: selector.Selector, domain: str, link_busy_s: float
-) -> None:
-    """Receive a short answer from a node whose link is taken."""
-    worker = selector_._workers[f'n-{domain}']
-    selector_.record_start(worker)
-    selector_.record_outcome(
-        worker,
-        messages.Reply(
-            messages.Answer(200, (), b''),
-            messages.Load(6, 1, 0, link_busy_s),
-        ),
-        0.1,
-    )
-
-
 def test_large_responses_leave_a_full_link(selector_, now):
     """Large responses wait for seconds at a node with free slots.
 
@@ -178,11 +164,11 @@
     """
     for domain in DOMAINS:
         _answer(selector_, domain, 100.0)
-    _report_busy_link(selector_, 'a1', 1.5)
+    _answer(selector_, 'a1', 100.0, link_busy_s=1.5)
     assert _picks(selector_, LARGE) == {'a2': 200}
     # Short responses do not wait for the others.
     assert _picks(selector_, SMALL) == {'a1': 200}
-    _report_busy_link(selector_, 'a2', 1.5)
+    _answer(selector_, 'a2', 100.0, link_busy_s=1.5)
     assert not {'a1', 'a2'} & set(_picks(selector_, LARGE))
     # What waited has been sent.
     now[0] = 1.5
@@ -193,15 +179,7 @@
     """Requests that wait for its rate are late while others have room."""
     for domain in DOMAINS:
         _answer(selector_, domain, 100.0)
-    worker = selector_._workers['n-a1']
-    selector_.record_start(worker)
-    selector_.record_outcome(
-        worker,
-        messages.Reply(
-            messages.Answer(200, (), b''), messages.Load(6, 1, 0, wait_s=0.5)
-        ),
-        0.1,
-    )
+    _answer(selector_, 'a1', 100.0, wait_s=0.5)
     assert _picks(selector_, SMALL) == {'a2': 200}
     now[0] = 0.5
     assert _picks(selector_, SMALL) == {'a1': 200}
@@ -211,7 +189,7 @@
     for domain in DOMAINS:
         _answer(selector_, domain, 100.0)
     for domain in ('a1', 'a2'):
-        _report_busy_link(selector_, domain, 0.4)
+        _answer(selector_, domain, 100.0, link_busy_s=0.4)
     assert _picks(selector_, LARGE) == {'a1': 200}
 
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -432,6 +432,24 @@
     return await _call_from(answer, lambda store_: store_.list_objects('c'))
 
 
+def _answer_with(body):
+    """Return a function that answers each call with a body."""
+
+    async def answer(head, writer):
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
+
+    return answer
+
+
+def _read_kind(client, kind):
+    """Read or watch objects, for a response with a list of this name."""
+    if kind == 'items':
+        return client.list_objects('config')
+    return client.watch_objects('config', 3)
+
+
 async def _call_from(answer, call):
     """Return the result of a call of the client that a function answers."""
 
@@ -481,12 +499,7 @@
     start again without the backoff for a store in trouble.
     """
 
-    async def answer(head, writer):
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
-        )
-
-    found = await _call_from(answer, call)
+    found = await _call_from(_answer_with(body), call)
     assert isinstance(found, errors.Refusal)
     assert found.code is errors.PLATFORM_UNKNOWN
 
@@ -496,22 +509,13 @@
 async def test_entry_that_can_not_be_read_is_skipped(kind, entry):
     """An entry that is no object does not hide the others of its page."""
     good = {'metadata': {'name': 'good', 'rev': 4}}
-
-    async def answer(head, writer):
-        entries = [entry, good]
-        if kind == 'events':
-            entries = [entry, {'object': entry}, {'object': good}]
-        body = msgspec.json.encode({kind: entries, 'currentRev': 7})
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
-        )
-
-    def call(client):
-        if kind == 'items':
-            return client.list_objects('config')
-        return client.watch_objects('config', 3)
-
-    found = await _call_from(answer, call)
+    entries = [entry, good]
+    if kind == 'events':
+        entries = [entry, {'object': entry}, {'object': good}]
+    body = msgspec.json.encode({kind: entries, 'currentRev': 7})
+    found = await _call_from(
+        _answer_with(body), lambda client: _read_kind(client, kind)
+    )
     assert found.items == [good]
     assert found.revision == 7
 
@@ -550,18 +554,9 @@
         kind.encode(),
         b' , '.join(entries),
     )
-
-    async def answer(head, writer):
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
-        )
-
-    def call(client):
-        if kind == 'items':
-            return client.list_objects('config')
-        return client.watch_objects('config', 3)
-
-    found = await _call_from(answer, call)
+    found = await _call_from(
+        _answer_with(body), lambda client: _read_kind(client, kind)
+    )
     assert found.revision == 7
     names = [objects.object_name(obj) for obj in found.items]
     assert names in (['a', 'b'], ['a', 'odd', 'b'])
