--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -23,7 +23,7 @@
 # Numbers of running requests, queued requests and slots, separated by commas.
 LOAD = 'X-Server-Load'
 # Requests a second, a decimal number, that an upstream takes from all nodes
-# together; not a limit of the platform's servers.
+# together. The platform calls an upstream a server.
 RATE_LIMIT = 'Server-Limit'
 # Set in all responses of an upstream that is leaving.
 LEAVING = 'Server-Leaving'
--- a/damaskpier/traffic/start_limits.py
+++ b/damaskpier/traffic/start_limits.py
@@ -20,8 +20,8 @@
 # Routes with a response size of their own. The limit bounds the memory when
 # bundles rename their routes often.
 MAX_ROUTE_COUNT = 1024
-# Requests that are allowed at once after a pause, as the time in which a rate
-# limit allows as many.
+# Size of the token bucket: after a pause, as many requests may start at once
+# as the rate allows in this time.
 RATE_BURST_S = 0.25
 # Requests a second that an upstream gets in any case, because it lifts its
 # limit in the answer to one of them.
