Take no request that may outlast a planned stop

What callers saw: in a planned stop, a request on a connection that was kept open was taken at any time, also shortly before the running ones have to end. Cause: a stopping node closes connections behind their next response only, and did not compare the time limit of a late request with the rest of the grace. Change: from 3 s after SIGTERM on, a request that may not be repeated is refused as not run unless its time limit fits into the rest; a repeatable one gets the rest as its time limit, so that the calls of the local worker's last requests go on.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -44,6 +46,14 @@
 FINISH_GRACE_RATIO = 0.87
 # Time for the responses to requests that have not ended by then.
 LAST_RESPONSES_S = 0.1
+# From this time after SIGTERM on, and from SERVE_GRACE_RATIO of the grace
+# period on, a request is passed on only if its time limit is over before the
+# running ones have to end. Earlier, the rest of the grace is long enough for
+# nearly all requests, and their callers have no other node yet.
+SERVE_ALL_S = 3.0
+# Time limits end this much before the running requests have to, so that the
+# answer of a worker that reaches its limit still arrives.
+STOP_MARGIN_S = 0.1
 # Time limit of a request for which neither the caller nor the route sets one.
 DEFAULT_DEADLINE_S = 5.0
 # Retry-After of a refused request: about as long as a request occupies a slot
@@ -71,6 +81,34 @@
 }
 
 
+class _Stop(NamedTuple):
+    """Times of a planned stop, of the service's clock in seconds.
+
+    Before ``serves_all_until``, every request is passed on. Those that are
+    passed on later have to end before ``ends_at``.
+    """
+
+    serves_all_until: float = math.inf
+    ends_at: float = math.inf
+
+    def limit_s(
+        self, began: float, limit_s: float, is_repeatable: bool
+    ) -> float:
+        """Return the time limit of a request in seconds.
+
+        A repeatable request gets what is left. One that may not be repeated
+        would be lost if it ran into the shorter limit.
+
+        :param began: arrival of the request
+        :param limit_s: time limit without the stop
+        :returns: 0 or less if the request must not be passed on
+        """
+        left_s = self.ends_at - began
+        if began < self.serves_all_until or limit_s <= left_s:
+            return limit_s
+        return left_s if is_repeatable else 0.0
+
+
 class Ingress(registry.Service):
     """HTTP server that routes the requests of callers.
 
@@ -103,6 +141,7 @@
         self._arriving = 0
         # Latest time at which a refused caller may retry.
         self._retries_until = 0.0
+        self._stop = _Stop()
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -118,6 +157,11 @@
     async def stop(self) -> None:
         """Drain the node without interrupting a request."""
         began = self._clock()
+        served_until = began + SERVE_GRACE_RATIO * self._grace_s
+        until = began + FINISH_GRACE_RATIO * self._grace_s
+        self._stop = _Stop(
+            min(began + SERVE_ALL_S, served_until), until - STOP_MARGIN_S
+        )
         self.server.start_draining()
         await self._wait_for_callers(
             began + WORKER_GRACE_RATIO * self._grace_s
@@ -126,7 +170,6 @@
         # missing when many nodes restart one after the other.
         self._app.service('worker').drain_node()
         peer_server = self._app.service('peer-server')
-        served_until = began + SERVE_GRACE_RATIO * self._grace_s
         await peer_server.drain(served_until)
         await self._wait_for_callers(served_until)
         LOG.info(
@@ -135,7 +178,6 @@
             self._clock() - began,
             self._unready_probes,
         )
-        until = began + FINISH_GRACE_RATIO * self._grace_s
         remaining_s = until - self._clock()
         timer = asyncio.get_running_loop().call_later(
             remaining_s, self._abandon_requests
@@ -224,6 +266,13 @@
         limit_s = route.timeout_s or DEFAULT_DEADLINE_S
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
+        limit_s = self._stop.limit_s(began, limit_s, route.repeatable)
+        if limit_s <= 0:
+            outcome = _refused_outcome(
+                errors.CALL_DRAINING,
+                'the node may end before the request does',
+            )
+            return self._respond(metadata, route, outcome, began)
         outcome = await self._route(
             metadata,
             route,
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -343,14 +343,15 @@
     """Stop of a node in which time passes only by hand.
 
     :param node: node to stop, with all intervals between checks set to 0
+    :param grace_s: grace period in seconds
     """
 
-    def __init__(self, node: conftest.Node) -> None:
+    def __init__(self, node: conftest.Node, grace_s: float = 1000.0) -> None:
         self._ingress = node.app.service('ingress')
         self._now = self._ingress._clock()
         self._clock_reads = 0
         self._ingress._clock = self._read_clock
-        self._ingress._grace_s = 1000.0
+        self._ingress._grace_s = grace_s
         self.task = asyncio.create_task(self._ingress.stop())
 
     async def fail_probes(self) -> None:
@@ -364,10 +365,15 @@
         self._now += duration_s
 
     async def settle(self) -> None:
-        """Wait until the stop has checked many times or has ended."""
+        """Wait until the stop has checked many times or closed the port."""
         enough = self._clock_reads + 100
+        port = self._ingress.server._server
         await conftest.wait_until(
-            lambda: self._clock_reads > enough or self.task.done()
+            lambda: (
+                self._clock_reads > enough
+                or not port.is_serving()
+                or self.task.done()
+            )
         )
 
     def _read_clock(self) -> float:
@@ -484,6 +490,134 @@
     await stopping
 
 
+class KeptConnection:
+    """Connection of a caller that stays open during a stop.
+
+    :param node: node that the caller uses
+    """
+
+    def __init__(self, node: conftest.Node) -> None:
+        port = node.app.service('ingress').server.port
+        self._pool = client.Pool(conftest.HOST, port)
+
+    async def send(
+        self, method: str, target: str
+    ) -> messages.Response | messages.Failure:
+        """Send a request that may take 10 s."""
+        fields = (
+            ('Host', 'h.example'),
+            (headers.REQUEST_ID, f'{method}-{target}'),
+            (headers.DEADLINE_MS, '10000'),
+        )
+        return await self._pool.request(
+            messages.encode_request(method, target, fields, b''),
+            client.Options(
+                asyncio.get_running_loop().time() + conftest.TEST_TIMEOUT_S
+            ),
+        )
+
+
+class LateStop:
+    """Stop of a node that waits for one running request.
+
+    :param node: node that stops
+    :param other: node beside the only upstream
+    """
+
+    def __init__(self, node: conftest.Node, other: conftest.Node) -> None:
+        self.upstream = other.upstream
+        self.kept = KeptConnection(node)
+        self._node = node
+        self._answer = other.upstream.answer
+        self._resume = asyncio.Event()
+        self._is_held = asyncio.Event()
+        other.upstream.answer = self._hold_first
+
+    async def begin(self, after_s: float, grace_s: float = 1000.0) -> None:
+        """Begin the stop with an open connection and let time pass."""
+        assert (await self.kept.send('GET', '/read/0')).status == 200
+        self._held = asyncio.create_task(
+            self._node.request('/read/hold', request_id='hold')
+        )
+        await self._is_held.wait()
+        stop = StopWithoutTime(self._node, grace_s)
+        ingress = self._node.app.service('ingress')
+        await conftest.wait_until(lambda: ingress.server.draining)
+        stop.advance(after_s)
+        await stop.settle()
+        self._stop, self._grace_s = stop, grace_s
+
+    async def end(self) -> None:
+        """Let the running request and the stop end."""
+        self._resume.set()
+        assert (await self._held).status == 200
+        self._stop.advance(self._grace_s)
+        await asyncio.wait_for(self._stop.task, conftest.TEST_TIMEOUT_S)
+
+    async def _hold_first(self, request: messages.Request):
+        if request.path == '/read/hold':
+            self._is_held.set()
+            await self._resume.wait()
+        return await self._answer(request)
+
+
+@pytest.fixture
+async def late_stop(fleet, no_stop_intervals) -> LateStop:
+    """Return a stop that has not begun, of a node without an upstream."""
+    node = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+    return LateStop(node, other)
+
+
+@pytest.mark.parametrize('tenth', range(9))
+async def test_request_that_fits_into_the_grace_is_served(late_stop, tenth):
+    """A stop must not refuse what can end before it.
+
+    It ends after 870 s, and the request may take 10 s.
+    """
+    await late_stop.begin(100.0 * tenth + 50.0)
+    assert (await late_stop.kept.send('POST', '/write/1')).body == b'i-1'
+    await late_stop.end()
+
+
+async def test_late_request_that_may_outlast_the_stop_has_not_run(late_stop):
+    """A request late in the grace must not be cut while it runs.
+
+    Its caller would not know whether it ran, and must not repeat it.
+    """
+    await late_stop.begin(865.0)
+    ran = len(late_stop.upstream.ran)
+    late = await late_stop.kept.send('POST', '/write/1')
+    assert late.status == 503
+    assert late.header(headers.RETRY_AFTER.lower())
+    assert len(late_stop.upstream.ran) == ran
+    await late_stop.end()
+
+
+async def test_late_repeatable_request_has_to_end_before_the_stop(late_stop):
+    """A call of the local upstream must not be refused for its time limit.
+
+    The upstream that runs it answers before the end of the grace.
+    """
+    await late_stop.begin(865.0)
+    assert (await late_stop.kept.send('GET', '/read/1')).body == b'i-1'
+    limit_ms = late_stop.upstream.ran[-1].header(headers.DEADLINE_MS.lower())
+    # Time has passed for the ingress only.
+    assert 4.0 < int(limit_ms) / 1000 - 865.0 < 5.0
+    await late_stop.end()
+
+
+async def test_early_request_in_a_short_grace_is_served(late_stop):
+    """Few requests take as long as their time limit allows.
+
+    All requests of the first seconds of a stop would be refused otherwise.
+    """
+    await late_stop.begin(2.0, grace_s=6.0)
+    assert (await late_stop.kept.send('POST', '/write/1')).body == b'i-1'
+    await late_stop.end()
+
+
 async def test_request_that_outlasts_the_stop_gets_a_failure(fleet):
     """A node must not close a connection without an answer when it stops.
 
