Compute expected times once a route when requests wait for a slot

Cause: each request that arrives at a full worker or ends there computed the expected time of every waiting one, several times, and each of these made a new pacer that was thrown away. Change: an operation on the queue keeps the time of each route; the pacer of an event loop is made once. Decisions are the same. The new test counts how often the times are computed and fails on the code before.

--- a/damaskpier/http1/pacing.py
+++ b/damaskpier/http1/pacing.py
@@ -475,4 +475,8 @@
 
 def running_pacer() -> Pacer:
     """Return the pacer that all servers on the running event loop share."""
-    return _pacers.setdefault(asyncio.get_running_loop(), Pacer())
+    loop = asyncio.get_running_loop()
+    pacer = _pacers.get(loop)
+    if pacer is None:
+        pacer = _pacers[loop] = Pacer()
+    return pacer
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -97,6 +97,25 @@
     number: int
 
 
+class _PerRoute(dict[str, float]):
+    """Times of routes in seconds, each computed at its first use.
+
+    A queue holds many requests of few routes, and is looked at for each
+    request that arrives or ends.
+
+    :param compute: returns the time of a route in seconds
+    """
+
+    def __init__(self, compute: Callable[[str], float]) -> None:
+        super().__init__()
+        self._compute = compute
+
+    def __missing__(self, route: str) -> float:
+        """Compute and keep the time of a route."""
+        time_s = self[route] = self._compute(route)
+        return time_s
+
+
 class AdaptiveLimit:
     """Adaptive concurrency limit for an upstream that does not state one.
 
@@ -323,7 +342,7 @@
         # An idle worker accepts the request anyway: without new requests, an
         # average that is too long would never be corrected.
         if 0 < self.in_use < self.slots:
-            if now + self._expected_run_s(ticket) > deadline:
+            if now + self._expected_run_s(ticket.route) > deadline:
                 return self._deadline_refusal()
         return None
 
@@ -343,10 +362,10 @@
             default=0.0,
         )
 
-    def _expected_run_s(self, ticket: Ticket) -> float:
+    def _expected_run_s(self, route: str) -> float:
         """Return the expected time from the start to the end, in seconds."""
-        return self._expected_service_s(ticket.route) + sum(
-            limit.transfer_s(ticket) for limit in self.limits
+        return self._expected_service_s(route) + sum(
+            limit.transfer_s(route) for limit in self.limits
         )
 
     def _enqueue(
@@ -359,37 +378,41 @@
 
         :returns: the refusal if the request itself may not wait, else None
         """
-        ranked = self._queue_by_rank(now)
-        rank = self._rank(ticket, now)
-        ahead = bisect.bisect_left(
-            ranked, rank, key=lambda other: self._rank(other, now)
+        run_s = _PerRoute(self._expected_run_s)
+        rank = _rank(ticket, now, run_s)
+        ranked = sorted(
+            (_rank(other, now, run_s), other) for other in self._queue
         )
+        ahead = bisect.bisect_left(ranked, (rank,))
         if ahead >= self._queue_limit:
             return self._overload_refusal()
-        before, behind = ranked[:ahead], ranked[ahead:]
+        before = [other for _, other in ranked[:ahead]]
+        behind = [other for _, other in ranked[ahead:]]
         if self._expected_wait_s(ticket, before) > max_wait_s:
             return self._overload_refusal()
-        if self._would_miss_deadline(ticket, before, now):
+        if self._would_miss_deadline(ticket, before, now, run_s):
             return self._deadline_refusal()
         self._queue.append(ticket)
         if len(self._queue) > self._queue_limit:
             self._refuse_waiting(behind.pop(), self._overload_refusal())
         before.append(ticket)
         for other in behind:
-            if self._would_miss_deadline(other, before, now):
+            if self._would_miss_deadline(other, before, now, run_s):
                 self._refuse_waiting(other, self._deadline_refusal())
             else:
                 before.append(other)
         return None
 
     def _would_miss_deadline(
-        self, ticket: Ticket, ahead: Sequence[Ticket], now: float
+        self,
+        ticket: Ticket,
+        ahead: Sequence[Ticket],
+        now: float,
+        run_s: _PerRoute,
     ) -> bool:
         """Return whether a request is expected to end after its deadline."""
-        needed_s = self._expected_wait_s(ticket, ahead) + self._expected_run_s(
-            ticket
-        )
-        return now + needed_s > ticket.deadline
+        wait_s = self._expected_wait_s(ticket, ahead)
+        return now + wait_s + run_s[ticket.route] > ticket.deadline
 
     def _expected_wait_s(
         self, ticket: Ticket, ahead: Sequence[Ticket]
@@ -402,15 +425,6 @@
         slot_wait_s = max(0, beyond_slots) * self.service_s / self.slots
         return max(slot_wait_s, self._delay_s(ticket, ahead))
 
-    def _rank(self, ticket: Ticket, now: float) -> Rank:
-        needed_s = OBJECTIVE_MARGIN_RATIO * self._expected_run_s(ticket)
-        misses = now + needed_s > ticket.objective
-        by = ticket.deadline if misses else ticket.objective
-        return Rank(ticket.priority, misses, by, ticket.number)
-
-    def _queue_by_rank(self, now: float) -> list[Ticket]:
-        return sorted(self._queue, key=lambda ticket: self._rank(ticket, now))
-
     def _overload_refusal(self) -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_OVERLOADED,
@@ -436,23 +450,31 @@
         ticket.done(refusal)
 
     def _grant_free_slots(self) -> None:
+        if not self._queue:
+            return
         now = self._clock()
+        run_s = _PerRoute(self._expected_run_s)
         for ticket in list(self._queue):
-            if now + self._expected_run_s(ticket) > ticket.deadline:
+            if now + run_s[ticket.route] > ticket.deadline:
                 self._refuse_waiting(ticket, self._deadline_refusal())
         while self._queue and self.in_use < self.slots:
-            ready = [
-                ticket
-                for ticket in self._queue
-                if not self._delay_s(ticket, ())
-            ]
+            ready = self._ready()
             if not ready:
                 self._announce_delay()
                 return
-            ticket = min(ready, key=lambda ticket: self._rank(ticket, now))
+            ticket = min(ready, key=lambda ticket: _rank(ticket, now, run_s))
             self._queue.remove(ticket)
             self._grant_slot(ticket, now)
 
+    def _ready(self) -> list[Ticket]:
+        """Return the waiting requests that the limits do not hold back."""
+        # The limits hold back all requests of a route alike.
+        delays_s: dict[str, float] = {}
+        for ticket in self._queue:
+            if ticket.route not in delays_s:
+                delays_s[ticket.route] = self._delay_s(ticket, ())
+        return [ticket for ticket in self._queue if not delays_s[ticket.route]]
+
     def _announce_delay(self) -> None:
         if self.on_delay is not None:
             self.on_delay(
@@ -460,6 +482,13 @@
             )
 
 
+def _rank(ticket: Ticket, now: float, run_s: _PerRoute) -> Rank:
+    needed_s = OBJECTIVE_MARGIN_RATIO * run_s[ticket.route]
+    misses = now + needed_s > ticket.objective
+    by = ticket.deadline if misses else ticket.objective
+    return Rank(ticket.priority, misses, by, ticket.number)
+
+
 async def acquire(
     admission: Admission,
     deadline: float,
--- a/damaskpier/traffic/start_limits.py
+++ b/damaskpier/traffic/start_limits.py
@@ -54,8 +54,8 @@
         :returns: 0 if the request may start now
         """
 
-    def transfer_s(self, ticket: admission.Ticket) -> float:
-        """Return how long the response is transferred, in seconds."""
+    def transfer_s(self, route: str) -> float:
+        """Return how long a response of a route is transferred, in seconds."""
         return 0.0
 
     def record_start(self, ticket: admission.Ticket) -> None:
@@ -122,10 +122,11 @@
             return 0.0
         return max(0.0, self.busy_s(ahead) - service_s - LINK_SLACK_S)
 
-    def transfer_s(self, ticket: admission.Ticket) -> float:
-        """Return how long the response occupies the link, in seconds."""
-        per_s = self._bytes_per_s()
-        return self._long_bytes(ticket) / per_s if per_s else 0.0
+    def transfer_s(self, route: str) -> float:
+        """Return how long a response occupies the link, in seconds."""
+        size = self._long_response_bytes(route)
+        per_s = self._bytes_per_s() if size else 0.0
+        return size / per_s if per_s else 0.0
 
     def record_start(self, ticket: admission.Ticket) -> None:
         """Record that a request starts."""
@@ -138,7 +139,10 @@
         self._running.pop(ticket, None)
 
     def _long_bytes(self, ticket: admission.Ticket) -> float:
-        size = self._sizes.get(ticket.route, 0.0)
+        return self._long_response_bytes(ticket.route)
+
+    def _long_response_bytes(self, route: str) -> float:
+        size = self._sizes.get(route, 0.0)
         return size if size > LONG_RESPONSE_BYTES else 0.0
 
 
--- a/tests/test_traffic/test_admission.py
+++ b/tests/test_traffic/test_admission.py
@@ -11,6 +11,7 @@
 
 from damaskpier import errors
 from damaskpier.traffic import admission
+from damaskpier.traffic import start_limits
 
 
 class Clock:
@@ -119,6 +120,43 @@
     assert outcomes['next'] is None
 
 
+class CountingLimit(start_limits.StartLimit):
+    """Limit that holds nothing back and counts how often it is asked."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def delay_s(self, ticket, ahead, service_s):
+        """Return that a request may start now."""
+        return 0.0
+
+    def transfer_s(self, route):
+        """Return that the response is transferred at once."""
+        self.calls += 1
+        return 0.0
+
+
+def test_work_for_a_request_does_not_grow_with_the_queue(clock):
+    """A worker under overload has a long queue of requests of few routes.
+
+    If the expected time of each one were computed whenever a request arrives
+    or ends, the node would be late with all requests.
+    """
+    calls = []
+    for queued in (10, 80):
+        adm, _, submit = make(clock, 4, 100)
+        limit = CountingLimit()
+        adm.limits = (limit,)
+        running = [submit(f'running {number}') for number in range(4)]
+        for number in range(queued):
+            submit(f'waiting {number}')
+        limit.calls = 0
+        submit('last')
+        adm.release(running[0])
+        calls.append(limit.calls)
+    assert calls[0] == calls[1] <= 6
+
+
 async def test_frozen_upstream_does_not_block_the_queue():
     """A waiting request is refused at its deadline while no slot becomes free.
 
--- a/tests/test_traffic/test_start_limits.py
+++ b/tests/test_traffic/test_start_limits.py
@@ -185,7 +185,7 @@
     ticket = admission.Ticket(1.0, print, 'long')
     limit.record_start(admission.Ticket(1.0, print, 'long'))
     assert limit.delay_s(ticket, (), 0.0) == 0.0
-    assert limit.transfer_s(ticket) == 0.0
+    assert limit.transfer_s(ticket.route) == 0.0
 
 
 def test_rate_that_is_too_low_is_measured_again():
