Send changes through relays and contact few nodes at a start

Cause: a node that started compared its view with each node of the directory, and then sent its record to each; a change was sent to each node. With 195 nodes that is 388 messages a start, and 76,000 when all return together. Change: a starting node compares its view with the nodes of its own failure domain, after one of them, and with two of each other domain; a change goes to one relay in each other domain, which passes on the changes of 0.2 s together. If no relay confirms, each node gets the message, so that lost relays and nodes of an earlier build keep no change back. One rendezvous hash for all.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -1,8 +1,9 @@
 """Gossip between the nodes of a fleet; service ``exchange``.
 
-A node broadcasts a change of its own worker to all others at once. In
-addition, each node periodically compares its view with that of one other node
-(anti-entropy), which repairs lost messages and detects unresponsive nodes.
+A node broadcasts a change of its own worker to all others at once, see
+:mod:`damaskpier.fleet.dissemination`. In addition, each node periodically
+compares its view with that of one other node (anti-entropy), which repairs
+lost messages and detects unresponsive nodes.
 """
 
 from __future__ import annotations
@@ -24,10 +25,12 @@
 from damaskpier import errors
 from damaskpier.fleet import batch_log
 from damaskpier.fleet import check_timing
+from damaskpier.fleet import dissemination
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
+from damaskpier.mesh import model as mesh_model
 from damaskpier.mesh import wire
 from damaskpier import registry
 from damaskpier.rollout import wire as rollout_wire
@@ -39,7 +42,6 @@
     from collections.abc import Iterable
 
     from damaskpier import application
-    from damaskpier.mesh import model as mesh_model
     from damaskpier.rollout import model as rollout_model
 
 LOG = logging.getLogger(__name__)
@@ -77,6 +79,10 @@
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
 # Nodes from which a starting node asks for the configuration.
 CONFIG_SOURCE_COUNT = 3
+# Nodes that a starting node contacts one after the other until one answers.
+# The answer holds the records of the whole fleet, so that those of the others
+# are short.
+FIRST_CONTACT_COUNT = 3
 # Stated instead of the version by a node that wants no configuration in the
 # reply; it is above all versions.
 NO_CONFIG_WANTED = 2**63 - 1
@@ -95,8 +101,9 @@
 class Exchange(registry.Service):
     """Keeps the nodes' views consistent by gossip and anti-entropy.
 
-    ``is_registered`` is set once this node is in the store's directory and has
-    contacted the nodes that the directory lists.
+    ``is_registered`` is set once this node is in the store's directory, has
+    contacted nodes of each failure domain and has announced itself to all that
+    the directory lists.
 
     :param clock: returns the time in seconds
     :param rng: source of jitter and of random peers
@@ -138,6 +145,9 @@
         # earlier builds do not.
         self._recognizing_nodes: dict[str, int] = {}
         self._encoded_config: tuple[int, bytes] = (0, b'')
+        self._dissemination = dissemination.Dissemination(
+            app.service('membership'), self._send, self._spawn
+        )
         app.events.connect('membership-delta', self._membership_changed)
         app.events.connect('config-applied', self._config_applied)
 
@@ -164,6 +174,7 @@
         if self._batch_timer is not None:
             self._batch_timer.cancel()
             self._batch_timer = None
+        self._dissemination.stop()
 
     def received(self, body: bytes) -> bytes:
         """Apply a message of another node and return the reply.
@@ -176,7 +187,8 @@
         except pb_message.DecodeError as exc:
             LOG.warning('exchange: can not decode a message: %s', exc)
             return b''
-        self._apply_gossip(gossip, wire.unpack_delta(gossip.membership))
+        delta = wire.unpack_delta(gossip.membership)
+        self._apply_gossip(gossip, delta)
         has_no_configuration = (
             self._app.service('configuration').current() is None
         )
@@ -184,6 +196,9 @@
             # The sender is in contact with the fleet, unlike this node, and
             # may have the configuration.
             self._start_sync(wire.record_from_pb(gossip.sender))
+        if gossip.wants_relay:
+            reply = self._dissemination.relay(delta.records, gossip.moves)
+            return reply.SerializeToString()
         if not gossip.digests:
             return b''
         return self._make_reply(gossip).SerializeToString()
@@ -232,7 +247,8 @@
         return self._check_timing.gets_few_replies()
 
     async def _register(self) -> None:
-        local = self._app.service('membership').local_record()
+        membership = self._app.service('membership')
+        local = membership.local_record()
         node = model.NodeAddress(
             local.node_id,
             local.host,
@@ -258,27 +274,72 @@
             delay_s = min(2 * delay_s, MAX_REGISTER_BACKOFF_S)
         others = [entry for entry in found if entry.node_id != self._node_id]
         LOG.info('exchange: registered; %d other nodes', len(others))
-        self._rng.shuffle(others)
-        await asyncio.gather(
+        await self._contact_nodes(others)
+        records = [self._record_of(entry) for entry in others]
+        self._dissemination.broadcast(
+            mesh_pb2.Gossip(
+                membership=wire.delta_to_pb([membership.local_record()])
+            ),
+            records,
+        )
+        self.is_registered = True
+
+    async def _contact_nodes(self, others: list[model.NodeAddress]) -> None:
+        """Compare the view with that of some nodes of each failure domain."""
+        domain = self._app.service('membership').local_record().failure_domain
+        contacts = collections.deque(
+            dissemination.choose_contacts(others, domain, self._rng)
+        )
+        reached_domains = set()
+        for _ in range(min(FIRST_CONTACT_COUNT, len(contacts))):
+            first = contacts.popleft()
+            if await self._sync_with_entry(first, wants_config=True):
+                reached_domains.add(first.failure_domain)
+                break
+        answers = await asyncio.gather(
             *(
                 self._sync_with_entry(
-                    entry, wants_config=number < CONFIG_SOURCE_COUNT
+                    entry, wants_config=number < CONFIG_SOURCE_COUNT - 1
                 )
-                for number, entry in enumerate(others)
+                for number, entry in enumerate(contacts)
+            )
+        )
+        reached_domains.update(
+            entry.failure_domain
+            for entry, answered in zip(contacts, answers, strict=True)
+            if answered
+        )
+        await asyncio.gather(
+            *(
+                self._sync_with_entry(entry, wants_config=False)
+                for entry in others
+                if entry.failure_domain not in reached_domains
             )
         )
-        self.is_registered = True
 
     async def _sync_with_entry(
         self, entry: model.NodeAddress, *, wants_config: bool
-    ) -> None:
+    ) -> bool:
+        return await self._sync(
+            self._record_of(entry), wants_config=wants_config
+        )
+
+    def _record_of(self, entry: model.NodeAddress) -> mesh_model.NodeRecord:
+        """Return the record of a node, or one with its address only."""
         membership = self._app.service('membership')
         record = membership.get(entry.node_id)
-        if record is None:
-            record = membership.local_record()._replace(
-                node_id=entry.node_id, host=entry.host, rpc_port=entry.port
-            )
-        await self._sync(record, wants_config=wants_config)
+        if record is not None:
+            return record
+        return mesh_model.NodeRecord(
+            entry.node_id,
+            0,
+            0,
+            entry.region,
+            entry.failure_domain,
+            entry.host,
+            entry.port,
+            0,
+        )
 
     async def _run_anti_entropy(self) -> None:
         while True:
@@ -623,9 +684,7 @@
         )
 
     def _broadcast(self, gossip: mesh_pb2.Gossip) -> None:
-        for record in self._app.service('membership').all_records():
-            if record.node_id != self._node_id:
-                self._spawn(self._send(record, gossip))
+        self._dissemination.broadcast(gossip)
 
     async def _deliver_evidence(
         self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import collections
-import hashlib
 import logging
 import math
 import random
@@ -24,6 +23,7 @@
 from damaskpier.fleet import moves
 from damaskpier import registry
 from damaskpier.rollout import model as rollout_model
+from damaskpier.util import rendezvous
 from damaskpier.util import tasks
 
 if TYPE_CHECKING:
@@ -385,7 +385,7 @@
         nodes = self._app.service('membership').nodes()
         return sorted(
             (node.node_id for node in nodes),
-            key=lambda node_id: _rank_key(name, node_id),
+            key=lambda node_id: rendezvous.score(name, node_id),
         )
 
     def _evaluators(self, move: moves.Move) -> list[str]:
@@ -463,12 +463,6 @@
     )
 
 
-def _rank_key(name: str, node_id: str) -> bytes:
-    return hashlib.blake2b(
-        f'{name}\0{node_id}'.encode(), digest_size=8
-    ).digest()
-
-
 def setup(app: application.Application) -> None:
     """Register the service ``rollouts``."""
     app.add_service(
--- a/damaskpier/traffic/selector.py
+++ b/damaskpier/traffic/selector.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
@@ -10,6 +9,7 @@
 from damaskpier.traffic.balancer import base
 from damaskpier.traffic import ejection
 from damaskpier.traffic import messages
+from damaskpier.util import rendezvous
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -241,7 +241,7 @@
         workers.sort(
             key=lambda worker: (
                 worker.record.failure_domain != self._local.failure_domain,
-                _rank(self._local.node_id, worker.key),
+                rendezvous.score(self._local.node_id, worker.key),
             )
         )
         return workers[:size]
@@ -260,9 +260,3 @@
         return False
     mean_s = worker.latency_s
     return mean_s is None or latency_s < SLOW_TIMEOUT_RATIO * mean_s
-
-
-def _rank(caller: str, worker: str) -> bytes:
-    return hashlib.blake2b(
-        f'{caller}\0{worker}'.encode(), digest_size=8
-    ).digest()
