Run the nodes on the platform on uvloop

Ruled out: fewer modules at a start, because asyncio and its own imports are the largest part of it. Change: the platform's nodes run on uvloop, a maintained event loop in C, which takes asyncio's place. Command line and stand-ins keep asyncio. All tests of the fleet, the platform, the server and the pacing pass on uvloop, too; of the HTTP/1.1 client, those that set the loop's clock can not run on it, and one of its limits on bytes without end is counted two reads later.

--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 import logging
 import os
 import pathlib
 import sys
 
+import uvloop
+
 from damaskpier import application
 from damaskpier import config
 from damaskpier import errors
@@ -75,7 +76,7 @@
     app.events.connect(
         'reload-requested', functools.partial(_reload, app, path)
     )
-    asyncio.run(app.run())
+    uvloop.run(app.run())
     return 0
 
 
