Make no record of a log line that the rate limit drops

Cause: under overload a node writes some 690 lines a second, of which 40 a module pass the rate limit; the limit saw a line only as a finished record. Change: the modules that write a line for each request ask the limit first. The lines that are written, and the number of dropped ones that the next line states, stay the same. The new test counts the records; the class that it needs is new.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import random
 import time
@@ -15,6 +14,7 @@
 from damaskpier.fleet import router
 from damaskpier.http1 import messages as http_messages
 from damaskpier.http1 import server
+from damaskpier import logs
 from damaskpier import registry
 from damaskpier.traffic import headers
 from damaskpier.traffic import messages
@@ -25,7 +25,7 @@
     from damaskpier import application
     from damaskpier.fleet import header_codec
 
-LOG = logging.getLogger(__name__)
+LOG = logs.get_logger(__name__)
 
 # After SIGTERM the node keeps serving until its callers have stopped sending,
 # but for no longer than this part of the grace period.
--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -11,12 +10,13 @@
 from damaskpier import errors
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
+from damaskpier import logs
 from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-LOG = logging.getLogger(__name__)
+LOG = logs.get_logger(__name__)
 
 # The node asks for an attempt whose connection is silent for this time; a
 # running attempt sends about three interim responses in it.
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from typing import NamedTuple
@@ -16,6 +15,7 @@
 from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
 from damaskpier.fleet import selector
+from damaskpier import logs
 from damaskpier import registry
 from damaskpier.rollout import model as rollout_model
 from damaskpier.traffic import messages
@@ -28,7 +28,7 @@
     from damaskpier.mesh import model as mesh_model
     from damaskpier.traffic.balancer import base
 
-LOG = logging.getLogger(__name__)
+LOG = logs.get_logger(__name__)
 
 # The workers of a service are read again from the membership after this time
 # even without an event.
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections
 import functools
-import logging
 import math
 import time
 from typing import TYPE_CHECKING
@@ -22,6 +21,7 @@
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
 from damaskpier.http1 import pacing
+from damaskpier import logs
 from damaskpier.mesh import model as mesh_model
 from damaskpier import registry
 from damaskpier.traffic import admission
@@ -33,7 +33,7 @@
 
     from damaskpier import application
 
-LOG = logging.getLogger(__name__)
+LOG = logs.get_logger(__name__)
 
 # When the upstream has neither announced itself nor answered a request for
 # this many heartbeat intervals, it gets a health check, and is removed from
--- a/damaskpier/logs.py
+++ b/damaskpier/logs.py
@@ -43,14 +43,10 @@
         self._tokens: dict[str, float] = {}
         self._refilled_at: dict[str, float] = {}
 
-    def filter(self, record: logging.LogRecord) -> bool:
-        """Return whether a line is written.
-
-        The next line that passes states how many were dropped before it.
-        """
-        if record.levelno >= logging.WARNING:
+    def acquire(self, name: str, level: int) -> bool:
+        """Return whether a logger may write a line, and count it if not."""
+        if level >= logging.WARNING:
             return True
-        name = record.name
         now = self._clock()
         tokens = self._tokens.get(name, BURST_LINES)
         tokens += LINES_PER_S * (now - self._refilled_at.get(name, now))
@@ -60,11 +56,52 @@
             self.dropped_lines[name] += 1
             return False
         self._tokens[name] = min(tokens, BURST_LINES) - 1.0
-        dropped = self.dropped_lines.pop(name, 0)
-        if dropped:
-            record.msg = f'{record.msg} [{dropped} lines were dropped before]'
         return True
 
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether a line is written.
+
+        The next line that passes states how many were dropped before it.
+        """
+        name = record.name
+        if not isinstance(
+            logging.getLogger(name), LimitedLogger
+        ) and not self.acquire(name, record.levelno):
+            return False
+        if record.levelno < logging.WARNING:
+            dropped = self.dropped_lines.pop(name, 0)
+            if dropped:
+                record.msg += f' [{dropped} lines were dropped before]'
+        return True
+
+
+class LimitedLogger(logging.Logger):
+    """Logger that asks the rate limit before it makes a record.
+
+    Under overload, a node writes several lines a request, nearly all of which
+    are dropped. The record of a dropped line would cost as much as a written
+    line.
+    """
+
+    rate_limit: RateLimitFilter | None = None
+
+    def isEnabledFor(self, level: int) -> bool:  # noqa: N802
+        """Return whether a line is written, and count it."""
+        limit = self.rate_limit
+        return super().isEnabledFor(level) and (
+            limit is None or limit.acquire(self.name, level)
+        )
+
+
+def get_logger(name: str) -> logging.Logger:
+    """Return the logger of a module that writes lines for each request."""
+    default = logging.getLoggerClass()
+    logging.setLoggerClass(LimitedLogger)
+    try:
+        return logging.getLogger(name)
+    finally:
+        logging.setLoggerClass(default)
+
 
 class NonBlockingHandler(logging.StreamHandler):
     """Handler that drops a line instead of blocking on a full pipe.
@@ -108,7 +145,8 @@
     handler: logging.StreamHandler = logging.StreamHandler(sys.stderr)
     if stream is not None:
         handler = NonBlockingHandler(stream)
-        handler.addFilter(RateLimitFilter())
+        LimitedLogger.rate_limit = RateLimitFilter()
+        handler.addFilter(LimitedLogger.rate_limit)
     if cfg.text('log', 'format') == 'json':
         handler.setFormatter(json_logger.JsonFormatter(JSON_FORMAT))
     else:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -31,6 +31,24 @@
     assert all(bounded.filter(_record(logging.WARNING)) for _ in range(999))
 
 
+def test_dropped_lines_of_a_limited_logger_make_no_record(monkeypatch):
+    """A node under overload must not spend its time on lines it drops."""
+    limit = logs.RateLimitFilter(lambda: 0.0)
+    monkeypatch.setattr(logs.LimitedLogger, 'rate_limit', limit)
+    logger = logs.get_logger('tests.limited')
+    logger.setLevel(logging.INFO)
+    made = []
+    monkeypatch.setattr(
+        logger, 'handle', lambda record: made.append(limit.filter(record))
+    )
+    for _ in range(1000):
+        logger.info('line')
+    assert made == [True] * int(logs.BURST_LINES)
+    assert limit.dropped_lines['tests.limited'] == 1000 - len(made)
+    logger.warning('line')
+    assert len(made) == logs.BURST_LINES + 1
+
+
 def test_full_pipe_drops_lines_and_does_not_block():
     reader, writer = os.pipe()
     with os.fdopen(writer, 'w') as stream:
