Start no request whose sender left before it was read

What callers saw: nothing; workers ran requests that callers had given up (GONE). A node that is late, or was paused, reads a request and the end of its connection one after the other, and had written the request to a kept connection of the upstream before it saw the end. Class: acting on what was true before a pause. Change: a request starts one iteration of the event loop after it was read, in which the end of its connection is seen.

--- a/damaskpier/http1/server.py
+++ b/damaskpier/http1/server.py
@@ -530,6 +530,9 @@
     async def _run(
         self, exchange: _Exchange, request: messages.Request
     ) -> None:
+        # The client may have left before its request was read. The event loop
+        # sees the end of the connection in its next iteration.
+        await asyncio.sleep(0)
         progress = self._server.progress
         if progress is not None:
             exchange.timer = asyncio.get_running_loop().call_later(
