Let the workers at one distance tell of those that are not known

Cause: the load in a reply counts for 0.5 s. With 42 workers and few requests from each node to each of them, no load is known any more, and a worker of unknown load counted as idle: a full failure domain kept its requests. Class: constants for a fleet in which each node sees each worker often. Change: the mean load in the replies of the workers at one distance counts for those that are not known. Ruled out: a longer time for the load of a worker, which is that of another moment; sending loads around, which grows with the fleet.

--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -38,6 +38,10 @@
 # version is skipped for this time; by then its new record has arrived.
 LEAVING_SKIP_S = 1.0
 MIN_RELIABILITY = 0.05
+# Weight of a reply in the mean use of the workers at one distance, and the
+# time constant with which this mean loses its weight.
+TIER_USE_WEIGHT = 0.05
+TIER_USE_DECAY_S = 4.0
 # Time constant with which observations of a worker lose their weight. Without
 # the decay, a worker that is avoided because it was slow or failed would never
 # be observed again.
@@ -79,6 +83,30 @@
         return max(0.0, self.load.link_busy_s - (now - self.load_at))
 
 
+class _TierUse:
+    """Mean use of the workers at one distance, by the loads in their replies.
+
+    In a large fleet, a node gets too few replies of each worker to know its
+    load, but enough of all workers at one distance to know theirs.
+    """
+
+    def __init__(self) -> None:
+        self._requests_per_slot = 0.0
+        self._recorded_at = -math.inf
+
+    def record(self, load: messages.Load, now: float) -> None:
+        """Record the load in a reply."""
+        use = (load.in_use + load.queued) / max(1, load.slots)
+        known = self.at(now)
+        self._requests_per_slot = known + TIER_USE_WEIGHT * (use - known)
+        self._recorded_at = now
+
+    def at(self, now: float) -> float:
+        """Return the expected requests for each slot of a worker."""
+        age_s = now - self._recorded_at
+        return self._requests_per_slot * math.exp(-age_s / TIER_USE_DECAY_S)
+
+
 class Selector:
     """Selects among the workers of one version of a service.
 
@@ -110,6 +138,7 @@
         self._other_regions: list[WorkerState] = []
         self._skipped_until: dict[str, float] = {}
         self._mean_latency_s = 0.0
+        self._tier_uses = tuple(_TierUse() for _ in ROUND_TRIP_S)
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -200,6 +229,7 @@
         if reply.load is not None:
             worker.load = reply.load
             worker.load_at = now
+            self._tier_uses[worker.tier].record(reply.load, now)
         result = reply.result
         if isinstance(result, messages.Answer):
             self._record_answer(worker, result, latency_s)
@@ -263,7 +293,8 @@
 
     def _cost_s(self, worker: WorkerState, size: float, now: float) -> float:
         expected_latency_s = self.expected_latency_s(worker, now)
-        waiting = worker.estimated_requests(now) + 1.0 - worker.slots
+        use = self._tier_uses[worker.tier].at(now)
+        waiting = worker.estimated_requests(now, use) + 1.0 - worker.slots
         if waiting > 0:
             expected_latency_s *= 1.0 + waiting / worker.slots
         # Dividing by the reliability accounts for the retries of failures.
--- a/damaskpier/traffic/balancer/base.py
+++ b/damaskpier/traffic/balancer/base.py
@@ -67,20 +67,26 @@
             return self.load.slots
         return self.record.slots or 1
 
-    def estimated_requests(self, now: float) -> float:
+    def estimated_requests(self, now: float, usual_use: float = 0.0) -> float:
         """Return the estimated number of requests at the worker.
 
         The load that came with the last reply counts less the older it is,
         because other callers change it. The number of calls that this node
         has outstanding is exact.
+
+        :param usual_use: requests for each slot of workers like this one,
+            which count instead of a load that is not known any more
         """
+        # A worker of that use has room for one more if it has a free slot.
+        usual = max(0.0, usual_use * self.slots - 1.0)
         if self.load is None:
-            return float(self.outstanding)
-        freshness = 1.0 - (now - self.load_at) / LOAD_TTL_S
-        if freshness <= 0:
-            return float(self.outstanding)
+            return max(float(self.outstanding), usual)
+        freshness = max(0.0, 1.0 - (now - self.load_at) / LOAD_TTL_S)
         reported = self.load.in_use + self.load.queued
-        return max(float(self.outstanding), reported * freshness)
+        return max(
+            float(self.outstanding),
+            reported * freshness + usual * (1.0 - freshness),
+        )
 
     def is_full(self, now: float) -> bool:
         """Return whether a new request is expected to wait for a slot."""
