Refuse requests at once while the node is late

Cause: a node that has more requests than processor time reads all of them late. It passes each on although the time for it is gone, and is late with the others for that. Change: the lateness of the event loop is measured every 50 ms and is a metric, event_loop_lag. While it is above 0.4 of a route's objective, requests of that route are refused as not run, and their callers come back after twice as long.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -18,6 +18,7 @@
 from damaskpier import registry
 from damaskpier.traffic import headers
 from damaskpier.traffic import messages
+from damaskpier.util import loop_lag
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,6 +55,13 @@
 # Time limits end this much before the running requests have to, so that the
 # answer of a worker that reaches its limit still arrives.
 STOP_MARGIN_S = 0.1
+# A request is refused at once while the event loop is late by more than this
+# part of its objective: it has waited as long, and each of its later steps
+# will. Without this, a node with more requests than processor time would be
+# late with all of them.
+MAX_LAG_RATIO = 0.4
+# Retry-After as a multiple of the lateness, in which the loop catches up.
+LAG_RETRY_RATIO = 2.0
 # Time limit of a request for which neither the caller nor the route sets one.
 DEFAULT_DEADLINE_S = 5.0
 # Retry-After of a refused request: about as long as a request occupies a slot
@@ -142,6 +150,7 @@
         # Latest time at which a refused caller may retry.
         self._retries_until = 0.0
         self._stop = _Stop()
+        self._lag = loop_lag.LoopLag()
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -150,9 +159,10 @@
             cfg.text('node', 'host'), cfg.integer('node', 'http_port')
         )
         self._app.service('membership').set_ports(http_port=self.server.port)
-        self._app.service('metrics').register_gauge(
-            'requests_running', lambda: self.server.running
-        )
+        metrics = self._app.service('metrics')
+        metrics.register_gauge('requests_running', lambda: self.server.running)
+        metrics.register_gauge('event_loop_lag', lambda: self._lag.seconds)
+        self._lag.start()
 
     async def stop(self) -> None:
         """Drain the node without interrupting a request."""
@@ -188,6 +198,7 @@
                 self.server.running,
             )
         timer.cancel()
+        self._lag.stop()
         await peer_server.drain(until)
 
     def check_readiness(self) -> bool:
@@ -266,6 +277,12 @@
         limit_s = route.timeout_s or DEFAULT_DEADLINE_S
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
+        if self._lag.seconds > MAX_LAG_RATIO * route.objective_s:
+            outcome = _refused_outcome(
+                errors.CALL_OVERLOADED,
+                f'the node is late by {self._lag.seconds * 1000:.0f} ms',
+            )
+            return self._respond(metadata, route, outcome, began)
         limit_s = self._stop.limit_s(began, limit_s, route.repeatable)
         if limit_s <= 0:
             outcome = _refused_outcome(
@@ -402,7 +419,7 @@
         :param code: reason of the refusal
         :param remaining_s: time for which the caller still waits
         """
-        base_s = RETRY_AFTER_S
+        base_s = max(RETRY_AFTER_S, LAG_RETRY_RATIO * self._lag.seconds)
         if code in _RECOVERY_CODES:
             base_s = RECOVERY_HEARTBEAT_RATIO * self._heartbeat_s
         # The bound holds for the largest jitter as well.
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -93,6 +93,27 @@
     assert all(0.9 < delay <= 3.0 for delay in delays)
 
 
+@pytest.mark.parametrize(('lag_s', 'status'), [(0.5, 503), (0.3, 200)])
+async def test_node_that_is_late_refuses_at_once(fleet, lag_s, status):
+    """A node with more requests than processor time is late with all of them.
+
+    The objective of the route is 1 s. A request that has used up much of it
+    before it is read would be late, and delay the others.
+    """
+    node = await fleet.add()
+    await fleet.wait_converged()
+    ingress = node.app.service('ingress')
+    ingress._lag.stop()
+    ingress._lag.seconds = lag_s
+    response = await node.request()
+    assert response.status == status
+    assert len(node.upstream.ran) == (status == 200)
+    if status == 503:
+        # The caller must not come back while the node is as late as now.
+        delay_s = float(response.header(headers.RETRY_AFTER.lower()))
+        assert delay_s >= lag_s
+
+
 async def test_longest_prefix_of_the_host_wins(fleet):
     fleet.store.put(
         conftest.make_configuration(
