Give no caller the answer to another request at the own interface

What callers saw: an upstream that writes an answer again, when its connection is in use again, gave the next caller of a repeatable route the earlier answer (report on second copies; the platform's nodes drop such answers already). Cause: libcurl matches answers to requests by their order alone. Change: an answer that echoes another request's id is a failure that may have run. libcurl closes a connection on which the other answer then waits. Measured: test_second_copy_of_an_answer_is_not_that_to_the_next_request fails without the change (the second request got the first answer) and passes with it; the tests of the client and of the request path pass. What remains: an answer without an id can not be told from another's.

--- a/damaskpier/traffic/curl_client.py
+++ b/damaskpier/traffic/curl_client.py
@@ -14,12 +14,13 @@
 from tornado import httpclient
 from tornado import httputil
 
+from damaskpier.traffic import headers as own_headers
 from damaskpier.util import limited_curl
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from damaskpier.traffic import messages
+from damaskpier.traffic import messages
 
 # The kernel closes a connection whose data is not acknowledged for this time.
 TCP_USER_TIMEOUT_MS = 3000
@@ -135,6 +136,18 @@
             raise
         if response.error is not None and response.code == 599:
             return _to_failure(response)
+        identifier = response.headers.get(own_headers.REQUEST_ID)
+        if identifier not in (
+            None,
+            request.headers.get(own_headers.REQUEST_ID),
+        ):
+            # A faulty upstream may write an answer twice, the second time when
+            # the connection is in use again.
+            return Failure(
+                'the answer is that to another request',
+                sent=True,
+                timed_out=False,
+            )
         return response
 
     def _abort(self, request: Any) -> None:
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -534,3 +534,48 @@
         curl_client.make_request(url, 'GET', (), b'', 5.0, fresh=True)
     )
     assert response.body == b'ok'
+
+
+async def test_second_copy_of_an_answer_is_not_that_to_the_next_request(
+    listen, client
+):
+    """An upstream writes an answer again when its connection is in use again.
+
+    The next caller must not get it, and gets its own answer or a failure.
+    """
+
+    def answer(identifier):
+        return (
+            b'HTTP/1.1 200 OK\r\nDamaskpier-Request-Id: %s\r\n'
+            b'Content-Length: %d\r\n\r\n%s'
+        ) % (identifier, len(identifier), identifier)
+
+    async def serve(reader, writer):
+        earlier = b''
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            fields = head.lower().split(b'damaskpier-request-id: ')
+            identifier = fields[1].split(b'\r\n')[0]
+            writer.write(earlier + answer(identifier))
+            earlier = answer(identifier)
+
+    url = await listen(serve)
+    bodies = []
+    for number in range(6):
+        identifier = f'r{number}'
+        outcome = await client.run(
+            curl_client.make_request(
+                url,
+                'GET',
+                (('Damaskpier-Request-Id', identifier),),
+                b'',
+                5.0,
+                fresh=False,
+            )
+        )
+        if isinstance(outcome, curl_client.Failure):
+            assert outcome.sent
+        else:
+            assert outcome.body == identifier.encode()
+            bodies.append(outcome.body)
+    assert bodies
