Start the search for a silent attempt only when it is silent

Cause: processor time; each attempt on another node made a task that waits for a silence, which few attempts have. Change: the task is made when the connection has been silent. The tests of silence, attempts and retries pass.

--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -109,7 +109,8 @@
         self._is_head = is_head
         self._observer = observer
         self._activity = client.Activity(0.0)
-        self._silent = asyncio.Event()
+        # Done when the connection of the attempt has been silent.
+        self._silent = asyncio.get_running_loop().create_future()
         self._has_stalled = False
         self._stall_timer: asyncio.TimerHandle | None = None
         self._stall_timeout_s = STALL_TIMEOUT_S
@@ -121,32 +122,40 @@
         self._activity.heard_at = asyncio.get_running_loop().time()
         self._set_stall_timeout()
         direct = asyncio.ensure_future(self._send())
-        found = asyncio.ensure_future(self._find())
+        found: asyncio.Task[messages.Reply | None] | None = None
         try:
             await asyncio.wait(
-                (direct, found), return_when=asyncio.FIRST_COMPLETED
+                (direct, self._silent), return_when=asyncio.FIRST_COMPLETED
             )
-            if found.done() and found.result() is None:
-                await asyncio.wait((direct,))
-            if not direct.done():
-                return found.result()
+            if self._silent.done():
+                # Few attempts are silent, and the others need no task for it.
+                found = asyncio.ensure_future(self._find())
+                await asyncio.wait(
+                    (direct, found), return_when=asyncio.FIRST_COMPLETED
+                )
+                if found.done() and found.result() is None:
+                    await asyncio.wait((direct,))
+                if not direct.done():
+                    return found.result()
             outcome = direct.result()
             if isinstance(outcome, http_messages.Response):
                 return self._exchange.decode(outcome)
-            if self._silent.is_set() and not outcome.timed_out:
-                await self._wait_while_heard(found)
-            if found.done() and found.result() is not None:
-                return found.result()
+            if found is not None:
+                if not outcome.timed_out:
+                    await self._wait_while_heard(found)
+                if found.done() and found.result() is not None:
+                    return found.result()
             return messages.Reply(refusal_from_failure(outcome))
         finally:
             direct.cancel()
-            found.cancel()
+            if found is not None:
+                found.cancel()
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
 
     def is_silent(self) -> bool:
         """Return whether the connection of the attempt has been silent."""
-        return self._silent.is_set()
+        return self._silent.done()
 
     async def cancel_attempt(self) -> None:
         """Tell the other node that the attempt has been given up.
@@ -199,7 +208,8 @@
 
     def _note_silence(self, reason: str) -> None:
         LOG.info('peers: %s: %s', self._name, reason)
-        self._silent.set()
+        if not self._silent.done():
+            self._silent.set_result(None)
         if self._observer is not None:
             self._observer.on_silence()
         if self._stall_timer is None:
@@ -235,7 +245,6 @@
         :returns: None if the other node has no record of the attempt, so that
             its connection and the deadline decide
         """
-        await self._silent.wait()
         found = await self._ask()
         while found is None:
             await asyncio.sleep(QUESTION_INTERVAL_S)
