Collect garbage seldom on the platform's nodes

Cause: processor time; the collector looked at all modules and services of the process again and again, and at the short-lived objects of each request. Change: what exists at the start is left out, and collections are seldom.

--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -29,6 +29,7 @@
 from damaskpier.platform import headers
 from damaskpier.platform import settings
 from damaskpier.platform import store
+from damaskpier.util import garbage
 
 LOG = logging.getLogger(__name__)
 
@@ -76,6 +77,7 @@
     app.events.connect(
         'reload-requested', functools.partial(_reload, app, path)
     )
+    garbage.reduce_collections()
     uvloop.run(app.run())
     return 0
 
