--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -60,6 +60,9 @@
 # will. Without this, a node with more requests than processor time would be
 # late with all of them.
 MAX_LAG_RATIO = 0.4
+# Calls of the local upstream have short objectives, and the request that makes
+# them fails without them.
+MIN_REFUSED_LAG_S = 0.05
 # Retry-After as a multiple of the lateness, in which the loop catches up.
 LAG_RETRY_RATIO = 2.0
 # Time limit of a request for which neither the caller nor the route sets one.
@@ -277,7 +280,8 @@
         limit_s = route.timeout_s or DEFAULT_DEADLINE_S
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
-        if self._lag.seconds > MAX_LAG_RATIO * route.objective_s:
+        max_lag_s = max(MAX_LAG_RATIO * route.objective_s, MIN_REFUSED_LAG_S)
+        if self._lag.seconds > max_lag_s:
             outcome = _refused_outcome(
                 errors.CALL_OVERLOADED,
                 f'the node is late by {self._lag.seconds * 1000:.0f} ms',
