--- a/tests/test_fleet/test_upstream_notices.py
+++ b/tests/test_fleet/test_upstream_notices.py
@@ -52,6 +52,8 @@
             for number in range(count)
         )
     )
+    for response in responses:
+        assert isinstance(response, messages.Response), response
     return [response.status for response in responses]
 
 
