--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -630,7 +630,8 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             breaks = asyncio.run(run(temporary))
-    except (CannotRun, OSError, TimeoutError) as exc:
+    # Any error but a break of the rule means that the case could not run.
+    except Exception as exc:
         record.add(f'the case could not run: {exc!r}')
         print(f'the case could not run: {exc!r}')
         sys.exit(2)
