--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -11,6 +12,11 @@
 
 import standins  # noqa: E402
 
+# Whether the disruption is made.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+# What was sent, answered and run is written there.
+RECORD = FOLDER / 'record.txt'
+
 DRAIN_S = 2.0
 STABLE_S = 3.0
 # From the acknowledgement to the worker's exit.
@@ -86,7 +92,7 @@
     record.add(f'the leaving of {leaving.instance} is acknowledged')
 
     in_touch_at = 0.0
-    if standins.disrupted():
+    if TROUBLE:
         await asyncio.sleep(0.3)
         await asyncio.gather(*(each.kill() for each in nodes))
         await asyncio.sleep(RESTART_DELAY_S)
@@ -123,4 +129,4 @@
 
 
 if __name__ == '__main__':
-    standins.run_case(main, FOLDER)
+    standins.run_case(main, RECORD)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -12,6 +13,11 @@
 
 import standins  # noqa: E402
 
+# Whether the disruption is made.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+# What was sent, answered and run is written there.
+RECORD = FOLDER / 'record.txt'
+
 OLD_COUNT = 6
 REQUEST_INTERVAL_S = 0.02
 DURATION_S = 16.0
@@ -137,7 +143,7 @@
     ordered_at = record.now()
     record.add('v2 is ordered')
     new = await machines.add_group('v2', bad)
-    if standins.disrupted():
+    if TROUBLE:
         worker, _ = old[-1]
         record.add(f'{worker.instance} crashes for good')
         await worker.stop()
@@ -186,4 +192,4 @@
 
 
 if __name__ == '__main__':
-    standins.run_case(main, FOLDER)
+    standins.run_case(main, RECORD)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -35,16 +35,11 @@
     """The case could not be set up."""
 
 
-def disrupted() -> bool:
-    """Return whether the disruption is to be made."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class Record:
     """Writes what was sent, answered and run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = open(folder / 'record.txt', 'w', encoding='utf-8')
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = open(path, 'w', encoding='utf-8')
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -609,14 +604,15 @@
         return request_id, answer
 
 
-def run_case(main, folder: pathlib.Path) -> None:
+def run_case(main, path: pathlib.Path) -> None:
     """Run a case and exit with its result.
 
     :param main: coroutine function that gets the record, a temporary folder
         and a list for the nodes that are to be killed at the end; it returns
         the number of breaks of the rule
+    :param path: file of the record
     """
-    record = Record(folder)
+    record = Record(path)
 
     async def run(temporary: str) -> int:
         nodes: list[Node] = []
