Store the departure of a worker before acknowledging it

What callers saw: a worker sent its leave notice, which was acknowledged. All nodes were killed and started again.

Cause: what had left was kept in the memory of the nodes only. The other nodes return it to one that restarts, but not if all of them restart. The same was so for reports that a worker is draining, and for a node that was killed alone before the others had heard of it.

Change: a departure is written to the status of the node's own entry in the directory, under the condition of its revision, before it is acknowledged. The answer to the registration holds the entry, so that a start needs no further call. Until then a node holds the reports of a ready worker back, unless the worker passes a health check. While the store can not be written, the report is answered with 503 and repeated.

Why this works: the store loses nothing that it has acknowledged, and a node uses no worker before it knows what is there. While the store is unreachable the worker itself says whether it leaves.

Changed tests: register() returns the entry, so the tests compare that instead of None. The two tests on knowledge from other nodes remove the departure from the store or let the worker pass a health check, because the node would not need the other one, or not use the worker, otherwise.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -259,16 +259,16 @@
         store = self._app.service('store')
         delay_s = INITIAL_REGISTER_BACKOFF_S
         while True:
-            refusal = await store.register(node)
-            if refusal is None:
+            entry = found = await store.register(node)
+            if not isinstance(entry, errors.Refusal):
+                self._app.service('departures').entry_read(entry)
                 found = await store.directory()
                 if not isinstance(found, errors.Refusal):
                     break
-                refusal = found
             LOG.warning(
                 'exchange: registration failed, next attempt in %.1f s: %s',
                 delay_s,
-                refusal,
+                found,
             )
             await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
             delay_s = min(2 * delay_s, MAX_REGISTER_BACKOFF_S)
@@ -825,6 +825,7 @@
         after=(
             'metrics',
             'store',
+            'departures',
             'configuration',
             'membership',
             'peers',
--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -144,3 +144,26 @@
     port: int
     region: str
     failure_domain: str
+
+
+class Departure(NamedTuple):
+    """Start of an instance that has left.
+
+    ``started_ms`` is the time of the start since the epoch; the instance may
+    start again later.
+    """
+
+    instance: str
+    started_ms: int
+
+
+class DirectoryEntry(NamedTuple):
+    """Entry of a node with the departures of its worker, the latest last.
+
+    ``revision`` is the store's revision of the entry, which conditional
+    updates compare; 0 if unknown.
+    """
+
+    node: NodeAddress
+    revision: int
+    departures: tuple[Departure, ...] = ()
--- a/damaskpier/fleet/startup_check.py
+++ b/damaskpier/fleet/startup_check.py
@@ -30,6 +30,10 @@
 class StartupCheck(registry.Service):
     """Checks the upstream once, as soon as the health path is configured.
 
+    It is checked again with each announcement that is held because the node
+    does not know yet whether the upstream has left: the store may be
+    unreachable for long.
+
     :param codec: decodes the response of the health check
     """
 
@@ -40,6 +44,7 @@
         self._codec = codec
         self._task: asyncio.Task[None] | None = None
         app.events.connect('config-applied', self._config_applied)
+        app.events.connect('announcement-held', self._announcement_held)
 
     async def stop(self) -> None:
         """Cancel the health check."""
@@ -47,13 +52,22 @@
             self._task.cancel()
 
     def _config_applied(self, cfg: model.Configuration) -> None:
+        if self._task is None:
+            self._start(cfg)
+
+    def _announcement_held(self) -> None:
+        cfg = self._app.service('configuration').current()
+        if cfg is not None and (self._task is None or self._task.done()):
+            self._start(cfg)
+
+    def _start(self, cfg: model.Configuration) -> None:
         spec = cfg.services.get(self._app.cfg.text('node', 'service'))
-        if self._task is None and spec is not None and spec.health_path:
+        if spec is not None and spec.health_path:
             self._task = asyncio.ensure_future(self._check(spec.health_path))
 
     async def _check(self, path: str) -> None:
         worker = self._app.service('worker')
-        if worker.announcement is not None:
+        if not worker.needs_check():
             return
         address = self._app.cfg.address('upstream', 'address')
         outcome = await health_check.request(
--- a/damaskpier/fleet/store.py
+++ b/damaskpier/fleet/store.py
@@ -43,8 +43,22 @@
         """
 
     @abc.abstractmethod
-    async def register(self, node: model.NodeAddress) -> errors.Refusal | None:
-        """Create or replace a node's entry in the directory."""
+    async def register(
+        self, node: model.NodeAddress
+    ) -> model.DirectoryEntry | errors.Refusal:
+        """Create a node's entry in the directory or replace its address.
+
+        :returns: the entry with the departures that the store holds
+        """
+
+    @abc.abstractmethod
+    async def write_departures(
+        self, entry: model.DirectoryEntry, timeout_s: float
+    ) -> model.DirectoryEntry | errors.Refusal:
+        """Write the departures of an entry unless the entry has changed.
+
+        :returns: the entry as the store holds it afterwards
+        """
 
     @abc.abstractmethod
     async def directory(self) -> list[model.NodeAddress] | errors.Refusal:
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -117,6 +117,12 @@
         # Latest start of each instance that has left. Announcements of this
         # start and of earlier ones are ignored.
         self._left_started_ms: dict[str, int] = {}
+        # Announcement that is not used before the departures in the store are
+        # known, or the upstream has passed a health check.
+        self._held: model.Announcement | None = None
+        # Instance that has passed a health check since this node started. So
+        # it had not left before.
+        self._checked_instance = ''
         # Time of the loop's clock at which the upstream announced itself or
         # answered a request most recently.
         self._heard_at = 0.0
@@ -130,7 +136,8 @@
         self._recent_retries = 0
         self._node_draining = False
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
-        app.events.connect('left-worker-learned', self.left)
+        app.events.connect('left-worker-learned', self._learn_left)
+        app.events.connect('departures-known', self._apply_held)
 
     async def start(self) -> None:
         """Register the gauges of the load."""
@@ -159,6 +166,10 @@
     def apply_announcement(self, announcement: model.Announcement) -> bool:
         """Apply an announcement of the upstream unless it is stale.
 
+        A node that has just started does not know yet whether the upstream
+        has left. Until then, the announcement is held, see
+        :meth:`apply_health`.
+
         :returns: whether the announcement was applied
         """
         if self._is_stale(announcement):
@@ -168,6 +179,10 @@
                 announcement.sequence,
             )
             return False
+        if not announcement.draining and not self._has_not_left(announcement):
+            self._hold(announcement)
+            return False
+        self._held = None
         known = self.announcement
         self.announcement = announcement
         self._connect_failures = 0
@@ -185,8 +200,8 @@
             self._set_slots(announcement.slots)
         if announcement.draining:
             self._start_draining(announcement, 'draining')
-            self._app.service('membership').set_left_worker(
-                announcement.instance, announcement.started_ms
+            self._publish_left(
+                model.Departure(announcement.instance, announcement.started_ms)
             )
         self._publish()
         return True
@@ -195,8 +210,13 @@
         """Use the result of a health check until the first announcement.
 
         The result does not contain the version, so that the upstream gets no
-        requests of a service with a running move.
+        requests of a service with a running move. An upstream that is leaving
+        does not pass the check.
         """
+        self._checked_instance = health.instance
+        held = self._held
+        if held is not None and held.instance == health.instance:
+            self._apply_held()
         if self.announcement is not None:
             return
         address = self._app.cfg.address('upstream', 'address')
@@ -213,13 +233,18 @@
             )
         )
 
-    def left(self, instance: str, started_ms: int = 0) -> None:
+    def needs_check(self) -> bool:
+        """Return whether a health check may bring the upstream into use."""
+        return self.announcement is None or self._held is not None
+
+    def left(self, instance: str, started_ms: int = 0) -> model.Departure:
         """Start draining for good because the upstream is leaving.
 
         Later announcements of the same start of the instance are ignored.
 
         :param started_ms: start of the leaving upstream since the epoch; 0 if
             the leave notice does not contain it
+        :returns: the departure, which contains the start in any case
         """
         known = self.announcement
         LOG.info(
@@ -239,7 +264,7 @@
                 self.announcement = known._replace(draining=True)
                 self._start_draining(known, 'left')
                 self._publish()
-        self._record_left(instance, started_ms)
+        return self._record_left(instance, started_ms)
 
     def drain_node(self) -> None:
         """Announce the worker to other nodes as draining."""
@@ -321,6 +346,48 @@
             self._recent_retries -= self._recent_runs.popleft()[1]
         return self._recent_retries / max(1, len(self._recent_runs))
 
+    def _has_not_left(self, announcement: model.Announcement) -> bool:
+        """Return whether the upstream is known not to have left.
+
+        The announcement does not show that: it may be late.
+        """
+        return (
+            announcement.instance == self._checked_instance
+            or self._app.service('departures').are_known
+        )
+
+    def _hold(self, announcement: model.Announcement) -> None:
+        held = self._held
+        if held is None or (
+            (held.started_ms, held.sequence)
+            < (announcement.started_ms, announcement.sequence)
+        ):
+            LOG.info(
+                'worker: %s is not used before the store or a health check '
+                'shows that it has not left',
+                announcement.instance,
+            )
+            self._held = announcement
+        self._app.events.emit('announcement-held')
+
+    def _apply_held(self) -> None:
+        held, self._held = self._held, None
+        if held is not None:
+            self.apply_announcement(held)
+
+    def _learn_left(self, instance: str, started_ms: int) -> None:
+        """Apply a departure from before this node started."""
+        known = self.announcement
+        if (
+            known is not None
+            and not known.started_ms
+            and known.instance == instance == self._checked_instance
+        ):
+            # The health check was passed by a later start of the instance.
+            self._record_left(instance, started_ms)
+            return
+        self.left(instance, started_ms)
+
     def _is_stale(self, announcement: model.Announcement) -> bool:
         left_ms = self._left_started_ms.get(announcement.instance)
         if left_ms is not None and announcement.started_ms <= left_ms:
@@ -335,14 +402,21 @@
             and announcement.sequence <= known.sequence
         )
 
-    def _record_left(self, instance: str, started_ms: int) -> None:
+    def _record_left(self, instance: str, started_ms: int) -> model.Departure:
         if not started_ms:
             # The start is unknown, for example because this node started
             # after the upstream's last announcement, but it is in the past.
             started_ms = int(self._wall() * 1000)
         started_ms = max(started_ms, self._left_started_ms.get(instance, 0))
         self._left_started_ms[instance] = started_ms
-        self._app.service('membership').set_left_worker(instance, started_ms)
+        departure = model.Departure(instance, started_ms)
+        self._publish_left(departure)
+        return departure
+
+    def _publish_left(self, departure: model.Departure) -> None:
+        """Let the other nodes and the store keep a departure."""
+        self._app.service('membership').set_left_worker(*departure)
+        self._app.service('departures').add(departure)
 
     def _set_up_instance(self, announcement: model.Announcement) -> None:
         LOG.info(
@@ -670,5 +744,7 @@
 ) -> None:
     """Register the service ``worker``."""
     app.add_service(
-        'worker', LocalWorker(app, codec), after=('metrics', 'membership')
+        'worker',
+        LocalWorker(app, codec),
+        after=('metrics', 'departures', 'membership'),
     )
--- a/damaskpier/platform/endpoints.py
+++ b/damaskpier/platform/endpoints.py
@@ -36,6 +36,8 @@
     ValueError,
     msgspec.MsgspecError,
 )
+# An upstream waits 1 s for the acknowledgement of a report.
+STORE_TIMEOUT_S = 0.85
 # A worker with more slots is taken for an error of the writer.
 MAX_SLOTS = 100_000
 # Whether an upstream is draining, by the platform's state.
@@ -103,8 +105,10 @@
             return messages.Response(404)
         worker = self._app.service('worker')
         if call == LEAVE_CALL:
-            worker.left(instance, _decode_leave_start(instance, request.body))
-            return messages.Response(200)
+            departure = worker.left(
+                instance, _decode_leave_start(instance, request.body)
+            )
+            return messages.Response(await self._store_departure(departure))
         if call != HEARTBEAT_CALL:
             return messages.Response(404)
         try:
@@ -117,9 +121,30 @@
             )
             return messages.Response(400)
         worker.apply_announcement(announcement)
+        status = 200
+        if announcement.draining:
+            status = await self._store_departure(
+                model.Departure(instance, announcement.started_ms)
+            )
         return messages.Response(
-            200, (('Content-Type', 'application/json'),), b'{}'
+            status, (('Content-Type', 'application/json'),), b'{}'
+        )
+
+    async def _store_departure(self, departure: model.Departure) -> int:
+        """Return the status of the response to a report of a departure.
+
+        It is an acknowledgement only once the departure is in the store.
+        """
+        if await self._app.service('departures').store(
+            departure, STORE_TIMEOUT_S
+        ):
+            return 200
+        LOG.warning(
+            'platform: did not acknowledge that %s leaves, as the store does '
+            'not have it',
+            departure.instance,
         )
+        return 503
 
 
 def decode_heartbeat(instance: str, body: bytes) -> model.Announcement:
@@ -175,5 +200,11 @@
     app.add_service(
         'endpoints',
         Endpoints(app),
-        after=('metrics', 'configuration', 'worker', 'exchange'),
+        after=(
+            'metrics',
+            'departures',
+            'configuration',
+            'worker',
+            'exchange',
+        ),
     )
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -14,6 +14,7 @@
 from damaskpier import config
 from damaskpier import errors
 from damaskpier.fleet import configuration
+from damaskpier.fleet import departures
 from damaskpier.fleet import exchange
 from damaskpier.fleet import ingress
 from damaskpier.fleet import peers
@@ -47,6 +48,7 @@
         (
             metrics.setup,
             store.setup,
+            departures.setup,
             functools.partial(membership.setup, timing=times),
             configuration.setup,
             rollouts.setup,
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -4,11 +4,15 @@
 
 import logging
 from typing import Any
+from typing import TYPE_CHECKING
 import zlib
 
 from damaskpier.fleet import model
 from damaskpier.platform import notation
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 LOG = logging.getLogger(__name__)
 
 CONFIG_KIND = 'config'
@@ -156,6 +160,44 @@
     )
 
 
+def status_from_departures(departures: Iterable[model.Departure]) -> Object:
+    """Return the status of a node's entry in the directory."""
+    return {'departures': [departure._asdict() for departure in departures]}
+
+
+def entry_from_object(
+    node: model.NodeAddress, obj: Object
+) -> model.DirectoryEntry:
+    """Return a node's entry in the directory.
+
+    What can not be read of it, which another writer has written, is left out.
+
+    :param node: specification of the entry, as the node itself has written it
+    """
+    try:
+        revision = object_revision(obj)
+    except (KeyError, OverflowError, TypeError, ValueError):
+        revision = 0
+    status = obj.get('status')
+    found = status.get('departures') if isinstance(status, dict) else None
+    departures = []
+    for item in found if isinstance(found, list) else ():
+        try:
+            departures.append(
+                model.Departure(
+                    notation.require_text(item['instance']),
+                    notation.require_count(item['started_ms']),
+                )
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            LOG.error(
+                'platform: invalid departure in the entry of %s: %.200r',
+                node.node_id,
+                exc,
+            )
+    return model.DirectoryEntry(node, revision, tuple(departures))
+
+
 def _route_from_rule(host: str, rule: Object) -> model.Route:
     action = rule['action']
     # A rule has either a single destination or a list with weights.
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -161,8 +161,13 @@
             return _unexpected_status(answer)
         return converted
 
-    async def register(self, node: model.NodeAddress) -> errors.Refusal | None:
-        """Create or replace a node's entry in the directory."""
+    async def register(
+        self, node: model.NodeAddress
+    ) -> model.DirectoryEntry | errors.Refusal:
+        """Create a node's entry in the directory or replace its address.
+
+        :returns: the entry with the departures that the store holds
+        """
         spec = objects.spec_from_node(node)
         answer = await self._call(
             'POST',
@@ -173,7 +178,7 @@
             return answer
         if answer.status == 409:
             if _object_in(answer).get('spec') == spec:
-                return None
+                return objects.entry_from_object(node, _object_in(answer))
             answer = await self._call(
                 'PUT',
                 _object_path(objects.NODE_KIND, node.node_id),
@@ -183,7 +188,32 @@
                 return answer
         if answer.status not in (200, 201):
             return _unexpected_status(answer)
-        return None
+        return objects.entry_from_object(node, _object_in(answer))
+
+    async def write_departures(
+        self, entry: model.DirectoryEntry, timeout_s: float
+    ) -> model.DirectoryEntry | errors.Refusal:
+        """Write the departures of an entry unless the entry has changed.
+
+        :returns: the entry as the store holds it afterwards
+        """
+        name = entry.node.node_id
+        answer = await self._call(
+            'PUT',
+            f'{_object_path(objects.NODE_KIND, name)}/status',
+            {
+                'metadata': {'name': name, 'rev': entry.revision},
+                'status': objects.status_from_departures(entry.departures),
+            },
+            timeout_s,
+        )
+        if isinstance(answer, errors.Refusal):
+            return answer
+        if answer.status == 404:
+            return await self.register(entry.node)
+        if answer.status not in (200, 409):
+            return _unexpected_status(answer)
+        return objects.entry_from_object(entry.node, _object_in(answer))
 
     async def directory(self) -> list[model.NodeAddress] | errors.Refusal:
         """Return all entries of the directory."""
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -16,6 +16,7 @@
 from damaskpier import config
 from damaskpier import errors
 from damaskpier.fleet import configuration
+from damaskpier.fleet import departures
 from damaskpier.fleet import exchange
 from damaskpier.fleet import ingress
 from damaskpier.fleet import model
@@ -45,6 +46,7 @@
         self.configuration: model.Configuration | None = None
         self.orders: dict[str, model.Order] = {}
         self.nodes: dict[str, model.NodeAddress] = {}
+        self.entries: dict[str, model.DirectoryEntry] = {}
         self.is_down = False
         self.changed = asyncio.Event()
 
@@ -107,7 +109,19 @@
         if self._is_down():
             return _down()
         self._store.nodes[node.node_id] = node
-        return None
+        return self._store.entries.setdefault(
+            node.node_id, model.DirectoryEntry(node, 1)
+        )
+
+    async def write_departures(self, entry, timeout_s):
+        """Write the departures of an entry unless it has changed."""
+        if self._is_down():
+            return _down()
+        stored = self._store.entries[entry.node.node_id]
+        if stored.revision == entry.revision:
+            stored = entry._replace(revision=entry.revision + 1)
+            self._store.entries[entry.node.node_id] = stored
+        return stored
 
     async def directory(self):
         """Return all nodes."""
@@ -259,6 +273,9 @@
         node = await self._start_node(name, domain, upstream)
         self.nodes.append(node)
         if announces:
+            departures_ = node.app.service('departures')
+            if not node.store._is_down():
+                await wait_until(lambda: departures_.are_known)
             node.announce()
         return node
 
@@ -287,6 +304,7 @@
             (
                 metrics.setup,
                 lambda app: app.add_service('store', memory),
+                departures.setup,
                 functools.partial(
                     membership.setup,
                     timing=timing.Timing(announce_expiry_s=1e9),
--- a/tests/test_fleet/test_draining.py
+++ b/tests/test_fleet/test_draining.py
@@ -197,6 +197,8 @@
         node.app.service('worker').left('i-0')
     membership = other.app.service('membership')
     await conftest.wait_until(lambda: membership.get(node.name).draining)
+    # Only the other node still knows of it.
+    fleet.store.entries.clear()
     node = await fleet.restart(node)
     exchange = node.app.service('exchange')
     await conftest.wait_until(lambda: exchange.is_registered)
@@ -206,7 +208,10 @@
 
 
 async def test_restarted_node_stops_using_a_worker_that_has_left(fleet):
-    """The delayed heartbeat may come before the first contact to others."""
+    """The delayed heartbeat may come before the first contact to others.
+
+    It is used if the health check is passed, as by a faulty worker.
+    """
     node = await fleet.add(announces=False)
     other = await fleet.add(domain='b')
     node.announce(started_ms=50)
@@ -218,6 +223,7 @@
     node = await fleet.restart(node)
     service = node.app.service('worker')
     node.upstream.sequence = 0
+    service.apply_health(model.Health('i-0', 4))
     assert node.announce(started_ms=50)
     fleet.store.is_down = False
     await conftest.wait_until(lambda: service.announcement.draining)
--- a/tests/test_fleet/test_upstream_silence.py
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -18,6 +18,7 @@
 from damaskpier import application
 from damaskpier import config
 from damaskpier.fleet import configuration
+from damaskpier.fleet import departures
 from damaskpier.fleet import model
 from damaskpier.fleet import worker
 from damaskpier.http1 import client
@@ -66,6 +67,7 @@
         (
             metrics.setup,
             lambda app: app.add_service('store', conftest.MemoryStore(None)),
+            departures.setup,
             functools.partial(
                 membership.setup,
                 timing=timing.Timing(announce_expiry_s=1e9),
@@ -73,6 +75,11 @@
             configuration.setup,
         ),
     )
+    app.service('departures').entry_read(
+        model.DirectoryEntry(
+            model.NodeAddress('n', '127.0.0.1', 1, 'r', 'a'), 1
+        )
+    )
     return worker.LocalWorker(
         app,
         headers.PlatformHeaderCodec(),
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -408,22 +408,80 @@
     fake.lost = 1
     refusal = await client.register(NODE)
     assert refusal.code is errors.PLATFORM_UNKNOWN
-    assert await client.register(NODE) is None
+    assert (await client.register(NODE)).node == NODE
     assert await client.directory() == [NODE]
 
 
 async def test_node_with_a_new_address_replaces_its_entry(fake, client):
-    assert await client.register(NODE) is None
+    assert (await client.register(NODE)).node == NODE
     moved = NODE._replace(host='10.0.0.2')
-    assert await client.register(moved) is None
+    assert (await client.register(moved)).node == moved
     assert await client.directory() == [moved]
 
 
+async def test_departures_are_returned_at_the_next_registration(fake, client):
+    """A new address must not remove what an earlier process has written."""
+    entry = await client.register(NODE)
+    assert not entry.departures
+    departures = (model.Departure('i-1', 5), model.Departure('i-2', 6))
+    written = await client.write_departures(
+        entry._replace(departures=departures), 1.0
+    )
+    assert written.departures == departures
+    assert await client.register(NODE) == written
+    moved = NODE._replace(host='10.0.0.2')
+    assert (await client.register(moved)).departures == departures
+
+
+async def test_departures_of_another_process_are_not_replaced(fake, client):
+    """A write that an earlier process sent may be carried out late."""
+    entry = await client.register(NODE)
+    first = entry._replace(departures=(model.Departure('i-1', 5),))
+    stored = await client.write_departures(first, 1.0)
+    late = entry._replace(departures=(model.Departure('i-2', 6),))
+    assert await client.write_departures(late, 1.0) == stored
+    assert stored.departures == first.departures
+
+
+async def test_removed_entry_is_created_before_departures_are_written(
+    fake, client
+):
+    entry = await client.register(NODE)
+    del fake.objects[objects.NODE_KIND][NODE.node_id]
+    departed = entry._replace(departures=(model.Departure('i-1', 5),))
+    created = await client.write_departures(departed, 1.0)
+    assert not created.departures
+    written = await client.write_departures(
+        departed._replace(revision=created.revision), 1.0
+    )
+    assert written.departures == departed.departures
+
+
+@pytest.mark.parametrize(
+    'status',
+    [
+        7,
+        {'departures': 'i-1'},
+        {'departures': [None, {'instance': 'i-1'}, {'started_ms': 5}]},
+        {'departures': [{'instance': 'i-1', 'started_ms': '5'}]},
+    ],
+    ids=str,
+)
+async def test_odd_departures_are_left_out(fake, client, status):
+    """A node that can not read its entry must still register."""
+    await client.register(NODE)
+    fake.put(
+        objects.NODE_KIND, 'n', objects.spec_from_node(NODE), status=status
+    )
+    entry = await client.register(NODE)
+    assert entry == model.DirectoryEntry(NODE, fake.revision)
+
+
 async def test_directory_is_read_page_by_page(fake, client):
     fake.page = 2
     nodes = [NODE._replace(node_id=f'n{number}') for number in range(5)]
     for node in nodes:
-        assert await client.register(node) is None
+        assert (await client.register(node)).node == node
     assert await client.directory() == nodes
 
 
@@ -586,7 +644,7 @@
 )
 async def test_odd_entry_of_the_directory_is_skipped(fake, client, spec):
     """A node could not register while there was one (issue 20)."""
-    assert await client.register(NODE) is None
+    assert (await client.register(NODE)).node == NODE
     fake.put(
         objects.NODE_KIND, 'odd', {**objects.spec_from_node(NODE), **spec}
     )
