Keep the version in force and the rejected ones across orders

What callers saw: v2, half of whose answers were failures, was taken back, and v3 was ordered while the workers of v2 still ran.

Cause: a move took the version with the most workers besides its own for the one that it replaces. v2 had six and v1 five. Nothing kept how the orders before had ended; a new order replaced the move before it.

Change: an order has a history, the version in force and the versions whose orders ended without being done, also those that were replaced while they ran. It is in the status of the order, which every node watches, and in the states of moves that nodes send each other. The version in force gets what the ordered one does not; without workers of it, no rejected version does.

Why this works: the history is written with each state under the same condition, and is a function of the stored object, so that a node that starts at any time comes to the same conclusion.

--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -10,6 +10,11 @@
 from typing import NamedTuple
 
 
+# Rejected versions of a service that are kept, the latest ones. The workers of
+# earlier ones have stopped long before.
+MAX_REJECTED_VERSIONS = 16
+
+
 class RouteKind(enum.Enum):
     """Kind of a route's requests, which decides whether they are retried."""
 
@@ -88,13 +93,52 @@
     TAKEN_BACK = 'taken_back'
 
 
+class VersionHistory(NamedTuple):
+    """What the earlier orders of a service have come to.
+
+    ``in_force`` is the version that the current order replaces; empty if
+    unknown. ``rejected`` are the versions whose orders ended without being
+    done, the latest one last.
+    """
+
+    in_force: str = ''
+    rejected: tuple[str, ...] = ()
+
+    def after(self, version: str, phase: Phase) -> VersionHistory:
+        """Return the history for the order that follows the current one.
+
+        An order that is replaced while it runs does not bring its version
+        into force.
+
+        :param version: version of the current order
+        :param phase: last phase of the current order
+        """
+        if phase is Phase.DONE:
+            return _make_history(version, self.rejected)
+        return _make_history(self.in_force, (*self.rejected, version))
+
+    def merged(self, other: VersionHistory) -> VersionHistory:
+        """Return this history with what only the other one contains."""
+        return _make_history(
+            self.in_force or other.in_force, (*other.rejected, *self.rejected)
+        )
+
+
+def _make_history(in_force: str, rejected: tuple[str, ...]) -> VersionHistory:
+    latest_first = dict.fromkeys(reversed(rejected))
+    latest_first.pop(in_force, None)
+    kept = list(latest_first)[:MAX_REJECTED_VERSIONS]
+    return VersionHistory(in_force, tuple(reversed(kept)))
+
+
 class Order(NamedTuple):
     """Operator's order to move a service's traffic to a version.
 
     ``order_id`` identifies the order among the orders of the service.
     ``revision`` is the store's revision of the object, which conditional
     updates compare. ``has_status`` is set if the store holds a status of this
-    order and not of an earlier one.
+    order and not of an earlier one. ``history`` is that of the orders before
+    this one.
     """
 
     service: str
@@ -104,6 +148,7 @@
     phase: Phase
     revision: int
     has_status: bool = False
+    history: VersionHistory = VersionHistory()
 
 
 class Announcement(NamedTuple):
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -106,7 +106,7 @@
         target = move.order.version
         if move.phase is model.Phase.DONE:
             return rollout_model.VersionChoice(target, 1.0)
-        old = self._old_version(service, target)
+        old = self._old_version(move.order)
         if move.phase is model.Phase.TAKEN_BACK:
             return rollout_model.VersionChoice(old or NO_VERSION, 0.0)
         share = self._shares.get(service, 0.0)
@@ -188,6 +188,7 @@
             move = self._moves[order.service] = moves.Move(order, now)
         if move.move_id != state.move:
             return
+        move.order = _with_history(move.order, order.history)
         if move.phase is not model.Phase.RUNNING:
             return
         if order.phase is not model.Phase.RUNNING:
@@ -214,16 +215,24 @@
     def _apply_order(self, order: model.Order) -> None:
         current = self._moves.get(order.service)
         if current is not None and current.move_id == moves.move_id(order):
-            current.order = order
+            current.order = _with_history(order, current.order.history)
             if order.phase is not model.Phase.RUNNING:
                 self._set_phase(current, order.phase, 'the store says so')
             return
+        if current is not None:
+            before = current.order
+            order = _with_history(
+                order, before.history.after(before.version, before.phase)
+            )
         LOG.info(
-            'rollout: order to move %s to %s within %.1f s, state %s',
+            'rollout: order to move %s to %s within %.1f s, state %s, from '
+            '%s, not to %s',
             order.service,
             order.version,
             order.duration_s,
             order.phase.value,
+            order.history.in_force or 'the version with the most workers',
+            ', '.join(order.history.rejected) or 'none',
         )
         self._moves[order.service] = moves.Move(order, self._clock())
         self._shares.pop(order.service, None)
@@ -335,7 +344,7 @@
             if move.order.phase is not model.Phase.RUNNING:
                 return
             written = await self._app.service('store').write_phase(
-                move.order, move.phase
+                self._order_to_write(move), move.phase
             )
             if isinstance(written, errors.Refusal):
                 LOG.warning(
@@ -362,7 +371,7 @@
             if move.order.has_status or move.phase is not model.Phase.RUNNING:
                 return
             written = await self._app.service('store').write_phase(
-                move.order, model.Phase.RUNNING
+                self._order_to_write(move), model.Phase.RUNNING
             )
             if isinstance(written, errors.Refusal):
                 LOG.warning(
@@ -377,6 +386,14 @@
         finally:
             move.is_writing_status = False
 
+    def _order_to_write(self, move: moves.Move) -> model.Order:
+        """Return the order with the version in force, if it is known now.
+
+        Before the first order of a service, no store holds it.
+        """
+        old = self._old_version(move.order)
+        return _with_history(move.order, model.VersionHistory(old))
+
     def _ranked_nodes(self, name: str) -> list[str]:
         """Return the reachable nodes, ordered by a hash for this name.
 
@@ -414,13 +431,26 @@
             return 0.0
         return max((route.timeout_s for route in cfg.routes), default=0.0)
 
-    def _old_version(self, service: str, target: str) -> str:
+    def _old_version(self, order: model.Order) -> str:
+        """Return the version for requests that do not get the order's one.
+
+        :returns: the version in force or, without workers of it, the one with
+            the most workers that no order has rejected; empty if there is none
+        """
+        in_force, rejected = order.history
+        if in_force not in ('', order.version) and self._has_workers(
+            order.service, in_force
+        ):
+            return in_force
+        # The version is empty until a started node has its worker's first
+        # announcement.
+        excluded = {'', order.version, *rejected}
         versions = collections.Counter(
             worker.version
-            for worker in self._app.service('membership').workers(service)
-            # The version is empty until a started node has its worker's
-            # first announcement.
-            if worker.version not in ('', target)
+            for worker in self._app.service('membership').workers(
+                order.service
+            )
+            if worker.version not in excluded
         )
         return versions.most_common(1)[0][0] if versions else ''
 
@@ -447,9 +477,17 @@
         math.inf,
         model.Phase(state.phase.value),
         UNKNOWN_REVISION,
+        history=model.VersionHistory(state.in_force, state.rejected),
     )
 
 
+def _with_history(
+    order: model.Order, history: model.VersionHistory
+) -> model.Order:
+    """Return an order with what only another history contains."""
+    return order._replace(history=order.history.merged(history))
+
+
 def _state_from_move(move: moves.Move, now: float) -> rollout_model.MoveState:
     # The sequence number is the time since the start of the move in
     # milliseconds.
@@ -460,6 +498,8 @@
         rollout_model.Phase(move.phase.value),
         {},
         move.reason,
+        in_force=move.order.history.in_force,
+        rejected=move.order.history.rejected,
     )
 
 
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -110,11 +110,15 @@
     spec = obj['spec']
     status = obj.get('status') or {}
     version = notation.require_text(spec['targetVersion'])
-    phase = model.Phase.RUNNING
+    phase = _PHASE_BY_STATE.get(status.get('state'), model.Phase.RUNNING)
+    history = _history_from_status(status)
     # The status of an earlier order contains another version.
-    has_status = status.get('targetVersion') == version
-    if has_status:
-        phase = _PHASE_BY_STATE.get(status.get('state'), model.Phase.RUNNING)
+    stated_version = status.get('targetVersion')
+    has_status = stated_version == version
+    if not has_status:
+        if isinstance(stated_version, str):
+            history = history.after(stated_version, phase)
+        phase = model.Phase.RUNNING
     meta = obj['metadata']
     # The creation revision distinguishes this order from one for the same
     # version that was deleted before.
@@ -127,12 +131,39 @@
         phase,
         int(meta['rev']),
         has_status,
+        history,
     )
 
 
 def status_from_phase(order: model.Order, phase: model.Phase) -> Object:
-    """Return the status of an order in a phase."""
-    return {'state': STATE_BY_PHASE[phase], 'targetVersion': order.version}
+    """Return the status of an order in a phase.
+
+    Beside the platform's fields it contains the history, of which the status
+    is the only copy that lasts.
+    """
+    status: Object = {
+        'state': STATE_BY_PHASE[phase],
+        'targetVersion': order.version,
+    }
+    if order.history.in_force:
+        status['previousVersion'] = order.history.in_force
+    if order.history.rejected:
+        status['rejectedVersions'] = list(order.history.rejected)
+    return status
+
+
+def _history_from_status(status: Object) -> model.VersionHistory:
+    """Return the history in a status, without what can not be read of it."""
+    in_force = status.get('previousVersion')
+    rejected = status.get('rejectedVersions')
+    return model.VersionHistory(
+        in_force if isinstance(in_force, str) else '',
+        tuple(
+            version
+            for version in (rejected if isinstance(rejected, list) else ())
+            if isinstance(version, str)
+        ),
+    )
 
 
 def spec_from_node(node: model.NodeAddress) -> Object:
--- a/damaskpier/rollout/model.py
+++ b/damaskpier/rollout/model.py
@@ -28,6 +28,9 @@
     shares: dict[str, float]  # by route, 0..1
     reason: str = ''
     result: int = 0  # number of a result code, 0 while running
+    # On nodes without a tree only: what is known of the service's versions.
+    in_force: str = ''
+    rejected: tuple[str, ...] = ()
 
     @property
     def order(self) -> tuple[bool, int, int]:
--- a/damaskpier/rollout/wire.py
+++ b/damaskpier/rollout/wire.py
@@ -77,6 +77,8 @@
         ],
         reason=state.reason,
         result=state.result,
+        in_force=state.in_force,
+        rejected=state.rejected,
     )
 
 
@@ -93,6 +95,8 @@
         {item.route: item.share for item in message.shares},
         message.reason,
         message.result,
+        message.in_force,
+        tuple(message.rejected),
     )
 
 
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -56,7 +56,13 @@
         self._notify()
 
     def order(self, order: model.Order) -> None:
-        """Set an order."""
+        """Set an order, or replace the one for another version."""
+        before = self.orders.get(order.service)
+        if before is not None and before.version != order.version:
+            history = before.history.after(before.version, before.phase)
+            order = order._replace(
+                history=history, revision=before.revision + 1
+            )
         self.orders[order.service] = order
         self._notify()
 
@@ -99,7 +105,10 @@
         stored = self._store.orders[order.service]
         if stored.revision == order.revision:
             stored = stored._replace(
-                phase=phase, revision=order.revision + 1, has_status=True
+                phase=phase,
+                revision=order.revision + 1,
+                has_status=True,
+                history=order.history,
             )
             self._store.order(stored)
         return stored
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -220,3 +220,167 @@
     await conftest.wait_until(
         lambda: fleet.store.orders['reads'].phase is model.Phase.TAKEN_BACK
     )
+
+
+NEXT_ORDER = model.Order('reads', 2, 'v3', 15.0, model.Phase.RUNNING, 9)
+
+
+def _ran(fleet: conftest.Fleet, version: str) -> int:
+    return sum(
+        len(node.upstream.ran)
+        for node in fleet.nodes
+        if node.upstream.version == version
+    )
+
+
+async def _wait_for_order(fleet: conftest.Fleet, version: str) -> None:
+    def have_order() -> bool:
+        moves_ = [
+            node.app.service('rollouts')._moves.get('reads')
+            for node in fleet.nodes
+        ]
+        return all(move and move.order.version == version for move in moves_)
+
+    await conftest.wait_until(have_order)
+
+
+@pytest.fixture
+async def next_order(fleet, short_intervals):
+    """Return a fleet in which an order has followed one that failed.
+
+    The rejected version has more workers than the old one, and the new one has
+    none yet.
+    """
+    for version in ('v1', 'v2', 'v2', 'v2'):
+        await fleet.add(version=version)
+    await fleet.wait_converged()
+    fleet.store.order(ORDER)
+    await _wait_for_order(fleet, 'v2')
+    await conftest.wait_until(lambda: fleet.store.orders['reads'].has_status)
+    stored = fleet.store.orders['reads']
+    fleet.store.order(
+        stored._replace(
+            phase=model.Phase.TAKEN_BACK, revision=stored.revision + 1
+        )
+    )
+    await conftest.wait_until(
+        lambda: _phases(fleet) == {model.Phase.TAKEN_BACK}
+    )
+    fleet.store.order(NEXT_ORDER)
+    await _wait_for_order(fleet, 'v3')
+    return fleet
+
+
+async def test_rejected_version_is_not_used_by_the_next_order(next_order):
+    """The version with the most workers was taken for the old one (review/2).
+
+    Callers got the failures of the rejected version until its workers left.
+    """
+    before = _ran(next_order, 'v2')
+    for node in next_order.nodes:
+        await _load(node, 16)
+    assert _ran(next_order, 'v2') == before
+
+
+async def test_restarted_nodes_do_not_use_a_rejected_version(next_order):
+    """What has been rejected must not be in the memory of the nodes only."""
+    await conftest.wait_until(
+        lambda: next_order.store.orders['reads'].has_status
+    )
+    for node in list(next_order.nodes):
+        restarted = await next_order.restart(node)
+        restarted.announce()
+    await _wait_for_order(next_order, 'v3')
+    await next_order.wait_converged()
+    before = _ran(next_order, 'v2')
+    await _load(next_order.nodes[0], 40)
+    assert _ran(next_order, 'v2') == before
+    assert _ran(next_order, 'v1')
+
+
+async def test_node_without_the_store_does_not_use_a_rejected_version(
+    next_order,
+):
+    """It learns of the order from other nodes, with what came before it."""
+    late = await next_order.add()
+    late.app.service('rollouts')._moves.clear()
+    late.store.is_cut = True
+    for state in next_order.nodes[0].app.service('rollouts').states():
+        late.app.service('rollouts').merge(state)
+    before = _ran(next_order, 'v2')
+    await _load(late, 40)
+    assert _ran(next_order, 'v2') == before
+
+
+async def test_version_of_a_replaced_order_is_not_used_by_the_next_one(
+    fleet, short_intervals, monkeypatch
+):
+    """Nothing is known of a version whose order was replaced undecided."""
+    monkeypatch.setattr(moves, 'SHARE_STEPS', ((0.0, 0.0),))
+    for version in ('v1', 'v2', 'v2'):
+        await fleet.add(version=version)
+    await fleet.wait_converged()
+    fleet.store.order(ORDER)
+    await _wait_for_order(fleet, 'v2')
+    fleet.store.order(NEXT_ORDER)
+    await _wait_for_order(fleet, 'v3')
+    await _load(fleet.nodes[0], 40)
+    assert not _ran(fleet, 'v2')
+
+
+async def test_version_without_an_order_gets_no_requests_of_a_move(next_order):
+    """Workers of the next version may start before it is ordered."""
+    before = _ran(next_order, 'v2')
+    for _ in range(3):
+        await next_order.add(version='v4')
+    await next_order.wait_converged()
+    for node in next_order.nodes:
+        await _load(node, 16)
+    assert not _ran(next_order, 'v4')
+    assert _ran(next_order, 'v2') == before
+
+
+async def test_ordered_version_serves_if_only_a_rejected_one_is_left(
+    next_order,
+):
+    """Without workers of the old version, the rejected one must not serve."""
+    await next_order.add(version='v3')
+    next_order.nodes[0].announce(draining=True)
+    for node in next_order.nodes:
+        rollouts_ = node.app.service('rollouts')
+        await conftest.wait_until(
+            lambda: (
+                rollouts_._has_workers('reads', 'v3')
+                and not rollouts_._has_workers('reads', 'v1')
+            )
+        )
+    before = _ran(next_order, 'v2')
+    await _load(next_order.nodes[1], 40)
+    assert _ran(next_order, 'v2') == before
+    assert _ran(next_order, 'v3') == 40
+
+
+def test_history_of_orders():
+    """The version in force changes only with an order that is done."""
+    history = model.VersionHistory('v1')
+    history = history.after('v2', model.Phase.TAKEN_BACK)
+    history = history.after('v3', model.Phase.RUNNING)
+    assert history == model.VersionHistory('v1', ('v2', 'v3'))
+    # An order to go back to the version in force does not reject it.
+    assert history.after('v1', model.Phase.RUNNING) == history
+    history = history.after('v2', model.Phase.DONE)
+    assert history == model.VersionHistory('v2', ('v3',))
+    for number in range(2 * model.MAX_REJECTED_VERSIONS):
+        history = history.after(f'w{number}', model.Phase.TAKEN_BACK)
+    assert len(history.rejected) == model.MAX_REJECTED_VERSIONS
+    assert history.rejected[-1] == f'w{number}'
+
+
+def test_histories_are_merged():
+    """A node that missed an order takes over what others know of it."""
+    stored = model.VersionHistory('v2', ('v3',))
+    known = model.VersionHistory('v1', ('v2', 'v0'))
+    assert stored.merged(known) == model.VersionHistory('v2', ('v0', 'v3'))
+    unknown = model.VersionHistory()
+    assert unknown.merged(stored) == stored
+    assert stored.merged(unknown) == stored
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -403,6 +403,48 @@
     assert order.phase is model.Phase.RUNNING
 
 
+@pytest.mark.parametrize(
+    ('state', 'in_force', 'rejected'),
+    [
+        ('rolled_back', 'v1', ('v0', 'v2')),
+        ('running', 'v1', ('v0', 'v2')),
+        ('completed', 'v2', ('v0',)),
+    ],
+)
+async def test_status_tells_the_next_order_what_came_before(
+    fake, client, state, in_force, rejected
+):
+    """A node that starts after an order was replaced has seen nothing else."""
+    fake.put('rollouts', 's1', ORDER, status=None)
+    found = client.orders()
+    (order,) = await _next_good(found)
+    history = model.VersionHistory('v1', ('v0',))
+    phase = objects._PHASE_BY_STATE[state]
+    await client.write_phase(order._replace(history=history), phase)
+    (order,) = await _next_good(found)
+    assert (order.phase, order.history) == (phase, history)
+    fake.put('rollouts', 's1', {**ORDER, 'targetVersion': 'v3'})
+    (order,) = await _next_good(found)
+    assert order.phase is model.Phase.RUNNING
+    assert not order.has_status
+    assert order.history == model.VersionHistory(in_force, rejected)
+
+
+@pytest.mark.parametrize(
+    'status',
+    [
+        {'targetVersion': 7, 'state': 'completed'},
+        {'previousVersion': ['v1'], 'rejectedVersions': 'v2'},
+        {'previousVersion': None, 'rejectedVersions': [None, 3, {}]},
+    ],
+    ids=str,
+)
+async def test_odd_history_in_a_status_is_left_out(fake, client, status):
+    fake.put('rollouts', 's1', ORDER, status=status)
+    (order,) = await _next(client.orders())
+    assert order.history == model.VersionHistory()
+
+
 async def test_lost_answer_to_a_write_is_unknown(fake, client, monkeypatch):
     monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.05)
     fake.lost = 1
