Bound the reports of workers and the values of the store

Report of another operator: a faulty worker sent bytes without end, and the machine that had called it ran out of memory.

Seen here: the bytes that a node keeps were bounded at every reader. But a report at the control port could have 24 MB, and an answer of the store 16 MB, and both were decoded as a whole. A report of 24 MB of "[]," took the decoder from 59 to 587 MB, where a node has 200 to 300 MB: the process ends, and with it the requests of all clients.

Cause: the control, readiness and metrics ports had the limits of requests, and nothing bounded the number of values.

Change: a body at these three ports has 64 KiB at most, and an answer of the store a million values, counted before it is decoded.

--- a/damaskpier/platform/endpoints.py
+++ b/damaskpier/platform/endpoints.py
@@ -38,6 +38,9 @@
 )
 # An upstream waits 1 s for the acknowledgement of a report.
 STORE_TIMEOUT_S = 0.85
+# Reports have some hundred bytes. What their decoder returns may take 25 times
+# the memory of the bytes.
+MAX_BODY_BYTES = 64 * 1024
 # A worker with more slots is taken for an error of the writer.
 MAX_SLOTS = 100_000
 # Whether an upstream is draining, by the platform's state.
@@ -53,9 +56,13 @@
 
     def __init__(self, app: application.Application) -> None:
         self._app = app
-        self._heartbeat_server = server.Server(self._handle_upstream_call)
-        self._readiness_server = server.Server(self._handle_readiness_probe)
-        self._metrics_server = server.Server(self._handle_metrics)
+        self._heartbeat_server = server.Server(
+            self._handle_upstream_call, _limits
+        )
+        self._readiness_server = server.Server(
+            self._handle_readiness_probe, _limits
+        )
+        self._metrics_server = server.Server(self._handle_metrics, _limits)
 
     async def start(self) -> None:
         """Listen on the three ports."""
@@ -183,6 +190,10 @@
     return notation.require_count(notice.get('born', 0))
 
 
+def _limits() -> server.Limits:
+    return server.Limits(body_bytes=MAX_BODY_BYTES)
+
+
 def _decode_leave_start(instance: str, body: bytes) -> int:
     try:
         return decode_leave(body)
--- a/damaskpier/platform/entry_lists.py
+++ b/damaskpier/platform/entry_lists.py
@@ -17,6 +17,9 @@
 
 # Members of a response that list entries.
 LIST_MEMBERS = (b'"items"', b'"events"')
+# Limit of the values in a response. A value of three bytes takes up to 80
+# bytes once it is decoded, and a response may have millions of them.
+MAX_VALUES = 1_000_000
 # Exceptions of the decoder. A number beyond the range of its type and bytes
 # that are no JSON are a ``DecodeError``.
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
@@ -43,6 +46,12 @@
 
     :raises: one of :data:`DECODE_ERRORS`
     """
+    # Commas in strings count too, so that this is an upper bound.
+    count = body.count(b',') + body.count(b'[') + body.count(b'{')
+    if count > MAX_VALUES:
+        raise msgspec.DecodeError(
+            f'about {count} values, the limit is {MAX_VALUES}'
+        )
     try:
         return msgspec.json.decode(body or b'{}', type=dict[str, Any])
     except DECODE_ERRORS as exc:
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
+from typing import NamedTuple
 from urllib import parse
 
 import msgspec
@@ -12,13 +14,19 @@
 
 from damaskpier import application
 from damaskpier import config
+from damaskpier.http1 import client as http_client
 from damaskpier.http1 import messages
 from damaskpier.http1 import server
 from damaskpier import metrics
+from damaskpier.platform import endpoints
+from damaskpier.platform import node as platform_node
 from damaskpier.platform import store
 
 HOST = '127.0.0.1'
 TEST_TIMEOUT_S = 20.0
+# Worker of the node in a :class:`Fleet`, and its start.
+INSTANCE = 'i-7'
+BORN_MS = 1_000
 
 
 class FakeStore:
@@ -138,6 +146,90 @@
     return messages.Response(status, (), msgspec.json.encode(content))
 
 
+class Fleet(NamedTuple):
+    """Fleet of a single node, whose processes are all killed together."""
+
+    apps: list[application.Application]
+    store: FakeStore
+
+    @property
+    def app(self) -> application.Application:
+        """Return the running node."""
+        return self.apps[-1]
+
+    async def start(self, upstream_port: int = 1) -> None:
+        """Start the node."""
+        app = platform_node.make_node(
+            config.loads(
+                '[node]\nid = n\nregion = r\nfailure_domain = d\n'
+                f'service = s1\nhost = {HOST}\nhttp_port = 0\nrpc_port = 0\n'
+                'admin_port = 0\nhealth_port = 0\nmetrics_port = 0\n'
+                f'[platform]\naddress = {HOST}:{self.store.server.port}\n'
+                f'[upstream]\naddress = {HOST}:{upstream_port}\n'
+                '[fleet]\ngrace = 0.5\nheartbeat = 60\n'
+            )
+        )
+        self.apps.append(app)
+        await app.start()
+
+    async def wait_registered(self) -> None:
+        """Wait until the node has read its entry in the directory."""
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not self.app.service('exchange').is_registered:
+                await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """End the node, which keeps nothing."""
+        self.app.service('ingress')._grace_s = 0.0
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.app.stop(), 2.0)
+
+    async def restart(self) -> None:
+        """End the node and start it again beside the same worker."""
+        await self.stop()
+        await self.start()
+        await self.wait_registered()
+
+    async def report(
+        self,
+        state: str,
+        sequence: int = 1,
+        born_ms: int = BORN_MS,
+        address_port: int = 1,
+    ) -> int:
+        """Send a report of the worker; returns the status of the response.
+
+        :param state: ``ready``, ``draining`` or ``left``
+        """
+        call = endpoints.HEARTBEAT_CALL
+        content = {
+            'address': f'{HOST}:{address_port}',
+            'born': born_ms,
+            'info': {'service': 's1', 'version': 'v1', 'slots': 4},
+            'status': {'state': state, 'sequence': sequence},
+        }
+        if state == 'left':
+            call = endpoints.LEAVE_CALL
+            content = {'born': born_ms}
+        port = self.app.service('endpoints')._heartbeat_server.port
+        response = await http_client.Pool(HOST, port).request(
+            messages.encode_request(
+                'POST',
+                f'/rpc?call={call}&of={INSTANCE}',
+                (('Host', HOST),),
+                msgspec.json.encode(content),
+            ),
+            http_client.Options(
+                asyncio.get_running_loop().time() + TEST_TIMEOUT_S
+            ),
+        )
+        return response.status
+
+    def uses_worker(self) -> bool:
+        """Return whether the node sends requests to the worker."""
+        return bool(self.app.service('membership').workers('s1'))
+
+
 @pytest.fixture
 async def fake() -> AsyncIterator[FakeStore]:
     """Yield a running store."""
@@ -229,3 +321,14 @@
         }
 
     return make
+
+
+@pytest.fixture
+async def fleet(fake, operator_config):
+    """Yield a fleet with a registered node and a configuration."""
+    fake.put('config', 'main', operator_config())
+    made = Fleet([], fake)
+    await made.start()
+    await made.wait_registered()
+    yield made
+    await made.stop()
