--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -211,13 +211,17 @@
         if state == 'left':
             call = endpoints.LEAVE_CALL
             content = {'born': born_ms}
+        return await self.call_control(call, msgspec.json.encode(content))
+
+    async def call_control(self, call: str, body: bytes) -> int:
+        """Call the control port; returns the status of the response."""
         port = self.app.service('endpoints')._heartbeat_server.port
         response = await http_client.Pool(HOST, port).request(
             messages.encode_request(
                 'POST',
                 f'/rpc?call={call}&of={INSTANCE}',
                 (('Host', HOST),),
-                msgspec.json.encode(content),
+                body,
             ),
             http_client.Options(
                 asyncio.get_running_loop().time() + TEST_TIMEOUT_S
--- a/tests/test_platform/test_endless_bytes.py
+++ b/tests/test_platform/test_endless_bytes.py
@@ -281,16 +281,4 @@
     """
     count = http_server.MAX_REQUEST_BYTES // 3 - 100
     body = b'{"born":[' + b'[],' * count + b'[]]}'
-    port = fleet.app.service('endpoints')._heartbeat_server.port
-    response = await http_client.Pool(HOST, port).request(
-        messages.encode_request(
-            'POST',
-            f'/rpc?call={call}&of={conftest.INSTANCE}',
-            (('Host', HOST),),
-            body,
-        ),
-        http_client.Options(
-            asyncio.get_running_loop().time() + conftest.TEST_TIMEOUT_S
-        ),
-    )
-    assert response.status == 413
+    assert await fleet.call_control(call, body) == 413
