--- a/damaskpier/config.py
+++ b/damaskpier/config.py
@@ -46,6 +46,10 @@
         """Return a setting of kind float."""
         return float(self._values[section, name])  # type: ignore[arg-type]
 
+    def flag(self, section: str, name: str) -> bool:
+        """Return a setting of kind bool."""
+        return bool(self._values[section, name])
+
     def address(self, section: str, name: str) -> Address:
         """Return a setting of kind address."""
         return parse_address(str(self._values[section, name]))
--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -35,7 +35,9 @@
 
     The longest matching prefix of a host applies. ``objective_s`` is the
     latency objective. ``priority`` 0 is the most urgent. ``max_attempts``
-    bounds the number of workers on which one request may run.
+    bounds the number of workers on which one request may run. A request of a
+    public route needs no key of a team. ``allowed_regions`` are the regions of
+    the workers; all of them if it is empty.
     """
 
     name: str
@@ -47,6 +49,8 @@
     objective_s: float
     max_attempts: int = 1
     priority: int = 0
+    is_public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -59,12 +63,34 @@
 
     ``connections`` is the number of connections that each worker accepts; 0
     if unknown. ``health_path`` is the path of the workers' health check; empty
-    if there is none.
+    if there is none. A worker is cold for ``cold_start_s`` after its start,
+    and takes ``cold_rate_per_s`` requests a second meanwhile; 0 if unknown.
     """
 
     name: str
     connections: int = 0
     health_path: str = ''
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
+
+
+class Team(NamedTuple):
+    """Team of callers, which its keys identify.
+
+    ``key_digests`` are the SHA-256 digests of the keys. ``priority`` takes
+    precedence over that of a route; None if the team has none. The team may
+    send ``rate_per_s`` requests a second and ``burst`` beyond that, over all
+    nodes together; there is no limit if ``rate_per_s`` is 0.
+    ``allowed_regions`` are the regions of the workers; all of them if it is
+    empty.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(NamedTuple):
@@ -77,12 +103,16 @@
 
 
 class Configuration(NamedTuple):
-    """One version of the configuration, which is applied as a whole."""
+    """One version of the configuration, which is applied as a whole.
+
+    If it has teams, a request needs the key of one of them.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits
+    teams: tuple[Team, ...] = ()
 
 
 class Phase(enum.Enum):
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -36,6 +36,7 @@
 ROUTE = 'Damaskpier-Route'
 CALLER = 'Damaskpier-Caller'
 PRIORITY = 'Damaskpier-Priority'
+TEAM = 'Damaskpier-Team'
 MAX_WAIT = 'Damaskpier-Patience-Ms'
 OBJECTIVE = 'Damaskpier-Objective-Ms'
 REPEATABLE = 'Damaskpier-Repeatable'
@@ -348,6 +349,8 @@
         fields += ((CALLER, request.caller),)
     if request.priority:
         fields += ((PRIORITY, str(request.priority)),)
+    if request.team:
+        fields += ((TEAM, request.team),)
     if request.repeatable:
         fields += ((REPEATABLE, '1'),)
     if request.is_repeat:
@@ -396,6 +399,7 @@
             objective=float('inf')
             if objective is None
             else now + int(objective) / 1000,
+            team=own_headers.get(TEAM.lower(), ''),
         )
     except (KeyError, ValueError) as exc:
         return errors.Refusal(
--- a/damaskpier/platform/notation.py
+++ b/damaskpier/platform/notation.py
@@ -60,6 +60,18 @@
     return value
 
 
+def require_number(value: object) -> float:
+    """Return a value that is a finite, non-negative number.
+
+    :raises TypeError, ValueError: if it is not
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'{type(value).__name__} instead of a number')
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError(f'a number that is not between 0 and {MAX_COUNT}')
+    return float(value)
+
+
 def require_port(value: object) -> int:
     """Return a value that is the number of a port.
 
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
 from typing import Any
 from typing import TYPE_CHECKING
@@ -82,6 +83,8 @@
                     cluster['name'],
                     int(cluster.get('maxConns', 0)),
                     str(cluster.get('healthPath', '')),
+                    notation.parse_duration_s(cluster.get('coldStart', '0s')),
+                    notation.require_number(cluster.get('coldPerS', 0)),
                 )
                 for cluster in spec['clusters']
             },
@@ -91,6 +94,10 @@
                 notation.parse_duration_s(limits['headerTimeout']),
                 notation.parse_duration_s(limits['idleTimeout']),
             ),
+            tuple(
+                _team_from_tenant(tenant)
+                for tenant in spec.get('tenants') or ()
+            ),
         )
         self._known = known
         return cfg
@@ -248,6 +255,36 @@
         notation.parse_duration_s(rule['latencySlo']),
         int(action.get('maxAttempts', 1)),
         int(rule.get('priority', 0)),
+        is_public=rule.get('noAuth') is True,
+        allowed_regions=_regions(action),
+    )
+
+
+def _team_from_tenant(tenant: Object) -> model.Team:
+    """Return a team, which the platform calls a tenant."""
+    priority = tenant.get('priority')
+    return model.Team(
+        notation.require_text(tenant['name']),
+        tuple(
+            digest_of_key(notation.require_text(key))
+            for key in tenant.get('apiKeys') or ()
+        ),
+        None if priority is None else notation.require_count(priority),
+        notation.require_number(tenant.get('ratePerS') or 0),
+        notation.require_number(tenant.get('burst') or 0),
+        _regions(tenant),
+    )
+
+
+def digest_of_key(key: str) -> bytes:
+    """Return the digest by which nodes keep and compare a team's key."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+def _regions(holder: Object) -> tuple[str, ...]:
+    return tuple(
+        notation.require_text(region)
+        for region in holder.get('allowedRegions') or ()
     )
 
 
--- a/damaskpier/platform/settings.py
+++ b/damaskpier/platform/settings.py
@@ -63,11 +63,30 @@
             'retry_ratio': bounds['retryRatio'],
             'retry_slack': bounds['retrySlack'],
             'retry_window': notation.parse_duration_s(bounds['retryWindow']),
+            **_optional_bounds(bounds),
         },
         'log': {'format': 'json'},
     }
 
 
+def _optional_bounds(bounds: dict[str, Any]) -> dict[str, object]:
+    """Return the settings for the bounds that not all deployments have."""
+    return {
+        name: parse(bounds[field])
+        for name, field, parse in (
+            ('allowance_window', 'quotaWindow', notation.parse_duration_s),
+            ('allowance_over', 'quotaOver', notation.require_number),
+            ('allowance_slack', 'quotaSlack', notation.require_number),
+            ('cold_over', 'coldOver', notation.require_number),
+            ('cold_slack', 'coldSlack', notation.require_number),
+            ('evacuate', 'evacuate', notation.parse_duration_s),
+            ('revoke', 'revoke', notation.parse_duration_s),
+            ('strict_revoke', 'strictRevoke', bool),
+        )
+        if field in bounds
+    }
+
+
 def _port(address: str) -> int:
     return config.parse_address(address).port
 
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -19,7 +19,8 @@
     instance sent the request. ``max_wait_s`` limits the wait for a slot.
     ``objective`` is the time by which the answer should arrive, on the same
     clock as the deadline. ``is_repeat`` is set if an earlier attempt may have
-    run.
+    run. ``team`` names the team of the caller; it is empty if the request
+    needs no key.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     max_wait_s: float = float('inf')
     is_repeat: bool = False
     objective: float = float('inf')
+    team: str = ''
 
 
 class Answer(NamedTuple):
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -274,3 +274,116 @@
     )
     assert (order.phase, order.has_status) == (phase, has_status)
     assert order.revision == 9
+
+
+def _hard_load_spec() -> dict:
+    rule = {
+        'name': 'r-1',
+        'routeKind': 'idempotent',
+        'latencySlo': '300ms',
+        'priority': 2,
+        'noAuth': True,
+        'match': {'pathPrefix': '/a/'},
+        'action': {
+            'service': 'reads',
+            'timeout': '1s',
+            'allowedRegions': ['r', 's'],
+        },
+    }
+    return {
+        'version': '00000007',
+        'limits': {
+            'maxHeaderBytes': 1024,
+            'maxBodyBytes': 4096,
+            'headerTimeout': '3s',
+            'idleTimeout': '15s',
+        },
+        'tenants': [
+            {
+                'name': 'bozi',
+                'apiKeys': ['key-1', 'key-2'],
+                'priority': 1,
+                'ratePerS': 28.5,
+                'burst': 30,
+                'allowedRegions': ['r'],
+            },
+            {'name': 'noba', 'apiKeys': []},
+        ],
+        'listeners': [{'host': 'a.example', 'routeRules': [rule]}],
+        'clusters': [{'name': 'reads', 'coldStart': '3s', 'coldPerS': 8.5}],
+    }
+
+
+def test_teams_regions_and_cold_rates_are_translated():
+    """Guards against a limit of the operator that is not applied."""
+    cfg = objects.ConfigurationDecoder().decode({'spec': _hard_load_spec()})
+    assert cfg.teams == (
+        model.Team(
+            'bozi',
+            (objects.digest_of_key('key-1'), objects.digest_of_key('key-2')),
+            1,
+            28.5,
+            30.0,
+            ('r',),
+        ),
+        model.Team('noba'),
+    )
+    assert cfg.routes[0].is_public
+    assert cfg.routes[0].allowed_regions == ('r', 's')
+    assert cfg.services['reads'].cold_start_s == 3.0
+    assert cfg.services['reads'].cold_rate_per_s == 8.5
+
+
+def test_keys_are_kept_as_digests_only():
+    """Guards against a key in the gossip, in a log line or in a status."""
+    cfg = objects.ConfigurationDecoder().decode({'spec': _hard_load_spec()})
+    assert 'key-1' not in repr(cfg)
+    assert b'key-1' not in msgspec.msgpack.encode(cfg)
+
+
+@pytest.mark.parametrize(
+    'tenant',
+    [
+        {'apiKeys': ['key-1']},
+        {'name': 'bozi', 'apiKeys': [7]},
+        {'name': 'bozi', 'ratePerS': -1},
+        {'name': 'bozi', 'ratePerS': '5'},
+        {'name': 'bozi', 'burst': 1e300},
+        {'name': 'bozi', 'priority': 1.5},
+        {'name': 'bozi', 'allowedRegions': [None]},
+    ],
+)
+def test_configuration_with_an_invalid_team_is_refused(tenant: dict):
+    """Guards against half of a team in force, such as one without a limit."""
+    spec = {**_hard_load_spec(), 'tenants': [tenant]}
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        objects.ConfigurationDecoder().decode({'spec': spec})
+
+
+def test_configuration_with_teams_passes_between_nodes():
+    """Guards against nodes that lose the teams in a gossiped configuration."""
+    cfg = objects.ConfigurationDecoder().decode({'spec': _hard_load_spec()})
+    encoded = msgspec.msgpack.encode(cfg)
+    assert msgspec.msgpack.decode(encoded, type=model.Configuration) == cfg
+
+
+def test_bounds_of_hard_load_are_translated(tmp_path: pathlib.Path):
+    """Guards against a default in place of a bound of the deployment."""
+    path = tmp_path / 'boot.toml'
+    path.write_text(
+        BOOT.replace(
+            '[bounds]',
+            '[bounds]\nquotaWindow = "4s"\nquotaOver = 0.2\nquotaSlack = 7\n'
+            'coldOver = 1.25\ncoldSlack = 3\nevacuate = "4500ms"\n'
+            'strictRevoke = true\nrevoke = "2500ms"',
+        )
+    )
+    cfg = settings.load(path)
+    assert cfg.number('fleet', 'allowance_window') == 4.0
+    assert cfg.number('fleet', 'allowance_over') == 0.2
+    assert cfg.number('fleet', 'allowance_slack') == 7.0
+    assert cfg.number('fleet', 'cold_over') == 1.25
+    assert cfg.number('fleet', 'cold_slack') == 3.0
+    assert cfg.number('fleet', 'evacuate') == 4.5
+    assert cfg.number('fleet', 'revoke') == 2.5
+    assert cfg.flag('fleet', 'strict_revoke')
