--- /dev/null
+++ b/damaskpier/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the choice of a worker, without input or output."""
--- /dev/null
+++ b/damaskpier/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the capacity of workers: admission, returns and pace."""
--- /dev/null
+++ b/damaskpier/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about teams of callers: their keys and allowances."""
