--- a/damaskpier/fleet/departures.py
+++ b/damaskpier/fleet/departures.py
@@ -59,6 +59,7 @@
         self._stored: dict[str, int] = {}
         self._stored_changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        app.events.connect('store-restored', self._write_again)
 
     async def stop(self) -> None:
         """Cancel the pending write."""
@@ -116,6 +117,15 @@
             return False
         return True
 
+    def _write_again(self) -> None:
+        """Write all departures, which the store may have lost."""
+        self._stored = {}
+        if self._entry is not None:
+            # The store assigns the revisions after its copy again, and tells
+            # the current one when it refuses this one.
+            self._entry = self._entry._replace(revision=0)
+            self._start_writing()
+
     def _is_stored(self, departure: model.Departure) -> bool:
         stored_ms = self._stored.get(departure.instance, -1)
         return stored_ms >= departure.started_ms
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -248,14 +248,7 @@
 
     async def _register(self) -> None:
         membership = self._app.service('membership')
-        local = membership.local_record()
-        node = model.NodeAddress(
-            local.node_id,
-            local.host,
-            local.rpc_port,
-            local.region,
-            local.failure_domain,
-        )
+        node = address_of(membership.local_record())
         store = self._app.service('store')
         delay_s = INITIAL_REGISTER_BACKOFF_S
         while True:
@@ -817,6 +810,17 @@
             LOG.error('exchange: a task failed', exc_info=task.exception())
 
 
+def address_of(record: mesh_model.NodeRecord) -> model.NodeAddress:
+    """Return the entry of a node in the store's directory."""
+    return model.NodeAddress(
+        record.node_id,
+        record.host,
+        record.rpc_port,
+        record.region,
+        record.failure_domain,
+    )
+
+
 def setup(app: application.Application) -> None:
     """Register the service ``exchange``."""
     app.add_service(
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -21,6 +21,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import moves
+from damaskpier.fleet import restored_orders
 from damaskpier import registry
 from damaskpier.rollout import model as rollout_model
 from damaskpier.util import rendezvous
@@ -80,6 +81,8 @@
         self._requests_per_s: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._write_tasks: set[asyncio.Task[None]] = set()
+        self._order_matcher = restored_orders.OrderMatcher()
+        app.events.connect('store-restored', self._store_restored)
 
     async def start(self) -> None:
         """Start to watch the orders in the store and to evaluate moves."""
@@ -212,15 +215,34 @@
             for order in update:
                 self._apply_order(order)
 
+    def _store_restored(self) -> None:
+        """Write all verdicts again, which the store may have lost."""
+        self._order_matcher.store_restored(self._moves)
+        for move in self._moves.values():
+            move.order = move.order._replace(
+                phase=model.Phase.RUNNING, has_status=False
+            )
+
     def _apply_order(self, order: model.Order) -> None:
         current = self._moves.get(order.service)
-        if current is not None and current.move_id == moves.move_id(order):
-            current.order = _with_history(order, current.order.history)
-            if order.phase is not model.Phase.RUNNING:
-                self._set_phase(current, order.phase, 'the store says so')
-            return
         if current is not None:
+            found = self._order_matcher.compare(order, current.order)
+            if found is restored_orders.Found.SUPERSEDED:
+                LOG.info(
+                    'rollout: ignored the order to move %s to %s, which %s '
+                    'replaced before the store lost it',
+                    order.service,
+                    order.version,
+                    current.move_id,
+                )
+                return
+            if found is not restored_orders.Found.NEW:
+                current.order = _with_history(order, current.order.history)
+                if order.phase is not model.Phase.RUNNING:
+                    self._set_phase(current, order.phase, 'the store says so')
+                return
             before = current.order
+            self._order_matcher.record_superseded(before)
             order = _with_history(
                 order, before.history.after(before.version, before.phase)
             )
--- a/damaskpier/fleet/store.py
+++ b/damaskpier/fleet/store.py
@@ -15,6 +15,9 @@
 
     Methods return a :class:`damaskpier.errors.Refusal` if the store refuses
     the call or does not answer.
+
+    Emits ``store-restored()`` when the store has come back from an older copy,
+    so that it may have lost what was written to it before.
     """
 
     @abc.abstractmethod
--- a/damaskpier/fleet/store_watch.py
+++ b/damaskpier/fleet/store_watch.py
@@ -24,12 +24,14 @@
     """Objects in a response and the revision from which to watch next.
 
     ``transfer_s`` is the time from the first to the last byte of the response
-    to a watch, in seconds.
+    to a watch, in seconds. ``generation`` is that of the store; its revisions
+    can not be compared with those of another one.
     """
 
     items: list[Any]
     revision: int
     transfer_s: float = 0.0
+    generation: int = 0
 
 
 class ObjectReader(abc.ABC):
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -17,6 +17,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import store
+from damaskpier.fleet import store_generation
 from damaskpier.fleet import store_watch
 from damaskpier.http1 import client
 from damaskpier.http1 import messages
@@ -43,6 +44,10 @@
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# Rises by one each time the store comes back from an older copy.
+GENERATION_HEADER = 'Store-Era'
+# Longest number that is read from a header.
+MAX_DIGITS = 15
 # Length of the part of a response that is logged if it can not be read.
 EXCERPT_BYTES = 200
 
@@ -68,13 +73,15 @@
     """Decoded response.
 
     ``encoded`` is the body as it was received; ``transfer_s`` is the time from
-    the first to the last byte of the response in seconds.
+    the first to the last byte of the response in seconds. ``generation`` is
+    that of the store; 0 if it states none.
     """
 
     status: int
     body: dict[str, Any]
     encoded: bytes
     transfer_s: float
+    generation: int
 
     @property
     def size(self) -> int:
@@ -104,6 +111,11 @@
         self._host = str(address)
         self._pool = client.Pool(address.host, address.port, max_idle=2)
         self._apply_limit_s = app.cfg.number('fleet', 'apply')
+        # Done at the next restore of the store.
+        self._restored: asyncio.Future[None] | None = None
+        self._generations = store_generation.GenerationTracker(
+            self._store_restored
+        )
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -247,6 +259,7 @@
         items: list[objects.Object] = []
         after = ''
         size = 0
+        generation = None
         while True:
             query = '?' + parse.urlencode({'after': after}) if after else ''
             answer = await self._call(
@@ -263,6 +276,9 @@
             entries = answer.body.get('items') or []
             if revision is None or not isinstance(entries, list):
                 return _unreadable(answer)
+            if generation not in (None, answer.generation):
+                return _history_lost(kind)
+            generation = answer.generation
             page = _keep_named(entries)
             self._record_delivery(kind, 'list', len(page), answer)
             items += page
@@ -270,7 +286,7 @@
                 if entries and not page and answer.body.get('hasMore'):
                     # There is no name to continue after.
                     return _unreadable(answer)
-                return store_watch.Page(items, revision)
+                return store_watch.Page(items, revision, generation=generation)
             size += answer.size
             last_name = objects.object_name(page[-1])
             if last_name == after or size > MAX_LIST_BYTES:
@@ -297,10 +313,7 @@
         if isinstance(answer, errors.Refusal):
             return answer
         if answer.status == 410:
-            return errors.Refusal(
-                errors.PLATFORM_HISTORY_LOST,
-                f'no history of {kind} since revision {revision}',
-            )
+            return _history_lost(kind)
         if answer.status != 200:
             return _unexpected_status(answer)
         revision = _revision_in(answer)
@@ -314,9 +327,24 @@
             if isinstance(event, dict) and not event.get('deleted')
         ]
         return store_watch.Page(
-            _keep_named(changed), revision, answer.transfer_s
+            _keep_named(changed),
+            revision,
+            answer.transfer_s,
+            answer.generation,
         )
 
+    async def wait_restored(self) -> None:
+        """Wait until the store comes back from an older copy."""
+        if self._restored is None:
+            self._restored = asyncio.get_running_loop().create_future()
+        await asyncio.shield(self._restored)
+
+    def _store_restored(self) -> None:
+        restored, self._restored = self._restored, None
+        if restored is not None:
+            restored.set_result(None)
+        self._app.events.emit('store-restored')
+
     def _record_delivery(
         self, kind: str, call: str, count: int, answer: _Response
     ) -> None:
@@ -365,6 +393,15 @@
                 code = errors.PLATFORM_UNKNOWN
             return errors.Refusal(code, f'{method} {target}: {outcome.reason}')
         metrics.increment('store_bytes_received', len(outcome.body))
+        generation = _generation_in(outcome)
+        if not self._generations.observe(generation):
+            # What it says may be lost by now.
+            code = errors.PLATFORM_UNAVAILABLE
+            if method != 'GET':
+                code = errors.PLATFORM_UNKNOWN
+            return errors.Refusal(
+                code, f'{method} {target}: an answer from before a restore'
+            )
         if outcome.status in _CODE_BY_STATUS:
             return errors.Refusal(
                 _CODE_BY_STATUS[outcome.status], f'{method} {target}'
@@ -376,7 +413,11 @@
                 errors.PLATFORM_UNKNOWN, f'{method} {target}: {exc}'
             )
         return _Response(
-            outcome.status, decoded, outcome.body, outcome.transfer_s
+            outcome.status,
+            decoded,
+            outcome.body,
+            outcome.transfer_s,
+            generation or 0,
         )
 
 
@@ -386,26 +427,53 @@
     def __init__(self, store_: PlatformStore, kind: str) -> None:
         self._store = store_
         self._kind = kind
+        # Generation of the store in which the objects were read.
+        self._generation = 0
 
     async def read(
         self, changed_after: int = 0
     ) -> store_watch.Page | errors.Refusal:
         """Return the objects that have changed after a revision."""
-        if not changed_after:
-            return await self._store.list_objects(self._kind)
         found = await self._store.list_objects(
-            self._kind, BURST_SILENCE_TIMEOUT_S
+            self._kind, BURST_SILENCE_TIMEOUT_S if changed_after else None
         )
         if isinstance(found, errors.Refusal):
             return found
+        is_restored = found.generation != self._generation
+        self._generation = found.generation
+        if is_restored or not changed_after:
+            return found
         changed = [
             obj for obj in found.items if _has_changed(obj, changed_after)
         ]
-        return store_watch.Page(changed, found.revision)
+        return found._replace(items=changed)
 
     async def watch(self, revision: int) -> store_watch.Page | errors.Refusal:
-        """Wait for objects that change after a revision and return them."""
-        return await self._store.watch_objects(self._kind, revision)
+        """Wait for objects that change after a revision and return them.
+
+        A restore of the store ends the wait: the revision may be assigned to
+        another change by then.
+        """
+        watching = asyncio.ensure_future(
+            self._store.watch_objects(self._kind, revision)
+        )
+        restored = asyncio.ensure_future(self._store.wait_restored())
+        try:
+            await asyncio.wait(
+                (watching, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            restored.cancel()
+            watching.cancel()
+        if not watching.done():
+            return _history_lost(self._kind)
+        found = watching.result()
+        if (
+            not isinstance(found, errors.Refusal)
+            and found.generation != self._generation
+        ):
+            return _history_lost(self._kind)
+        return found
 
 
 def _object_path(kind: str, name: str = '') -> str:
@@ -421,6 +489,21 @@
         return True
 
 
+def _generation_in(response: messages.Response) -> int | None:
+    """Return the generation of the store in an answer; None without one."""
+    text = response.header(GENERATION_HEADER.lower())
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
+def _history_lost(kind: str) -> errors.Refusal:
+    return errors.Refusal(
+        errors.PLATFORM_HISTORY_LOST,
+        f'the store no longer has the changes of {kind}',
+    )
+
+
 def _object_in(answer: _Response) -> objects.Object:
     """Return the object in a response, with or without a wrapper."""
     found = answer.body.get('object')
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import copy
 from typing import NamedTuple
 from urllib import parse
 
@@ -34,7 +35,8 @@
 
     ``refusals`` are statuses of the next responses. While ``silent`` is set,
     calls get no answer. Lists are answered after ``list_delay_s``. Watches
-    from before ``first_kept`` fail with 410.
+    from before ``first_kept`` fail with 410. Responses state ``era`` unless it
+    is 0.
     """
 
     def __init__(self) -> None:
@@ -48,6 +50,7 @@
         self.silent = False
         self.list_delay_s = 0.0
         self.first_kept = 0
+        self.era = 0
         self.page = 500
         self.server = server.Server(self._handle)
         self._changed = asyncio.Event()
@@ -75,18 +78,37 @@
         changed.set()
         return obj
 
+    def copy(self) -> Callable[[], None]:
+        """Copy the state; returns a function that comes back from the copy.
+
+        Watches that wait meanwhile go on.
+        """
+        state = copy.deepcopy((self.revision, self.objects, self.events))
+
+        def restore() -> None:
+            self.revision, self.objects, self.events = copy.deepcopy(state)
+            self.era += 1
+
+        return restore
+
     async def _handle(self, request: messages.Request) -> messages.Response:
         self.calls.append((request.method, request.target))
         if self.silent:
             await asyncio.Event().wait()
         if self.refusals:
-            return messages.Response(self.refusals.pop(0))
-        response = await self._answer(request)
+            return self._with_era(messages.Response(self.refusals.pop(0)))
+        response = self._with_era(await self._answer(request))
         if self.lost and request.method != 'GET':
             self.lost -= 1
             await asyncio.Event().wait()
         return response
 
+    def _with_era(self, response: messages.Response) -> messages.Response:
+        if not self.era:
+            return response
+        era = (('Store-Era', str(self.era)),)
+        return response._replace(headers=(*response.headers, *era))
+
     async def _answer(self, request: messages.Request) -> messages.Response:
         path, _, query = request.target.partition('?')
         _, _, kind, *rest = path.split('/')
@@ -128,7 +150,7 @@
         )
 
     async def _watch(self, kind: str, revision: int) -> messages.Response:
-        if revision < self.first_kept:
+        if not self.first_kept <= revision <= self.revision:
             return messages.Response(410)
         while True:
             found = [
