--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -246,6 +246,12 @@
     'The upstream shed the request before it ran.',
     'Try again later; the request did not run.',
 )
+CALL_KEY = _declare_code(
+    3021,
+    'call-key',
+    'The request has no key, more than one, or one that no team holds.',
+    'Send the key of a team of the active configuration.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/fleet/configuration.py
+++ b/damaskpier/fleet/configuration.py
@@ -9,6 +9,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier import registry
+from damaskpier.teams import keys
 from damaskpier.util import tasks
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
         self._app = app
         self._current: model.Configuration | None = None
         self._table: RouteTable | None = None
+        self._keys: keys.KeyTable[model.Team] = keys.KeyTable()
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -82,6 +84,10 @@
         """Return the routes in force; None before the first version."""
         return self._table
 
+    def keys(self) -> keys.KeyTable[model.Team]:
+        """Return the teams in force by their keys."""
+        return self._keys
+
     def version(self) -> int:
         """Return the version in force; 0 before the first one."""
         return self._current.version if self._current else 0
@@ -105,6 +111,7 @@
         before = self.version()
         self._current = cfg
         self._table = RouteTable(cfg)
+        self._keys = keys.KeyTable(cfg.teams)
         LOG.info(
             'config: applied version %d with %d routes; previous version %d',
             cfg.version,
@@ -143,6 +150,15 @@
             return errors.Refusal(
                 errors.BUNDLE_SCHEMA, f'route {route.name}: no weight'
             )
+    for team in cfg.teams:
+        # The name is sent to workers in a header.
+        if not team.name.isprintable() or team.name != team.name.strip():
+            return errors.Refusal(
+                errors.BUNDLE_SCHEMA, f'a team can not be named {team.name!r}'
+            )
+    conflict = keys.find_conflict(cfg.teams)
+    if conflict:
+        return errors.Refusal(errors.BUNDLE_CONFLICT, conflict)
     return None
 
 
--- a/damaskpier/fleet/header_codec.py
+++ b/damaskpier/fleet/header_codec.py
@@ -26,12 +26,13 @@
 
     ``instance`` is the instance that the request is meant for, ``caller`` the
     service of the instance on which it originated. ``remaining_s`` is the time
-    until the deadline.
+    until the deadline. ``team`` is the team of the caller, if there is one.
     """
 
     instance: str
     caller: str
     remaining_s: float
+    team: str = ''
 
 
 class HeaderCodec(abc.ABC):
@@ -49,12 +50,25 @@
     ) -> CallerMetadata:
         """Return the metadata in the headers of a caller's request."""
 
+    @abc.abstractmethod
+    def key_digests(self, request: messages.Request) -> tuple[bytes, ...]:
+        """Return the digests of all keys that a caller's request carries."""
+
+    @abc.abstractmethod
+    def remove_credentials(
+        self, headers: messages.Headers
+    ) -> messages.Headers:
+        """Return headers without keys and without names of teams."""
+
     @abc.abstractmethod
     def encode_upstream_headers(
         self, headers: messages.Headers, metadata: UpstreamMetadata
     ) -> messages.Headers:
         """Return the headers of a request to an upstream.
 
+        With a team, the key and the names of teams in the headers are
+        replaced by that team.
+
         :param headers: headers of the caller's request
         """
 
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import authentication
 from damaskpier.fleet import model
 from damaskpier.fleet import router
 from damaskpier.http1 import messages as http_messages
@@ -87,6 +88,7 @@
 _STATUS_BY_CODE = {
     errors.CALL_NO_ROUTE: 404,
     errors.CALL_BAD_HEADER: 400,
+    errors.CALL_KEY: 401,
     errors.CALL_TOO_LARGE: 413,
     errors.CALL_DEADLINE: 504,
 }
@@ -138,6 +140,7 @@
         self._app = app
         self._rng = rng or random.Random()
         self._codec = codec
+        self._authenticator = authentication.Authenticator(app, codec)
         self._clock = clock
         self.server = server.Server(
             self._handle,
@@ -277,6 +280,12 @@
                 errors.CALL_NO_ROUTE, f'no route for {request.path[:80]}'
             )
             return self._respond(metadata, None, outcome, began)
+        caller = self._authenticator.authenticate(
+            request, route, _forwarded_headers(request)
+        )
+        if isinstance(caller, errors.Refusal):
+            outcome = router.Outcome(caller)
+            return self._respond(metadata, route, outcome, began)
         limit_s = route.timeout_s or DEFAULT_DEADLINE_S
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
@@ -304,14 +313,15 @@
                 version='',
                 method=request.method,
                 target=request.target,
-                headers=_forwarded_headers(request),
+                headers=caller.headers,
                 body=request.body,
                 deadline=began + limit_s,
                 depth=0,
                 repeatable=route.repeatable,
-                priority=route.priority,
+                priority=caller.priority(route),
                 caller=self._app.cfg.text('node', 'service'),
                 objective=began + route.objective_s,
+                team=caller.team_name,
             ),
         )
         return self._respond(metadata, route, outcome, began)
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -350,7 +350,8 @@
     if request.priority:
         fields += ((PRIORITY, str(request.priority)),)
     if request.team:
-        fields += ((TEAM, request.team),)
+        # Names of teams are Unicode, and headers are encoded as Latin-1.
+        fields += ((TEAM, request.team.encode().decode('latin-1')),)
     if request.repeatable:
         fields += ((REPEATABLE, '1'),)
     if request.is_repeat:
@@ -399,7 +400,7 @@
             objective=float('inf')
             if objective is None
             else now + int(objective) / 1000,
-            team=own_headers.get(TEAM.lower(), ''),
+            team=own_headers.get(TEAM.lower(), '').encode('latin-1').decode(),
         )
     except (KeyError, ValueError) as exc:
         return errors.Refusal(
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -656,7 +656,7 @@
         fields = self._codec.encode_upstream_headers(
             request.headers,
             header_codec.UpstreamMetadata(
-                known.instance, request.caller, remaining_s
+                known.instance, request.caller, remaining_s, request.team
             ),
         )
         call.sent_at = began
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -7,6 +7,7 @@
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import model
 from damaskpier.http1 import messages
+from damaskpier.teams import keys
 
 REQUEST_ID = 'X-Request-Id'
 DEADLINE_MS = 'X-Deadline-Ms'
@@ -14,6 +15,9 @@
 EXPECTED_INSTANCE = 'X-Expect-Instance'
 # Service of the instance on which the request originated.
 CALLER = 'X-Caller'
+# Key of a team, which the platform calls a tenant, and name of the team.
+API_KEY = 'X-Api-Key'
+TENANT = 'X-Tenant'
 # Set in every response that the upstream's program itself made.
 SIGNATURE = 'X-Server-Stamp'
 NOT_RUN = 'X-Not-Run'
@@ -36,6 +40,7 @@
 _REPLACED_HEADERS = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECTED_INSTANCE, CALLER)
 )
+_CREDENTIAL_HEADERS = frozenset(name.lower() for name in (API_KEY, TENANT))
 
 
 class PlatformHeaderCodec(header_codec.HeaderCodec):
@@ -55,17 +60,35 @@
             request.header(self.id_header), deadline_s
         )
 
+    def key_digests(self, request: messages.Request) -> tuple[bytes, ...]:
+        """Return the digests of all keys that a caller's request carries.
+
+        An empty header carries no key.
+        """
+        name = API_KEY.lower()
+        return tuple(
+            # The server decodes the octets of a header as Latin-1.
+            keys.digest_of_key(value.encode('latin-1'))
+            for key, value in request.headers
+            if key.lower() == name and value
+        )
+
+    def remove_credentials(
+        self, headers: messages.Headers
+    ) -> messages.Headers:
+        """Return headers without keys and without names of teams."""
+        return _without(headers, _CREDENTIAL_HEADERS)
+
     def encode_upstream_headers(
         self,
         headers: messages.Headers,
         metadata: header_codec.UpstreamMetadata,
     ) -> messages.Headers:
         """Return the headers of a request to an upstream."""
-        kept = tuple(
-            field
-            for field in headers
-            if field[0].lower() not in _REPLACED_HEADERS
-        )
+        kept = _without(headers, _REPLACED_HEADERS)
+        if metadata.team:
+            name = metadata.team.encode().decode('latin-1')
+            kept = (*self.remove_credentials(kept), (TENANT, name))
         return (
             *kept,
             (DEADLINE_MS, str(int(metadata.remaining_s * 1000))),
@@ -111,3 +134,10 @@
     def encode_retry_after(self, delay_s: float) -> messages.Headers:
         """Return the headers that ask a caller to retry after a delay."""
         return ((RETRY_AFTER, f'{delay_s:.2f}'),)
+
+
+def _without(
+    headers: messages.Headers, names: frozenset[str]
+) -> messages.Headers:
+    """Return the headers whose lower-case names are not among some."""
+    return tuple(field for field in headers if field[0].lower() not in names)
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from typing import Any
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 
 from damaskpier.fleet import model
 from damaskpier.platform import notation
+from damaskpier.teams import keys
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -266,7 +266,7 @@
     return model.Team(
         notation.require_text(tenant['name']),
         tuple(
-            digest_of_key(notation.require_text(key))
+            _digest_of_key(notation.require_text(key))
             for key in tenant.get('apiKeys') or ()
         ),
         None if priority is None else notation.require_count(priority),
@@ -276,9 +276,17 @@
     )
 
 
-def digest_of_key(key: str) -> bytes:
-    """Return the digest by which nodes keep and compare a team's key."""
-    return hashlib.sha256(key.encode()).digest()
+def _digest_of_key(key: str) -> bytes:
+    """Return the digest of a key.
+
+    :raises ValueError: if the key is not Unicode text
+    """
+    try:
+        octets = key.encode()
+    except UnicodeEncodeError:
+        # The message of the original exception would contain the key.
+        raise ValueError('a key with a lone surrogate') from None
+    return keys.digest_of_key(octets)
 
 
 def _regions(holder: Object) -> tuple[str, ...]:
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -236,8 +236,12 @@
         deadline_ms: int = 10_000,
         request_id: str = 'r1',
         body: bytes = b'',
+        fields: messages.Headers = (),
     ) -> messages.Response | messages.Failure:
-        """Send a request as a caller of this node."""
+        """Send a request as a caller of this node.
+
+        :param fields: further headers
+        """
         port = self.app.service('ingress').server.port
         pool = client.Pool(HOST, port)
         data = messages.encode_request(
@@ -247,6 +251,7 @@
                 ('Host', 'h.example'),
                 (headers.REQUEST_ID, request_id),
                 (headers.DEADLINE_MS, str(deadline_ms)),
+                *fields,
             ),
             body,
         )
@@ -398,7 +403,9 @@
 
 
 def make_configuration(
-    version: int = 1, routes: tuple[model.Route, ...] | None = None
+    version: int = 1,
+    routes: tuple[model.Route, ...] | None = None,
+    teams: tuple[model.Team, ...] = (),
 ) -> model.Configuration:
     """Return a configuration, by default with a read and a write route."""
     if routes is None:
@@ -416,6 +423,7 @@
         routes,
         {name: model.ServiceSpec(name) for name in names},
         model.CallerLimits(),
+        teams,
     )
 
 
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -15,6 +15,7 @@
 from damaskpier.platform import notation
 from damaskpier.platform import objects
 from damaskpier.platform import settings
+from damaskpier.teams import keys
 
 BOOT = """
 node = "side-a-1"
@@ -320,7 +321,7 @@
     assert cfg.teams == (
         model.Team(
             'bozi',
-            (objects.digest_of_key('key-1'), objects.digest_of_key('key-2')),
+            (keys.digest_of_key(b'key-1'), keys.digest_of_key(b'key-2')),
             1,
             28.5,
             30.0,
