--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -470,6 +470,13 @@
             return
         fields = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
+        if (
+            status not in messages.FINAL_STATUSES
+            and status not in messages.INTERIM_STATUSES
+        ):
+            # A faulty server; what it did with the request is unknown.
+            self._fail(f'a response with the invalid status {status:03d}')
+            return
         has_body = not (
             status < 200
             or status in messages.STATUSES_WITHOUT_BODY
--- a/damaskpier/http1/messages.py
+++ b/damaskpier/http1/messages.py
@@ -7,6 +7,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# Statuses of final responses and of interim ones (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = range(100, 200)
 # Responses with these statuses have neither a body nor a ``Content-Length``.
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
--- a/damaskpier/traffic/curl_client.py
+++ b/damaskpier/traffic/curl_client.py
@@ -14,6 +14,7 @@
 from tornado import httpclient
 from tornado import httputil
 
+from damaskpier.http1 import messages as http_messages
 from damaskpier.traffic import headers as own_headers
 from damaskpier.util import limited_curl
 
@@ -134,8 +135,14 @@
         except asyncio.CancelledError:
             self._abort(proxy)
             raise
-        if response.error is not None and response.code == 599:
+        if _has_failed(response):
             return _to_failure(response)
+        if response.code not in http_messages.FINAL_STATUSES:
+            return Failure(
+                f'an answer with the invalid status {response.code:03d}',
+                sent=True,
+                timed_out=False,
+            )
         identifier = response.headers.get(own_headers.REQUEST_ID)
         if identifier not in (
             None,
@@ -222,6 +229,18 @@
     return pycurl.SOCKOPT_OK
 
 
+def _has_failed(response: httpclient.HTTPResponse) -> bool:
+    """Return whether there is no answer of the upstream.
+
+    Tornado uses the status 599 for that, which an upstream may send, too.
+    """
+    return (
+        response.code == 599
+        and response.error is not None
+        and type(response.error) is not httpclient.HTTPError
+    )
+
+
 def _to_failure(response: httpclient.HTTPResponse) -> Failure:
     exc = response.error
     if not isinstance(exc, curl_httpclient.CurlError):
--- a/damaskpier/traffic/peers.py
+++ b/damaskpier/traffic/peers.py
@@ -10,6 +10,7 @@
 from grpclib import exceptions
 
 from damaskpier import errors
+from damaskpier.http1 import messages as http_messages
 from damaskpier import metrics
 from damaskpier import registry
 from damaskpier.rpc import mesh_grpc
@@ -380,6 +381,13 @@
             code = errors.CALL_UNKNOWN
         run = errors.RunState(message.run)
         return messages.Reply(errors.Refusal(code, message.reason, run), load)
+    if message.status not in http_messages.FINAL_STATUSES:
+        refusal = errors.Refusal(
+            errors.CALL_UNKNOWN,
+            f'the node passed on the invalid status {message.status:03d}',
+            errors.RunState.UNKNOWN,
+        )
+        return messages.Reply(refusal, load)
     return messages.Reply(
         messages.Answer(
             message.status,
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -316,3 +316,20 @@
         depth=0,
         repeatable=False,
     )
+
+
+@pytest.mark.parametrize('status', [600, 999])
+async def test_invalid_status_of_an_upstream_is_not_passed_on(fleet, status):
+    """A caller got the status of an upstream in trouble as an answer."""
+    caller = await fleet.add('pages')
+    other = await fleet.add('reads')
+    await fleet.wait_converged()
+
+    async def answer(request):
+        return other.upstream.signed(status, b'x')
+
+    other.upstream.answer = answer
+    response = await caller.request('/write/1', method='POST')
+    assert response.status == 502
+    assert not response.header(headers.SIGNATURE.lower())
+    assert len(other.upstream.ran) == 1
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -1178,3 +1178,30 @@
         assert outcome.status == 503
     assert connections == 1
     assert not pool._idle
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_response_with_an_invalid_status_fails_at_once(
+    scripted, options, status
+):
+    """Guards against a faulty status that is passed on or waited out.
+
+    A status below 100 was taken for an interim response, so that the request
+    waited for its deadline.
+    """
+    connections = []
+
+    async def script(reader, writer):
+        connections.append(writer)
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok' % status)
+        await reader.read()
+
+    pool = await scripted(script)
+    for _ in range(2):
+        outcome = await pool.request(conftest.GET, options())
+        assert isinstance(outcome, messages.Failure)
+        assert outcome.sent
+        assert not outcome.timed_out
+        assert f'status {status.decode()}' in outcome.reason
+    assert len(connections) == 2
--- a/tests/test_traffic/test_curl_client.py
+++ b/tests/test_traffic/test_curl_client.py
@@ -579,3 +579,36 @@
             assert outcome.body == identifier.encode()
             bodies.append(outcome.body)
     assert bodies
+
+
+@pytest.mark.parametrize('status', [0, 99, 600, 999])
+async def test_answer_with_an_invalid_status_is_a_failure(
+    listen, client, status
+):
+    """Guards against a faulty status that a caller gets as an answer."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(
+            b'HTTP/1.1 %03d X\r\nContent-Length: 2\r\n\r\nok' % status
+        )
+        await reader.read()
+
+    req = request(await listen(serve), fresh=True)
+    req.request_timeout = 2.0
+    outcome = await client.run(req)
+    assert isinstance(outcome, curl_client.Failure)
+    assert outcome.sent
+
+
+async def test_answer_599_of_an_upstream_has_run(listen, client):
+    """Tornado uses this status for requests that were not sent."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok')
+        await reader.read()
+
+    outcome = await client.run(request(await listen(serve), fresh=True))
+    assert outcome.code == 599
+    assert outcome.body == b'ok'
--- a/tests/test_traffic/test_peers.py
+++ b/tests/test_traffic/test_peers.py
@@ -271,3 +271,11 @@
     refusal = (await channel.call(request('r'), 'n1')).result
     assert refusal.run is run
     assert channel.outstanding == 0
+
+
+@pytest.mark.parametrize('status', [0, 99, 199, 600, 999])
+def test_invalid_status_from_a_node_is_no_answer(status):
+    """Guards against a faulty status that another node passes on."""
+    reply = peers._decode_reply(mesh_pb2.CallReply(status=status))
+    assert reply.result.code is errors.CALL_UNKNOWN
+    assert reply.result.run is errors.RunState.UNKNOWN
