--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -7,9 +7,9 @@
 import itertools
 import math
 import time
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import order
 from damaskpier import errors
 from damaskpier.traffic import messages
 
@@ -38,10 +38,6 @@
 LONG_TERM_FALL_WEIGHT = 0.01
 LONG_TERM_RISE_WEIGHT = 0.001
 LIMIT_SMOOTHING_WEIGHT = 0.2
-# A request counts as able to meet its objective if this multiple of its mean
-# service time fits. With the mean itself, half of the requests that are
-# served last would miss it (tests/test_traffic/test_overload.py).
-OBJECTIVE_MARGIN_RATIO = 1.6
 
 
 class Ticket:
@@ -56,6 +52,7 @@
     :param objective: time by which the answer should arrive, on the same
         clock as the deadline
     :param number: sequence number by order of arrival
+    :param team: team of the caller; empty if it is unknown
     """
 
     __slots__ = (
@@ -65,6 +62,7 @@
         'priority',
         'objective',
         'number',
+        'team',
         'granted_at',
         'closed',
     )
@@ -77,26 +75,19 @@
         priority: int = 0,
         objective: float = math.inf,
         number: int = 0,
+        team: str = '',
     ) -> None:
         self.deadline = deadline
         self.priority = priority
         self.objective = min(objective, deadline)
         self.number = number
+        self.team = team
         self.done = done
         self.route = route
         self.granted_at: float | None = None
         self.closed = False
 
 
-class Rank(NamedTuple):
-    """Sort key of a waiting request; the lowest key gets the next slot."""
-
-    priority: int
-    misses_objective: bool
-    by: float
-    number: int
-
-
 class _PerRoute(dict[str, float]):
     """Times of routes in seconds, each computed at its first use.
 
@@ -162,11 +153,11 @@
 class Admission:
     """Grants the slots of one worker and queues or refuses other requests.
 
-    The queue is ordered by priority. Within a priority, requests that can
-    still meet their objective come before those that can not; each of the
-    two groups is ordered by time. With an order by deadline alone, nearly all
-    requests would miss their objective while there are more requests than
-    slots.
+    The queue is ordered by priority, then by team (:mod:`capacity.order`).
+    Requests that can still meet their objective come before those that can
+    not; each of the two groups is ordered by time. With an order by deadline
+    alone, nearly all requests would miss their objective while there are more
+    requests than slots.
 
     The class does no input or output, so that a simulation can run it on a
     virtual clock.
@@ -191,6 +182,7 @@
         self._adaptive = AdaptiveLimit()
         self._queue: list[Ticket] = []
         self._arrival_numbers = itertools.count()
+        self._order = order.Order()
 
     def configure(self, slots: int, queue: int) -> None:
         """Set the limits.
@@ -226,6 +218,7 @@
         priority: int = 0,
         max_wait_s: float = math.inf,
         objective: float = math.inf,
+        team: str = '',
     ) -> Ticket:
         """Request a slot; the decision is passed to ``done``.
 
@@ -243,6 +236,7 @@
             is expected to wait longer is refused at once
         :param objective: time by which the answer should arrive, on the same
             clock as the deadline
+        :param team: team of the caller; empty if it is unknown
         """
         now = self._clock()
         ticket = Ticket(
@@ -252,7 +246,9 @@
             priority,
             objective,
             next(self._arrival_numbers),
+            team,
         )
+        self._order.record_arrival(ticket, now)
         refusal = self._immediate_refusal(ticket, now)
         if refusal is None and self._may_start_at_once(ticket):
             self._grant_slot(ticket, now)
@@ -379,11 +375,9 @@
         :returns: the refusal if the request itself may not wait, else None
         """
         run_s = _PerRoute(self._expected_run_s)
-        rank = _rank(ticket, now, run_s)
-        ranked = sorted(
-            (_rank(other, now, run_s), other) for other in self._queue
-        )
-        ahead = bisect.bisect_left(ranked, (rank,))
+        rank = self._order.ranking(now, run_s)
+        ranked = sorted((rank(other), other) for other in self._queue)
+        ahead = bisect.bisect_left(ranked, (rank(ticket),))
         if ahead >= self._queue_limit:
             return self._overload_refusal()
         before = [other for _, other in ranked[:ahead]]
@@ -440,6 +434,8 @@
     def _grant_slot(self, ticket: Ticket, now: float) -> None:
         self.in_use += 1
         ticket.granted_at = now
+        service_s = self._expected_service_s(ticket.route)
+        self._order.record_start(ticket, now, service_s)
         for limit in self.limits:
             limit.record_start(ticket)
         ticket.done(None)
@@ -462,7 +458,7 @@
             if not ready:
                 self._announce_delay()
                 return
-            ticket = min(ready, key=lambda ticket: _rank(ticket, now, run_s))
+            ticket = min(ready, key=self._order.ranking(now, run_s))
             self._queue.remove(ticket)
             self._grant_slot(ticket, now)
 
@@ -482,13 +478,6 @@
             )
 
 
-def _rank(ticket: Ticket, now: float, run_s: _PerRoute) -> Rank:
-    needed_s = OBJECTIVE_MARGIN_RATIO * run_s[ticket.route]
-    misses = now + needed_s > ticket.objective
-    by = ticket.deadline if misses else ticket.objective
-    return Rank(ticket.priority, misses, by, ticket.number)
-
-
 async def acquire(
     admission: Admission,
     deadline: float,
@@ -497,6 +486,7 @@
     priority: int = 0,
     max_wait_s: float = math.inf,
     objective: float = math.inf,
+    team: str = '',
 ) -> Ticket | errors.Refusal:
     """Wait for a slot.
 
@@ -514,7 +504,7 @@
             fut.set_result(refusal)
 
     ticket = admission.submit(
-        deadline, done, route, priority, max_wait_s, objective
+        deadline, done, route, priority, max_wait_s, objective, team
     )
     if not outcome:
         loop = asyncio.get_running_loop()
@@ -562,6 +552,7 @@
         request.priority,
         request.max_wait_s,
         request.objective,
+        request.team,
     )
     metrics_service.observe('queue_wait', clock() - began)
     if isinstance(ticket, errors.Refusal):
--- /dev/null
+++ b/tests/test_capacity/simulation.py
@@ -0,0 +1,288 @@
+"""Load on the workers of one service, on a virtual clock without a network.
+
+Callers send requests to entry nodes, which choose a worker, go on to another
+one where a request is refused, and refuse the caller in the end, who returns.
+The workers have the admission of the product.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from damaskpier import errors
+from damaskpier.traffic import admission
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+SERVICE_LOG_SIGMA = 0.4
+HALF_ROUND_TRIP_S = 0.002
+CANDIDATE_COUNT = 3
+# As in fleet/router.py.
+MAX_ATTEMPTS = 4
+FULL_WAIT_ATTEMPT = 2
+FIRST_WAIT_RATIO = 0.25
+MAX_RETURNS = 2
+# Callers honour a Retry-After of up to this part of the time that they have.
+HONOURED_RATIO = 1 / 3
+
+
+class Traffic(NamedTuple):
+    """Requests of one kind.
+
+    ``load`` is a multiple of what all slots can serve, ``factor`` changes it
+    over time. ``impatient`` is the part of the callers that return at once
+    after a refusal.
+    """
+
+    name: str
+    load: float
+    team: str = ''
+    priority: int = 0
+    objective_s: float = 0.8
+    deadline_s: float = 4.0
+    impatient: float = 0.0
+    factor: Callable[[float], float] = lambda now: 1.0
+
+
+class Setup(NamedTuple):
+    """Parameters of a run; ``returns_max`` is the number of returns."""
+
+    traffic: tuple[Traffic, ...]
+    workers: int = 1
+    slots: int = 6
+    service_s: float = 0.25
+    nodes: int = 1
+    returns_max: int = 0
+    length_s: float = 20.0
+    seed: int = 1
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return how many requests all slots can serve in a second."""
+        return self.workers * self.slots / self.service_s
+
+
+class Record:
+    """One request of a caller, with all its returns."""
+
+    __slots__ = (
+        'traffic',
+        'first_at',
+        'deadline',
+        'ended_at',
+        'served',
+        'attempts',
+        'returns',
+        'tried',
+        'sent_at',
+        'node',
+    )
+
+    def __init__(self, traffic: Traffic, first_at: float, node: int) -> None:
+        self.traffic = traffic
+        self.first_at = first_at
+        self.deadline = first_at + traffic.deadline_s
+        self.ended_at = math.inf
+        self.served = False
+        self.attempts = 0
+        self.returns = 0
+        self.tried: list[int] = []
+        self.sent_at = first_at
+        self.node = node
+
+    @property
+    def in_time(self) -> bool:
+        """Return whether the request was served within its objective."""
+        limit_s = self.traffic.objective_s
+        return self.served and self.ended_at - self.first_at <= limit_s
+
+
+class Simulation:
+    """One run; subclasses of the tests change single steps."""
+
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.now = 0.0
+        self.rng = random.Random(setup.seed)
+        self.records: list[Record] = []
+        self._numbers = itertools.count()
+        self._events: list = []
+        self.workers = []
+        for _ in range(setup.workers):
+            worker = admission.Admission(lambda: self.now)
+            worker.configure(setup.slots, 3 * setup.slots)
+            self.workers.append(worker)
+
+    def run(self) -> Sequence[Record]:
+        """Run to the end and return all requests."""
+        for traffic in self.setup.traffic:
+            self.schedule(0.0, self._next_arrival, traffic)
+        self.advance(math.inf)
+        return self.records
+
+    def advance(self, until: float) -> None:
+        """Run the events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, event, args = heapq.heappop(self._events)
+            event(*args)
+
+    def schedule(
+        self, at: float, event: Callable[..., None], *args: object
+    ) -> None:
+        """Let an event happen at a time."""
+        heapq.heappush(self._events, (at, next(self._numbers), event, args))
+
+    def _next_arrival(self, traffic: Traffic) -> None:
+        if self.now >= self.setup.length_s:
+            return
+        rate_per_s = (
+            traffic.load * traffic.factor(self.now) * self.setup.capacity_per_s
+        )
+        if self.now > 0:
+            node = self.rng.randrange(self.setup.nodes)
+            record = Record(traffic, self.now, node)
+            self.records.append(record)
+            self.arrive(record)
+        self.schedule(
+            self.now + self.rng.expovariate(rate_per_s),
+            self._next_arrival,
+            traffic,
+        )
+
+    def arrive(self, record: Record) -> None:
+        """Let a request arrive at its entry node."""
+        record.tried = []
+        record.sent_at = self.now
+        self.attempt(record)
+
+    def attempt(self, record: Record) -> None:
+        """Send a request to a worker that it was not sent to yet."""
+        left = [i for i in range(len(self.workers)) if i not in record.tried]
+        candidates = self.rng.sample(left, min(CANDIDATE_COUNT, len(left)))
+        chosen = min(candidates, key=self._use)
+        record.tried.append(chosen)
+        record.attempts += 1
+        self.schedule(
+            self.now + HALF_ROUND_TRIP_S, self._submit, record, chosen
+        )
+
+    def _use(self, index: int) -> float:
+        load = self.workers[index].load
+        return (load.in_use + load.queued) / load.slots
+
+    def _submit(self, record: Record, index: int) -> None:
+        worker = self.workers[index]
+        traffic = record.traffic
+        max_wait_s = math.inf
+        if len(record.tried) < min(FULL_WAIT_ATTEMPT, len(self.workers)):
+            max_wait_s = FIRST_WAIT_RATIO * traffic.objective_s
+        tickets: list[admission.Ticket] = []
+
+        def done(refusal: errors.Refusal | None) -> None:
+            at = self.now + HALF_ROUND_TRIP_S
+            if refusal is not None:
+                self.schedule(at, self.on_refusal, record, refusal, index)
+                return
+            end = min(self.now + self.service_time_s(), record.deadline)
+            self.schedule(end, self._finish, record, worker, tickets, index)
+
+        ticket = worker.submit(
+            record.deadline,
+            done,
+            traffic.name,
+            traffic.priority,
+            max_wait_s,
+            record.sent_at + traffic.objective_s,
+            traffic.team,
+        )
+        tickets.append(ticket)
+        if max_wait_s < math.inf:
+            self.schedule(
+                self.now + max_wait_s, worker.refuse_past_max_wait, ticket
+            )
+        self.schedule(record.deadline, worker.refuse_past_deadline, ticket)
+
+    def service_time_s(self) -> float:
+        """Return how long a request runs in a slot."""
+        log_mean = math.log(self.setup.service_s) - SERVICE_LOG_SIGMA**2 / 2
+        return self.rng.lognormvariate(log_mean, SERVICE_LOG_SIGMA)
+
+    def _finish(
+        self,
+        record: Record,
+        worker: admission.Admission,
+        tickets: list[admission.Ticket],
+        index: int,
+    ) -> None:
+        worker.release(tickets[0])
+        record.ended_at = self.now
+        record.served = self.now < record.deadline
+        self.on_served(record, index)
+
+    def on_served(self, record: Record, index: int) -> None:
+        """Handle the answer of a worker at the entry node."""
+
+    def attempts_max(self, record: Record) -> int:
+        """Return how many workers a request is sent to."""
+        return min(MAX_ATTEMPTS, len(self.workers))
+
+    def on_refusal(
+        self, record: Record, refusal: errors.Refusal, index: int
+    ) -> None:
+        """Handle the refusal of a worker at the entry node."""
+        if (
+            len(record.tried) < self.attempts_max(record)
+            and self.now < record.deadline - 0.01
+        ):
+            self.attempt(record)
+        else:
+            self.refuse_caller(record, refusal)
+
+    def refuse_caller(self, record: Record, refusal: errors.Refusal) -> None:
+        """Refuse a caller, who may return."""
+        left_s = record.deadline - self.now
+        retry_after_s = self.retry_after_s(record, left_s)
+        if self.rng.random() < record.traffic.impatient:
+            retry_after_s = 0.0
+        if (
+            record.returns < self.setup.returns_max
+            and retry_after_s <= HONOURED_RATIO * left_s
+            and left_s > 0
+        ):
+            record.returns += 1
+            record.node = self.rng.randrange(self.setup.nodes)
+            self.schedule(self.now + retry_after_s, self.arrive, record)
+            return
+        record.ended_at = self.now
+
+    def retry_after_s(self, record: Record, left_s: float) -> float:
+        """Return the Retry-After of a refused caller."""
+        return min(0.1, 0.2 * left_s) * self.rng.uniform(0.5, 1.5)
+
+
+def served_ratio(records: Sequence[Record], name: str = '') -> float:
+    """Return the part of the requests that were served.
+
+    :param name: name of the traffic or of its team; all if it is empty
+    """
+    counted = [
+        record
+        for record in records
+        if not name or name in (record.traffic.name, record.traffic.team)
+    ]
+    return sum(record.served for record in counted) / max(1, len(counted))
+
+
+def served_per_s(records: Sequence[Record], begin: float, end: float) -> float:
+    """Return how many requests per second were served in a period."""
+    count = sum(
+        record.served and begin <= record.ended_at < end for record in records
+    )
+    return count / (end - begin)
