--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import entry_admission
 from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
 from damaskpier.fleet import selector
@@ -167,6 +168,7 @@
         self._selectors: dict[tuple[str, str], _SelectorEntry] = {}
         self._budgets: dict[str, retry.FleetRetryBudget] = {}
         self._response_bytes: dict[str, float] = {}
+        self._entry = entry_admission.EntryAdmission(app, clock, self._rng)
         # Latest start of the workers of which an answer said that they leave,
         # by node and instance.
         self._left_started_ms: dict[tuple[str, str], int] = {}
@@ -198,7 +200,12 @@
         )
         began = self._clock()
         attempts = _Attempts(request)
-        await self._run_attempts(route, selector_, attempts)
+        refusal = self._entry.refusal(request)
+        if refusal is not None:
+            attempts.add_result('', refusal)
+        else:
+            await self._run_attempts(route, selector_, attempts)
+            self._entry.record(request, attempts.outcome().result, began)
         outcome = attempts.outcome()
         self._record(route, service, version_choice, attempts, began)
         return outcome
@@ -321,6 +328,10 @@
         :param result: result of the attempt that calls for another one
         """
         remaining_s = attempts.request.deadline - self._clock()
+        if not self._entry.may_try_again(
+            attempts.request, len(attempts.tried), result
+        ):
+            return False
         if not _may_repeat(route, attempts, running, result, remaining_s):
             return False
         if not _reached_worker(result):
@@ -372,6 +383,7 @@
                 selector_.record_abandoned(worker, self._clock() - began)
         took_s = self._clock() - began
         selector_.record_outcome(worker, reply, took_s)
+        self._entry.record_attempt(request, reply)
         if reply.leaving_started_ms is not None:
             self._record_left(record, reply.leaving_started_ms)
         if _is_unreachable(reply.result):
--- a/tests/test_capacity/simulation.py
+++ b/tests/test_capacity/simulation.py
@@ -14,8 +14,10 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import entry
 from damaskpier import errors
 from damaskpier.traffic import admission
+from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -243,8 +245,12 @@
         ):
             self.attempt(record)
         else:
+            self.on_all_refused(record, refusal)
             self.refuse_caller(record, refusal)
 
+    def on_all_refused(self, record: Record, refusal: errors.Refusal) -> None:
+        """Handle that no worker admitted a request."""
+
     def refuse_caller(self, record: Record, refusal: errors.Refusal) -> None:
         """Refuse a caller, who may return."""
         left_s = record.deadline - self.now
@@ -286,3 +292,70 @@
         record.served and begin <= record.ended_at < end for record in records
     )
     return count / (end - begin)
+
+
+class EntrySimulation(Simulation):
+    """Simulation with the product's refusals at the entry nodes."""
+
+    def __init__(self, setup: Setup) -> None:
+        super().__init__(setup)
+        self.entries = [entry.EntryAdmission() for _ in range(setup.nodes)]
+
+    def arrive(self, record: Record) -> None:
+        """Refuse a request without an attempt, or send it on."""
+        left_s = record.deadline - self.now
+        refusal = self.entries[record.node].refusal(
+            _class(record), left_s, self.now, self.rng.random()
+        )
+        if refusal is None:
+            super().arrive(record)
+        else:
+            self.refuse_caller(record, refusal)
+
+    def attempts_max(self, record: Record) -> int:
+        """Return how many workers a request is sent to."""
+        return self.entries[record.node].attempts_max(
+            _class(record), super().attempts_max(record), self.now
+        )
+
+    def on_served(self, record: Record, index: int) -> None:
+        """Record the answer of a worker."""
+        answer = messages.Answer(200, (), b'')
+        self._record_attempt(record, answer, index)
+        self._record(record, answer)
+
+    def on_refusal(
+        self, record: Record, refusal: errors.Refusal, index: int
+    ) -> None:
+        """Record the refusal of a worker and go on."""
+        self._record_attempt(record, refusal, index)
+        super().on_refusal(record, refusal, index)
+
+    def on_all_refused(self, record: Record, refusal: errors.Refusal) -> None:
+        """Record that no worker admitted a request."""
+        self._record(record, refusal)
+
+    def _record_attempt(
+        self,
+        record: Record,
+        result: messages.Answer | errors.Refusal,
+        index: int,
+    ) -> None:
+        self.entries[record.node].record_attempt(
+            _class(record),
+            messages.Reply(result, self.workers[index].load),
+            self.now,
+        )
+
+    def _record(
+        self, record: Record, result: messages.Answer | errors.Refusal
+    ) -> None:
+        left_s = record.deadline - record.sent_at
+        self.entries[record.node].record(
+            _class(record), result, left_s, self.now
+        )
+
+
+def _class(record: Record) -> entry.Class:
+    traffic = record.traffic
+    return entry.Class('s', '', traffic.name, traffic.priority, traffic.team)
--- /dev/null
+++ b/tests/test_fleet/test_entry_admission.py
@@ -0,0 +1,79 @@
+"""Refusals at the entry node of a fleet whose workers are full."""
+
+from __future__ import annotations
+
+import math
+
+from damaskpier.capacity import entry
+
+REQUEST_COUNT = 40
+
+
+def fill(node):
+    """Fill the only slot of a worker and return the ticket."""
+    adm = node.app.service('worker').admission
+    adm.configure(1, 0)
+    return adm.submit(math.inf, lambda refusal: None)
+
+
+def count_calls(nodes):
+    """Return a list that grows with each attempt at one of the workers."""
+    calls = []
+    for node in nodes:
+        service = node.app.service('worker')
+
+        async def call(request, run=service.call):
+            calls.append(request.request_id)
+            return await run(request)
+
+        service.call = call
+    return calls
+
+
+async def make_full_fleet(fleet):
+    """Return the entry node, the attempts and the workers' tickets."""
+    nodes = [await fleet.add(domain=name) for name in 'abcd']
+    await fleet.wait_converged()
+    for node in nodes:
+        node.app.service('router')._rng.seed(1)
+    return nodes, count_calls(nodes), [fill(node) for node in nodes]
+
+
+async def test_refused_requests_make_few_attempts(fleet):
+    """Load: all workers are full, and callers go on.
+
+    Each refused request made an attempt at four workers: 34,883 refusals in
+    23 s were some 140,000 messages to workers.
+    """
+    nodes, calls, _ = await make_full_fleet(fleet)
+    for _ in range(REQUEST_COUNT):
+        response = await nodes[0].request()
+        assert response.status == 503
+        assert float(response.header('retry-after')) > 0
+    assert len(calls) < REQUEST_COUNT
+    metrics = nodes[0].app.service('metrics')
+    at_entry, at_workers = (
+        metrics.counter_value('capacity_refusals', place=place, priority='0')
+        for place in ('entry', 'workers')
+    )
+    assert at_entry + at_workers == REQUEST_COUNT
+    assert at_entry > at_workers
+
+
+async def test_first_request_after_the_load_is_served_soon(fleet):
+    """Load: the workers have room again after all were full.
+
+    Some of the requests are still tried, and one that is served ends the
+    refusals at once.
+    """
+    nodes, _, tickets = await make_full_fleet(fleet)
+    for _ in range(REQUEST_COUNT):
+        await nodes[0].request()
+    for node, ticket in zip(nodes, tickets, strict=True):
+        node.app.service('worker').admission.release(ticket)
+    count = 1
+    while (await nodes[0].request()).status != 200:
+        count += 1
+    assert count < 5 / entry.MIN_TRIED_RATIO
+    for _ in range(10):
+        assert (await nodes[0].request()).status == 200
