--- a/damaskpier/fleet/header_codec.py
+++ b/damaskpier/fleet/header_codec.py
@@ -79,6 +79,15 @@
         :raises ValueError: if the limit can not be read
         """
 
+    @abc.abstractmethod
+    def decode_load(
+        self, response: messages.Response
+    ) -> model.ReportedLoad | None:
+        """Return the load that the upstream reports; None if it reports none.
+
+        :raises ValueError: if the load can not be read
+        """
+
     @abc.abstractmethod
     def is_leaving(self, response: messages.Response) -> bool:
         """Return whether the upstream says that it is leaving."""
--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -211,6 +211,19 @@
     slots: int = 0
 
 
+class ReportedLoad(NamedTuple):
+    """Load that a worker reports in an answer or a health check.
+
+    ``pace`` is the time that work takes now as a multiple of the usual time;
+    None if the worker reports none.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
 class NodeAddress(NamedTuple):
     """Entry of a node in the store's directory."""
 
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -49,6 +49,9 @@
 # since the epoch of a worker that is leaving; not sent by earlier builds.
 WAIT = 'Damaskpier-Wait-Ms'
 LEAVING = 'Damaskpier-Leaving'
+# Pace of the worker in percent of the usual time, and its age in milliseconds.
+# It is no further field of LOAD, because earlier builds require three.
+PACE = 'Damaskpier-Pace'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
 ATTEMPT = 'Damaskpier-Attempt'
@@ -418,6 +421,9 @@
         wait_ms = int(load.wait_s * 1000)
         if wait_ms:
             fields += ((WAIT, str(wait_ms)),)
+        if load.pace is not None:
+            age_ms = int(load.pace_age_s * 1000)
+            fields += ((PACE, f'{load.pace * 100:.0f},{age_ms}'),)
     if reply.leaving_started_ms is not None:
         fields += ((LEAVING, str(reply.leaving_started_ms)),)
     result = reply.result
@@ -456,6 +462,7 @@
             int(queued),
             link_busy_ms / 1000,
             int(own_headers.get(WAIT.lower(), 0)) / 1000,
+            *_decode_pace(own_headers.get(PACE.lower())),
         )
     leaving = own_headers.get(LEAVING.lower())
     leaving_started_ms = None if leaving is None else int(leaving)
@@ -490,6 +497,14 @@
     )
 
 
+def _decode_pace(text: str | None) -> tuple[float | None, float]:
+    """Return the pace of a worker and its age in seconds."""
+    if text is None:
+        return None, 0.0
+    percent, age_ms = text.split(',')
+    return int(percent) / 100, int(age_ms) / 1000
+
+
 def setup(app: application.Application) -> None:
     """Register the services ``peers`` and ``peer-server``."""
     app.add_service('peers', Peers(app), after=('metrics', 'worker'))
--- a/damaskpier/fleet/startup_check.py
+++ b/damaskpier/fleet/startup_check.py
@@ -84,6 +84,7 @@
             )
             return
         worker.apply_health(health)
+        worker.pace.record(outcome)
 
 
 def setup(
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -18,6 +18,7 @@
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
 from damaskpier.fleet import model
+from damaskpier.fleet import reported_load
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
 from damaskpier.http1 import pacing
@@ -105,6 +106,7 @@
             lambda: pacing.running_pacer().bytes_per_s,
         )
         self._rate = start_limits.RateLimit(clock)
+        self.pace = reported_load.ReportedPace(codec, clock)
         self.admission.limits = (self._link, self._rate)
         self.admission.on_delay = self._start_waiting_later
         self._start_timer: asyncio.TimerHandle | None = None
@@ -304,12 +306,13 @@
     @property
     def load(self) -> messages.Load:
         """Return the load that replies report to the callers' nodes."""
-        return self.admission.load._replace(
+        load = self.admission.load._replace(
             link_busy_s=self._link.busy_s(self.admission.waiting),
             wait_s=self._rate.wait_s(
                 len(self.admission.waiting), self.admission.service_s
             ),
         )
+        return self.pace.add_to(load)
 
     def _start_waiting_later(self, delay_s: float) -> None:
         if self._start_timer is None:
@@ -440,6 +443,7 @@
         )
         self.admission.draining = False
         self._rate.expect_answer()
+        self.pace.reset()
         self._set_slots(announcement.slots)
 
     def _set_slots(self, slots: int) -> None:
@@ -501,6 +505,7 @@
             health = self._codec.decode_health(outcome)
         # An instance that has ended may have left its address to another one.
         if health is not None and health.instance == known.instance:
+            self.pace.record(outcome)
             LOG.info(
                 'worker: no heartbeat of %s for %.1f s, but it passed a '
                 'health check',
@@ -689,6 +694,7 @@
             self._record_answer(known)
         if self._is_current(known):
             self._apply_rate_limit(outcome)
+            self.pace.record(outcome)
         if self._codec.is_leaving(outcome):
             call.leaving_started_ms = self._leave(known)
         if self._codec.is_not_run(outcome):
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -20,7 +20,8 @@
 RETRY_AFTER = 'Retry-After'
 # Instance that answers a health check.
 INSTANCE = 'X-Instance-Id'
-# Numbers of running requests, queued requests and slots, separated by commas.
+# Numbers of running requests, queued requests and slots, separated by commas,
+# and the pace in percent of the usual time, which may be missing.
 LOAD = 'X-Server-Load'
 # Requests a second, a decimal number, that an upstream takes from all nodes
 # together. The platform calls an upstream a server.
@@ -30,6 +31,10 @@
 
 OTHER_INSTANCE_STATUS = 421
 
+_LOAD = re.compile(
+    r'(\d{1,9}),\s*(\d{1,9}),\s*(\d{1,9})(?:,\s*(\d{1,6}(?:\.\d{1,6})?))?',
+    re.ASCII,
+)
 _DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?')
 
 # Headers of a caller that are replaced in the request to the upstream.
@@ -94,6 +99,25 @@
             raise ValueError(f'{text[:40]!r} is not a decimal number')
         return float(text)
 
+    def decode_load(
+        self, response: messages.Response
+    ) -> model.ReportedLoad | None:
+        """Return the load that the upstream reports."""
+        text = response.header(LOAD.lower()).strip()
+        if not text:
+            return None
+        match = _LOAD.fullmatch(text)
+        if match is None:
+            raise ValueError(f'{text[:40]!r} is not a load')
+        running, waiting, slots, percent = match.groups()
+        if percent is None:
+            pace = None
+        else:
+            pace = float(percent) / 100
+            if not pace:
+                raise ValueError(f'{text[:40]!r} has a pace of 0')
+        return model.ReportedLoad(int(running), int(waiting), int(slots), pace)
+
     def is_leaving(self, response: messages.Response) -> bool:
         """Return whether the upstream says that it is leaving."""
         return response.header(LEAVING.lower()) == '1'
@@ -105,7 +129,8 @@
         instance = response.header(INSTANCE.lower())
         if response.status != 200 or not instance:
             return None
-        slots = response.header(LOAD.lower()).rpartition(',')[2].strip()
+        parts = response.header(LOAD.lower()).split(',')
+        slots = (parts[2] if len(parts) == 4 else parts[-1]).strip()
         return model.Health(instance, int(slots) if slots.isdecimal() else 0)
 
     def encode_retry_after(self, delay_s: float) -> messages.Headers:
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -61,7 +61,9 @@
     ``link_busy_s`` is the time in seconds that the node's link needs for the
     long responses of these requests, and for those that are ready. ``wait_s``
     is the time in seconds until another request may start at the rate that
-    the worker takes.
+    the worker takes. ``pace`` is the time that work takes there as a multiple
+    of the usual time, and ``pace_age_s`` the time since the worker reported it
+    in seconds; ``pace`` is None if it reported none.
     """
 
     slots: int
@@ -69,6 +71,8 @@
     queued: int
     link_busy_s: float = 0.0
     wait_s: float = 0.0
+    pace: float | None = None
+    pace_age_s: float = 0.0
 
 
 class Reply(NamedTuple):
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -156,6 +156,7 @@
         self.ran: list[messages.Request] = []
         self.cancelled = 0
         self.slots = 4
+        self.pace: int | None = None
         self.sequence = 0
         self.is_healthy = True
         self.answer: Callable[
@@ -171,13 +172,17 @@
         """Return an answer with the upstream's signature."""
         return messages.Response(status, ((headers.SIGNATURE, 's'),), body)
 
+    def _load(self) -> str:
+        pace = '' if self.pace is None else f',{self.pace}'
+        return f'0,0,{self.slots}{pace}'
+
     async def _handle(self, request: messages.Request) -> messages.Response:
         if request.path == HEALTH_PATH:
             return messages.Response(
                 200 if self.is_healthy else 503,
                 (
                     (headers.INSTANCE, self.instance),
-                    (headers.LOAD, f'0,0,{self.slots}'),
+                    (headers.LOAD, self._load()),
                 ),
             )
         expected = request.header(headers.EXPECTED_INSTANCE.lower())
--- a/tests/test_fleet/test_path.py
+++ b/tests/test_fleet/test_path.py
@@ -264,6 +264,17 @@
     assert peers._decode_reply(older).load == traffic_messages.Load(6, 2, 1)
 
 
+def test_pace_is_optional_between_builds():
+    """Nodes of earlier builds neither send it nor accept a longer load."""
+    load = traffic_messages.Load(6, 2, 1, pace=1.5, pace_age_s=0.04)
+    reply = traffic_messages.Reply(
+        traffic_messages.Answer(200, (), b'a'), load
+    )
+    response = peers._encode_reply(reply)
+    assert peers._decode_reply(response) == reply
+    assert response.header(peers.LOAD.lower()) == '2,1,6'
+
+
 @pytest.mark.parametrize('started_ms', [None, 0, 1700000000123])
 @pytest.mark.parametrize(
     'result',
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -187,6 +187,12 @@
             ((headers.INSTANCE, 'i-1'), (headers.LOAD, '3,0,8')),
             model.Health('i-1', 8),
         ),
+        # The pace is not the number of slots.
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.LOAD, '3,0,8,150')),
+            model.Health('i-1', 8),
+        ),
         (200, ((headers.INSTANCE, 'i-1'),), model.Health('i-1', 0)),
         (
             200,
@@ -205,6 +211,33 @@
     assert headers.PlatformHeaderCodec().decode_health(response) == expected
 
 
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('', None),
+        ('3,1,8', model.ReportedLoad(3, 1, 8)),
+        ('3, 1, 8', model.ReportedLoad(3, 1, 8)),
+        ('3,1,8,150', model.ReportedLoad(3, 1, 8, 1.5)),
+        ('0,0,6,62.5', model.ReportedLoad(0, 0, 6, 0.625)),
+    ],
+)
+def test_load_of_a_worker(text, expected):
+    response = messages.Response(200, ((headers.LOAD, text),))
+    assert headers.PlatformHeaderCodec().decode_load(response) == expected
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['3', '3,1', '3,1,8,', '3,1,8,fast', '3,1,8,0', '3,1,8,-5', '-1,0,6,100']
+    + ['3,1,8,150,2', '3,1,8,nan', '9' * 5000, '3,1,\u0668'],
+)
+def test_load_that_can_not_be_read_is_refused(text):
+    """Such a load must not be taken for that of an idle or fast worker."""
+    response = messages.Response(200, ((headers.LOAD, text),))
+    with pytest.raises(ValueError):
+        headers.PlatformHeaderCodec().decode_load(response)
+
+
 @pytest.mark.parametrize(
     ('text', 'expected'), [('48.1', 48.1), ('3', 3.0), ('0', 0.0), ('', None)]
 )
