--- a/damaskpier/capacity/order.py
+++ b/damaskpier/capacity/order.py
@@ -66,7 +66,7 @@
 class Order:
     """Recent service of teams and priorities at one worker, and the order.
 
-    Without teams, all requests are of one team, which has no effect.
+    Without teams, the order is by priority and time alone.
     """
 
     def __init__(self) -> None:
@@ -84,10 +84,10 @@
 
     def record_arrival(self, ticket: admission.Ticket, now: float) -> None:
         """Record a request that asks for a slot."""
-        self._priority_arrivals.add(ticket.priority, 1.0, now)
         if ticket.team:
             self._has_teams = True
         if self._has_teams:
+            self._priority_arrivals.add(ticket.priority, 1.0, now)
             self._arrivals.add(ticket.team, 1.0, now)
 
     def record_start(
@@ -97,8 +97,8 @@
 
         :param service_s: expected time in the slot, in seconds
         """
-        self._priority_starts.add(ticket.priority, 1.0, now)
         if self._has_teams:
+            self._priority_starts.add(ticket.priority, 1.0, now)
             self._starts.add(ticket.team, 1.0, now)
             self._service_s.add(ticket.team, service_s, now)
 
@@ -123,12 +123,8 @@
                 )
             is_served = priorities.get(ticket.priority)
             if is_served is None:
-                is_served = priorities[ticket.priority] = _is_served(
-                    self._priority_arrivals,
-                    self._priority_starts,
-                    ticket.priority,
-                    PRIORITY_FLOOR_RATIO,
-                    now,
+                is_served = priorities[ticket.priority] = (
+                    self._is_priority_served(ticket.priority, now)
                 )
             needed_s = OBJECTIVE_MARGIN_RATIO * run_s[ticket.route]
             misses = now + needed_s > ticket.objective
@@ -144,6 +140,15 @@
 
         return rank
 
+    def _is_priority_served(self, priority: int, now: float) -> bool:
+        return not self._has_teams or _is_served(
+            self._priority_arrivals,
+            self._priority_starts,
+            priority,
+            PRIORITY_FLOOR_RATIO,
+            now,
+        )
+
     def _standing(self, team: str, now: float) -> _Standing:
         if not self._has_teams:
             return _NO_TEAM
--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -15,6 +15,7 @@
 
     from damaskpier import application
     from damaskpier import errors
+    from damaskpier.fleet import model
     from damaskpier.traffic import messages
 
 LOG = logs.get_logger(__name__)
@@ -26,6 +27,9 @@
 class EntryAdmission:
     """Applies :class:`entry.EntryAdmission` to the requests of the router.
 
+    It has an effect only where the configuration has teams or a worker reports
+    its pace, because the other deployments are served as before.
+
     :param clock: returns the time in seconds
     :param rng: chooses the requests that are sent on during refusals
     """
@@ -40,11 +44,23 @@
         self._clock = clock
         self._rng = rng
         self._state = entry.EntryAdmission()
+        self._has_teams = False
+        self._has_paced_workers = False
+        app.events.connect('config-applied', self._config_applied)
         self._refused: collections.Counter[entry.Class] = collections.Counter()
         self._logged_at = -math.inf
 
+    def _config_applied(self, cfg: model.Configuration) -> None:
+        self._has_teams = bool(cfg.teams)
+
+    @property
+    def _is_active(self) -> bool:
+        return self._has_teams or self._has_paced_workers
+
     def refusal(self, request: messages.Request) -> errors.Refusal | None:
         """Return the refusal of a request that no worker would admit."""
+        if not self._is_active:
+            return None
         now = self._clock()
         cls = _class(request)
         refusal = self._state.refusal(
@@ -67,6 +83,8 @@
         """
         if entry.is_capacity_refusal(result):
             self._count('workers', request)
+        if not self._is_active:
+            return
         self._state.record(
             _class(request), result, request.deadline - began, self._clock()
         )
@@ -75,7 +93,10 @@
         self, request: messages.Request, reply: messages.Reply
     ) -> None:
         """Record one attempt on a worker."""
-        self._state.record_attempt(_class(request), reply, self._clock())
+        if reply.load is not None and reply.load.pace is not None:
+            self._has_paced_workers = True
+        if self._is_active:
+            self._state.record_attempt(_class(request), reply, self._clock())
 
     def may_try_again(
         self,
@@ -88,9 +109,9 @@
         :param tried: number of attempts so far
         :param result: result of the latest attempt
         """
-        return not entry.is_capacity_refusal(
-            result
-        ) or tried < self._state.attempts_max(
+        if not self._is_active or not entry.is_capacity_refusal(result):
+            return True
+        return tried < self._state.attempts_max(
             _class(request), tried + 1, self._clock()
         )
 
--- a/tests/test_fleet/test_entry_admission.py
+++ b/tests/test_fleet/test_entry_admission.py
@@ -30,12 +30,16 @@
     return calls
 
 
-async def make_full_fleet(fleet):
-    """Return the entry node, the attempts and the workers' tickets."""
+async def make_full_fleet(fleet, pace=1.0):
+    """Return the entry node, the attempts and the workers' tickets.
+
+    :param pace: pace that the workers report; None if they report none
+    """
     nodes = [await fleet.add(domain=name) for name in 'abcd']
     await fleet.wait_converged()
     for node in nodes:
         node.app.service('router')._rng.seed(1)
+        node.app.service('worker').pace._pace = pace
     return nodes, count_calls(nodes), [fill(node) for node in nodes]
 
 
@@ -60,6 +64,14 @@
     assert at_entry > at_workers
 
 
+async def test_workers_without_a_pace_are_asked_as_before(fleet):
+    """Guards against a change for deployments that do not call for it."""
+    nodes, calls, _ = await make_full_fleet(fleet, pace=None)
+    for _ in range(REQUEST_COUNT):
+        assert (await nodes[0].request()).status == 503
+    assert len(calls) == 4 * REQUEST_COUNT
+
+
 async def test_first_request_after_the_load_is_served_soon(fleet):
     """Load: the workers have room again after all were full.
 
