--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -252,6 +252,12 @@
     'The request has no key, more than one, or one that no team holds.',
     'Send the key of a team of the active configuration.',
 )
+CALL_KEYS_UNCONFIRMED = _declare_code(
+    3022,
+    'call-keys-unconfirmed',
+    'The node has had no contact with the store and accepts no keys.',
+    'Try again; look at the links of the node and at the store.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/fleet/authentication.py
+++ b/damaskpier/fleet/authentication.py
@@ -20,6 +20,9 @@
     keys.KeyFault.REPEATED: 'the request has more than one key',
     keys.KeyFault.UNKNOWN: 'no team holds the key of the request',
 }
+# Faults that no other configuration would accept.
+_FAULTS_OF_REQUEST = (keys.KeyFault.MISSING, keys.KeyFault.REPEATED)
+_NO_CONTACT = 'the node can not tell whether the key is still valid'
 
 
 class Caller(NamedTuple):
@@ -74,9 +77,25 @@
         if route.is_public:
             return Caller(None, headers)
         found = table.authenticate(self._codec.key_digests(request))
-        metrics = self._app.service('metrics')
+        if found not in _FAULTS_OF_REQUEST and not self._accepts_keys():
+            # Whether a team holds the key now is not known.
+            return self._refuse(
+                'unconfirmed', errors.CALL_KEYS_UNCONFIRMED, _NO_CONTACT
+            )
         if isinstance(found, keys.KeyFault):
-            metrics.increment('unauthenticated_requests', reason=found.value)
-            return errors.Refusal(errors.CALL_KEY, _REASONS[found])
-        metrics.increment('authenticated_requests', team=found.name)
+            return self._refuse(found.value, errors.CALL_KEY, _REASONS[found])
+        self._app.service('metrics').increment(
+            'authenticated_requests', team=found.name
+        )
         return Caller(found, headers)
+
+    def _accepts_keys(self) -> bool:
+        return self._app.service('store-contact').accepts_keys()
+
+    def _refuse(
+        self, label: str, code: errors.ResultCode, reason: str
+    ) -> errors.Refusal:
+        self._app.service('metrics').increment(
+            'unauthenticated_requests', reason=label
+        )
+        return errors.Refusal(code, reason)
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -195,7 +195,7 @@
         if has_no_configuration and gossip.HasField('sender'):
             # The sender is in contact with the fleet, unlike this node, and
             # may have the configuration.
-            self._start_sync(wire.record_from_pb(gossip.sender))
+            self.start_sync(wire.record_from_pb(gossip.sender))
         if gossip.wants_relay:
             reply = self._dissemination.relay(delta.records, gossip.moves)
             return reply.SerializeToString()
@@ -382,7 +382,7 @@
                 RECOVERY_CHECK_INTERVAL_S * self._rng.uniform(0.67, 1.33)
             )
             for record in self._lost_successors():
-                self._start_sync(record)
+                self.start_sync(record)
 
     def _lost_successors(self) -> list[mesh_model.NodeRecord]:
         """Return recently lost nodes up to the next reachable one."""
@@ -398,7 +398,7 @@
                 lost.append(record)
         return lost
 
-    def _start_sync(self, record: mesh_model.NodeRecord) -> None:
+    def start_sync(self, record: mesh_model.NodeRecord) -> None:
         """Start a round with a node unless one is running."""
         if record.node_id not in self._syncing_node_ids:
             self._syncing_node_ids.add(record.node_id)
@@ -506,6 +506,7 @@
                 for state in self._app.service('rollouts').states()
             ],
         )
+        asked_at = self._clock()
         body = await self._send(record, gossip)
         if body is None:
             return False
@@ -516,6 +517,7 @@
             return True
         delta = wire.unpack_delta(reply.membership)
         self._apply_gossip(reply, delta)
+        self._app.service('store-contact').record_reply(reply, asked_at)
         self._send_newer_records(record, delta)
         # A node without a configuration, which states version 0, asks for it.
         if reply.config_version and self._is_overdue(reply.config_version):
@@ -529,6 +531,7 @@
             wire.digests_from_pb(message.digests)
         )
         reply = self._add_sender(mesh_pb2.Gossip())
+        self._app.service('store-contact').add_age(reply)
         if domains:
             reply.membership.CopyFrom(wire.delta_to_pb(records, domains))
         sender = membership.get(message.sender.node_id)
--- a/damaskpier/fleet/store.py
+++ b/damaskpier/fleet/store.py
@@ -15,6 +15,10 @@
 
     Methods return a :class:`damaskpier.errors.Refusal` if the store refuses
     the call or does not answer.
+
+    Emits ``store-answered(asked_at)`` for each answer with the changes of the
+    configuration, before they are yielded. ``asked_at`` is the time of the
+    monotonic clock at which the call began.
     """
 
     @abc.abstractmethod
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -21,6 +21,7 @@
 from damaskpier.fleet import rollouts
 from damaskpier.fleet import router
 from damaskpier.fleet import startup_check
+from damaskpier.fleet import store_contact
 from damaskpier.fleet import worker
 from damaskpier import logs
 from damaskpier.mesh import membership
@@ -56,6 +57,7 @@
             functools.partial(startup_check.setup, codec=codec),
             peers.setup,
             exchange.setup,
+            store_contact.setup,
             router.setup,
             endpoints.setup,
             functools.partial(ingress.setup, codec=codec),
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -6,7 +6,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
+import math
 import random
+import time
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -22,9 +24,11 @@
 from damaskpier.http1 import messages
 from damaskpier.platform import entry_lists
 from damaskpier.platform import objects
+from damaskpier.teams import contact
 
 if TYPE_CHECKING:
     from damaskpier import application
+    from damaskpier import config
 
 LOG = logging.getLogger(__name__)
 
@@ -104,6 +108,7 @@
         self._host = str(address)
         self._pool = client.Pool(address.host, address.port, max_idle=2)
         self._apply_limit_s = app.cfg.number('fleet', 'apply')
+        self._max_config_wait_ms = _max_config_wait_ms(app.cfg)
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -288,11 +293,14 @@
 
         :returns: the changed objects without deleted ones
         """
-        query = parse.urlencode({'watch': revision, 'waitMs': WATCH_WAIT_MS})
+        wait_ms = WATCH_WAIT_MS
+        if kind == objects.CONFIG_KIND:
+            wait_ms = min(wait_ms, self._max_config_wait_ms)
+        query = parse.urlencode({'watch': revision, 'waitMs': wait_ms})
         answer = await self._call(
             'GET',
             f'{_object_path(kind)}?{query}',
-            timeout_s=WATCH_WAIT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S,
+            timeout_s=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
         )
         if isinstance(answer, errors.Refusal):
             return answer
@@ -317,6 +325,11 @@
             _keep_named(changed), revision, answer.transfer_s
         )
 
+    def record_answer(self, kind: str, asked_at: float) -> None:
+        """Tell others that the store answered for a kind of objects."""
+        if kind == objects.CONFIG_KIND:
+            self._app.events.emit('store-answered', asked_at)
+
     def _record_delivery(
         self, kind: str, call: str, count: int, answer: _Response
     ) -> None:
@@ -391,13 +404,15 @@
         self, changed_after: int = 0
     ) -> store_watch.Page | errors.Refusal:
         """Return the objects that have changed after a revision."""
-        if not changed_after:
-            return await self._store.list_objects(self._kind)
+        asked_at = time.monotonic()
         found = await self._store.list_objects(
-            self._kind, BURST_SILENCE_TIMEOUT_S
+            self._kind, BURST_SILENCE_TIMEOUT_S if changed_after else None
         )
         if isinstance(found, errors.Refusal):
             return found
+        self._store.record_answer(self._kind, asked_at)
+        if not changed_after:
+            return found
         changed = [
             obj for obj in found.items if _has_changed(obj, changed_after)
         ]
@@ -405,7 +420,23 @@
 
     async def watch(self, revision: int) -> store_watch.Page | errors.Refusal:
         """Wait for objects that change after a revision and return them."""
-        return await self._store.watch_objects(self._kind, revision)
+        asked_at = time.monotonic()
+        found = await self._store.watch_objects(self._kind, revision)
+        if not isinstance(found, errors.Refusal):
+            self._store.record_answer(self._kind, asked_at)
+        return found
+
+
+def _max_config_wait_ms(cfg: config.Settings) -> float:
+    """Return how long a watch of the configuration may wait for a change.
+
+    Where keys depend on contact with the store, watches have to end often,
+    because one that waits shows nothing.
+    """
+    if not cfg.flag('fleet', 'strict_revoke'):
+        return math.inf
+    wait_s = contact.WATCH_WAIT_RATIO * cfg.number('fleet', 'revoke')
+    return max(1, int(wait_s * 1000))
 
 
 def _object_path(kind: str, name: str = '') -> str:
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -25,6 +25,7 @@
 from damaskpier.fleet import router
 from damaskpier.fleet import startup_check
 from damaskpier.fleet import store
+from damaskpier.fleet import store_contact
 from damaskpier.fleet import worker
 from damaskpier.http1 import client
 from damaskpier.http1 import messages
@@ -260,9 +261,15 @@
 
 
 class Fleet:
-    """Starts and stops nodes on one store."""
+    """Starts and stops nodes on one store.
+
+    ``settings`` are further lines of the section ``fleet`` for nodes that
+    start from then on, ``region`` is their region.
+    """
 
     def __init__(self) -> None:
+        self.settings = ''
+        self.region = 'r'
         self.store = SharedStore()
         self.nodes: list[Node] = []
 
@@ -305,10 +312,12 @@
         self, name: str, domain: str, upstream: Upstream
     ) -> Node:
         cfg = config.loads(
-            f'[node]\nid = {name}\nregion = r\nfailure_domain = {domain}\n'
+            f'[node]\nid = {name}\nregion = {self.region}\n'
+            f'failure_domain = {domain}\n'
             f'service = {upstream.service}\n'
             '[platform]\naddress = 127.0.0.1:1\n'
             '[fleet]\ngrace = 0.5\nheartbeat = 60\nretry_slack = 1000\n'
+            f'{self.settings}'
             f'[upstream]\naddress = {HOST}:{upstream.server.port}\n'
         )
         memory = MemoryStore(self.store)
@@ -329,6 +338,7 @@
                 functools.partial(startup_check.setup, codec=codec),
                 peers.setup,
                 exchange.setup,
+                store_contact.setup,
                 router.setup,
                 functools.partial(ingress.setup, codec=codec),
             ),
--- a/tests/test_fleet/test_distribution.py
+++ b/tests/test_fleet/test_distribution.py
@@ -276,7 +276,7 @@
     await fleet.wait_converged()
     contacted = []
     monkeypatch.setattr(
-        first.app.service('exchange'), '_start_sync', contacted.append
+        first.app.service('exchange'), 'start_sync', contacted.append
     )
     membership = first.app.service('membership')
     lost = membership.local_record()._replace(node_id='lost-node')
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -92,7 +92,13 @@
         _, _, kind, *rest = path.split('/')
         fields = dict(parse.parse_qsl(query))
         if request.method == 'GET' and 'watch' in fields:
-            return await self._watch(kind, int(fields['watch']))
+            wait_s = int(fields['waitMs']) / 1000
+            try:
+                async with asyncio.timeout(wait_s):
+                    return await self._watch(kind, int(fields['watch']))
+            except TimeoutError:
+                answer = {'events': [], 'currentRev': self.revision}
+                return _json(200, answer)
         if request.method == 'GET':
             await asyncio.sleep(self.list_delay_s)
             return self._list(kind, fields.get('after', ''))
@@ -243,12 +249,15 @@
     await made.server.stop(0.0)
 
 
-def make_app(port: int) -> application.Application:
-    """Return an application with a client of the store at a port."""
+def make_app(port: int, settings: str = '') -> application.Application:
+    """Return an application with a client of the store at a port.
+
+    :param settings: further lines of the section ``fleet``
+    """
     cfg = config.loads(
         '[node]\nid = n\nregion = r\nfailure_domain = d\n'
         f'[platform]\naddress = {HOST}:{port}\n'
-        '[fleet]\napply = 0.1\n'
+        f'[fleet]\napply = 0.1\n{settings}'
     )
     return application.make_application(cfg, (metrics.setup, store.setup))
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -765,3 +765,45 @@
     assert isinstance(found, errors.Refusal)
     assert found.code is errors.PLATFORM_UNKNOWN
     assert count < last
+
+
+async def test_watch_shows_contact_where_keys_depend_on_it(
+    fake, operator_config
+):
+    """Guards against a node that takes a silent watch for contact.
+
+    A watch that waits for changes looks the same whether the store is there
+    or not, so that it has to end often, and only answers count.
+    """
+    fake.put('config', 'main', operator_config())
+    app = conftest.make_app(
+        fake.server.port, 'strict_revoke = true\nrevoke = 0.5\n'
+    )
+    answered = asyncio.Queue()
+    app.events.connect('store-answered', answered.put_nowait)
+    found = app.service('store').configurations()
+    await _next(found)
+    watching = asyncio.ensure_future(anext(found))
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        times = [await answered.get() for _ in range(4)]
+    assert times == sorted(times)
+    fake.silent = True
+    before = len(fake.calls)
+    await _wait_for_calls(fake, before + 1)
+    assert answered.empty()
+    watching.cancel()
+    await asyncio.wait((watching,))
+
+
+async def test_watch_without_strict_revoke_costs_no_more_calls(
+    fake, client, operator_config
+):
+    """Guards against polling in deployments that do not need it."""
+    fake.put('config', 'main', operator_config())
+    found = client.configurations()
+    await _next(found)
+    watching = asyncio.ensure_future(anext(found))
+    await _wait_for_calls(fake, 2)
+    assert f'waitMs={store.WATCH_WAIT_MS}' in fake.calls[1][1]
+    watching.cancel()
+    await asyncio.wait((watching,))
