--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -258,6 +258,12 @@
     'The node has had no contact with the store and accepts no keys.',
     'Try again; look at the links of the node and at the store.',
 )
+CALL_REGION = _declare_code(
+    3023,
+    'call-region',
+    'No ready worker is in a region that the request may go to.',
+    'Start workers there, or change the regions of the route or the team.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/fleet/configuration.py
+++ b/damaskpier/fleet/configuration.py
@@ -62,6 +62,9 @@
         self._current: model.Configuration | None = None
         self._table: RouteTable | None = None
         self._keys: keys.KeyTable[model.Team] = keys.KeyTable()
+        self._teams: dict[str, model.Team] = {}
+        # Whether any route or team is restricted to regions.
+        self.has_regions = False
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -88,6 +91,10 @@
         """Return the teams in force by their keys."""
         return self._keys
 
+    def team(self, name: str) -> model.Team | None:
+        """Return the team in force with a name; None if there is none."""
+        return self._teams.get(name)
+
     def version(self) -> int:
         """Return the version in force; 0 before the first one."""
         return self._current.version if self._current else 0
@@ -112,6 +119,10 @@
         self._current = cfg
         self._table = RouteTable(cfg)
         self._keys = keys.KeyTable(cfg.teams)
+        self._teams = {team.name: team for team in cfg.teams}
+        self.has_regions = any(
+            item.allowed_regions for item in (*cfg.routes, *cfg.teams)
+        )
         LOG.info(
             'config: applied version %d with %d routes; previous version %d',
             cfg.version,
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -82,7 +82,12 @@
 
 # Codes of refusals that occur while nodes or workers restart.
 _RECOVERY_CODES = frozenset(
-    (errors.CALL_NO_WORKER, errors.CALL_NO_CONFIG, errors.CALL_CONNECT)
+    (
+        errors.CALL_NO_WORKER,
+        errors.CALL_REGION,
+        errors.CALL_NO_CONFIG,
+        errors.CALL_CONNECT,
+    )
 )
 
 _STATUS_BY_CODE = {
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -18,6 +18,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from damaskpier.balancing import regions
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import moves
@@ -31,6 +32,7 @@
     from collections.abc import Coroutine
 
     from damaskpier import application
+    from damaskpier.mesh import model as mesh_model
 
 LOG = logging.getLogger(__name__)
 
@@ -93,9 +95,13 @@
         for task in (*self._tasks, *self._write_tasks):
             task.cancel()
 
-    def choose_version(self, service: str) -> rollout_model.VersionChoice:
+    def choose_version(
+        self, service: str, allowed: regions.Allowed = None
+    ) -> rollout_model.VersionChoice:
         """Choose the version for the next request of a service.
 
+        :param allowed: regions that the request may go to; a version without
+            workers there is not chosen while another one has some
         :returns: the version, empty if any version may serve the request,
             and the share of the new version used to choose it
         """
@@ -106,13 +112,13 @@
         target = move.order.version
         if move.phase is model.Phase.DONE:
             return rollout_model.VersionChoice(target, 1.0)
-        old = self._old_version(move.order)
+        old = self._old_version(move.order, allowed)
         if move.phase is model.Phase.TAKEN_BACK:
             return rollout_model.VersionChoice(old or NO_VERSION, 0.0)
         share = self._shares.get(service, 0.0)
         if not old:
             return rollout_model.VersionChoice(target, 1.0)
-        if not self._has_workers(service, target):
+        if not self._has_workers(service, target, allowed):
             return rollout_model.VersionChoice(old, 0.0)
         if share >= 1 or self._rng.random() < share:
             return rollout_model.VersionChoice(target, share)
@@ -431,7 +437,9 @@
             return 0.0
         return max((route.timeout_s for route in cfg.routes), default=0.0)
 
-    def _old_version(self, order: model.Order) -> str:
+    def _old_version(
+        self, order: model.Order, allowed: regions.Allowed = None
+    ) -> str:
         """Return the version for requests that do not get the order's one.
 
         :returns: the version in force or, without workers of it, the one with
@@ -439,7 +447,7 @@
         """
         in_force, rejected = order.history
         if in_force not in ('', order.version) and self._has_workers(
-            order.service, in_force
+            order.service, in_force, allowed
         ):
             return in_force
         # The version is empty until a started node has its worker's first
@@ -447,19 +455,29 @@
         excluded = {'', order.version, *rejected}
         versions = collections.Counter(
             worker.version
-            for worker in self._app.service('membership').workers(
-                order.service
-            )
+            for worker in self._workers(order.service, allowed)
             if worker.version not in excluded
         )
         return versions.most_common(1)[0][0] if versions else ''
 
-    def _has_workers(self, service: str, version: str) -> bool:
+    def _has_workers(
+        self, service: str, version: str, allowed: regions.Allowed = None
+    ) -> bool:
         return any(
             worker.version == version
-            for worker in self._app.service('membership').workers(service)
+            for worker in self._workers(service, allowed)
         )
 
+    def _workers(
+        self, service: str, allowed: regions.Allowed
+    ) -> list[mesh_model.NodeRecord]:
+        workers = self._app.service('membership').workers(service)
+        return [
+            worker
+            for worker in workers
+            if regions.is_allowed(worker.region, allowed)
+        ]
+
     def _failure_domain(self) -> str:
         return self._app.cfg.text('node', 'failure_domain')
 
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -14,6 +14,7 @@
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
+from damaskpier.fleet import region_check
 from damaskpier.fleet import selector
 from damaskpier import logs
 from damaskpier import registry
@@ -77,9 +78,14 @@
 
 
 class _Attempts:
-    """Attempts of one request and their combined result."""
+    """Attempts of one request and their combined result.
 
-    def __init__(self, request: messages.Request) -> None:
+    :param refusal: result if there is no worker for an attempt
+    """
+
+    def __init__(
+        self, request: messages.Request, refusal: errors.Refusal
+    ) -> None:
         self.request = request
         # Nodes of the attempts, those that are running included.
         self.tried: list[str] = []
@@ -87,10 +93,7 @@
         self.runs = 0
         self.has_failed = False
         self._answer: messages.Answer | None = None
-        self._refusal = errors.Refusal(
-            errors.CALL_NO_WORKER,
-            f'no worker of {request.service} {request.version} is ready',
-        )
+        self._refusal = refusal
         self._run_state = errors.RunState.NOT_RUN
         self._last_worker = ''
 
@@ -191,13 +194,16 @@
         :param request: request with empty service and version
         """
         service = self._choose_destination(route).service
-        version_choice = self._app.service('rollouts').choose_version(service)
+        allowed = region_check.allowed_regions(self._app, request)
+        rollouts = self._app.service('rollouts')
+        version_choice = rollouts.choose_version(service, allowed)
         selector_ = self._selector(service, version_choice.version)
         request = request._replace(
             service=service, version=version_choice.version
         )
         began = self._clock()
-        attempts = _Attempts(request)
+        refusal = region_check.refuse_without_worker(request, allowed)
+        attempts = _Attempts(request, refusal)
         await self._run_attempts(route, selector_, attempts)
         outcome = attempts.outcome()
         self._record(route, service, version_choice, attempts, began)
@@ -222,10 +228,11 @@
         running: list[_RunningAttempt] = []
         try:
             while True:
-                worker = selector_.pick(size, attempts.tried)
+                allowed = region_check.allowed_regions(self._app, request)
+                worker = selector_.pick(size, attempts.tried, allowed)
                 if worker is not None:
                     max_wait_s = self._max_wait_s(
-                        route, selector_, attempts.tried
+                        route, selector_.count(allowed), attempts.tried
                     )
                     is_repeat = attempts.runs + len(running) > 0
                     attempts.tried.append(worker.key)
@@ -332,14 +339,17 @@
     def _max_wait_s(
         self,
         route: model.Route,
-        selector_: selector.Selector,
+        worker_count: int,
         tried: list[str],
     ) -> float:
-        """Return how long a request may wait for a slot, in seconds."""
+        """Return how long a request may wait for a slot, in seconds.
+
+        :param worker_count: number of workers that may get the request
+        """
         # One full worker does not mean that the others are full too. After a
         # second one, waiting is a better use of the remaining time than
         # another attempt (docs/measurements/overload.md).
-        if len(tried) + 1 >= min(FULL_WAIT_ATTEMPT, len(selector_)):
+        if len(tried) + 1 >= min(FULL_WAIT_ATTEMPT, worker_count):
             return float('inf')
         return FIRST_WAIT_RATIO * route.objective_s
 
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from damaskpier.balancing import regions
 from damaskpier import errors
 from damaskpier.traffic.balancer import base
 from damaskpier.traffic import ejection
@@ -143,6 +144,15 @@
     def __len__(self) -> int:
         return len(self._workers)
 
+    def count(self, allowed: regions.Allowed) -> int:
+        """Return the number of routable workers in some regions."""
+        if allowed is None:
+            return len(self._workers)
+        return sum(
+            worker.record.region in allowed
+            for worker in self._workers.values()
+        )
+
     def update(self, records: Iterable[model.NodeRecord]) -> None:
         """Set the routable workers, keeping the state of known ones."""
         workers: dict[str, WorkerState] = {}
@@ -164,14 +174,20 @@
         self._other_regions = [w for w in workers.values() if w.tier == 2]
 
     def pick(
-        self, size: float, exclude: Collection[str] = ()
+        self,
+        size: float,
+        exclude: Collection[str] = (),
+        allowed: regions.Allowed = None,
     ) -> WorkerState | None:
         """Return the worker for the next attempt; None if there is none.
 
         :param size: expected bytes of the request and its response
         :param exclude: keys of the workers that have been tried
+        :param allowed: regions of the workers
         """
         now = self._clock()
+        if allowed is not None:
+            exclude = self._outside(allowed).union(exclude)
         own_region = self._usable(self._own_region, exclude, now)
         other_regions = self._usable(self._other_regions, exclude, now)
         if len(other_regions) > REMOTE_SAMPLE_COUNT:
@@ -240,7 +256,8 @@
         elif result.code is errors.CALL_DEADLINE:
             if result.run is errors.RunState.UNKNOWN:
                 self._record_latency(worker, latency_s)
-        else:
+        elif result.code is not errors.CALL_REGION:
+            # A refusal for the region of the worker says nothing about it.
             self._record_no_answer(worker)
 
     def expected_latency_s(self, worker: WorkerState, now: float) -> float:
@@ -317,6 +334,14 @@
             + DISTANCE_PENALTY_S_PER_BYTE[tier] * size
         )
 
+    def _outside(self, allowed: frozenset[str]) -> set[str]:
+        """Return the keys of the workers in other regions."""
+        return {
+            key
+            for key, worker in self._workers.items()
+            if not regions.is_allowed(worker.record.region, allowed)
+        }
+
     def _usable(
         self,
         workers: list[WorkerState],
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -18,6 +18,7 @@
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
 from damaskpier.fleet import model
+from damaskpier.fleet import region_check
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
 from damaskpier.http1 import pacing
@@ -634,7 +635,7 @@
                 errors.CALL_NO_WORKER,
                 f'the upstream is {known.service} {known.version}',
             )
-        return None
+        return region_check.refuse_at_worker(self._app, request)
 
     async def _send(
         self, call: _Call, request: messages.Request
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -38,6 +38,7 @@
         errors.CALL_NO_WORKER,
         errors.CALL_UPSTREAM_REFUSED,
         errors.CALL_DEADLINE,
+        errors.CALL_REGION,
     )
 )
 
