--- a/damaskpier/fleet/configuration.py
+++ b/damaskpier/fleet/configuration.py
@@ -62,6 +62,9 @@
         self._current: model.Configuration | None = None
         self._table: RouteTable | None = None
         self._keys: keys.KeyTable[model.Team] = keys.KeyTable()
+        self._teams: dict[str, model.Team] = {}
+        # Whether any route or team is restricted to regions.
+        self.has_regions = False
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -70,6 +73,9 @@
         self._app.service('metrics').register_gauge(
             'config_version', self.version
         )
+        self._app.service('metrics').register_gauge(
+            'teams', lambda: len(self._teams)
+        )
 
     async def stop(self) -> None:
         """Cancel the watch."""
@@ -88,6 +94,10 @@
         """Return the teams in force by their keys."""
         return self._keys
 
+    def team(self, name: str) -> model.Team | None:
+        """Return the team in force with a name; None if there is none."""
+        return self._teams.get(name)
+
     def version(self) -> int:
         """Return the version in force; 0 before the first one."""
         return self._current.version if self._current else 0
@@ -109,9 +119,14 @@
             )
             return False
         before = self.version()
+        self._log_teams(cfg)
         self._current = cfg
         self._table = RouteTable(cfg)
         self._keys = keys.KeyTable(cfg.teams)
+        self._teams = {team.name: team for team in cfg.teams}
+        self.has_regions = any(
+            item.allowed_regions for item in (*cfg.routes, *cfg.teams)
+        )
         LOG.info(
             'config: applied version %d with %d routes; previous version %d',
             cfg.version,
@@ -121,6 +136,14 @@
         self._app.events.emit('config-applied', cfg)
         return True
 
+    def _log_teams(self, cfg: model.Configuration) -> None:
+        if self._current is not None and self._current.teams == cfg.teams:
+            return
+        known = () if self._current is None else self._current.teams
+        change = keys.describe_change(known, cfg.teams)
+        if change:
+            LOG.info('config: version %d has %s', cfg.version, change)
+
     async def _follow(self) -> None:
         is_store_lost = False
         async for update in self._app.service('store').configurations():
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -15,9 +15,11 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import authentication
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
 from damaskpier.fleet import model
+from damaskpier.fleet import region_check
 from damaskpier.fleet import reported_load
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
@@ -639,7 +641,7 @@
                 errors.CALL_NO_WORKER,
                 f'the upstream is {known.service} {known.version}',
             )
-        return None
+        return region_check.refuse_at_worker(self._app, request)
 
     async def _send(
         self, call: _Call, request: messages.Request
@@ -659,7 +661,7 @@
                 errors.CALL_DEADLINE, 'the deadline passed in the queue'
             )
         fields = self._codec.encode_upstream_headers(
-            request.headers,
+            authentication.headers_at_worker(self._app, self._codec, request),
             header_codec.UpstreamMetadata(
                 known.instance, request.caller, remaining_s, request.team
             ),
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -21,6 +21,7 @@
 from damaskpier.fleet import rollouts
 from damaskpier.fleet import router
 from damaskpier.fleet import startup_check
+from damaskpier.fleet import store_contact
 from damaskpier.fleet import store_restore
 from damaskpier.fleet import worker
 from damaskpier import logs
@@ -58,6 +59,7 @@
             peers.setup,
             exchange.setup,
             store_restore.setup,
+            store_contact.setup,
             router.setup,
             endpoints.setup,
             functools.partial(ingress.setup, codec=codec),
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -6,7 +6,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
+import math
 import random
+import time
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -23,9 +25,11 @@
 from damaskpier.http1 import messages
 from damaskpier.platform import entry_lists
 from damaskpier.platform import objects
+from damaskpier.teams import contact
 
 if TYPE_CHECKING:
     from damaskpier import application
+    from damaskpier import config
 
 LOG = logging.getLogger(__name__)
 
@@ -90,7 +94,12 @@
 
     @property
     def excerpt(self) -> str:
-        """Return the beginning of the body, for log lines."""
+        """Return the beginning of the body, for log lines.
+
+        Nothing of a body with keys is returned, wherever they are in it.
+        """
+        if objects.may_contain_keys(self.encoded):
+            return f'{self.size} bytes with keys of teams'
         return self.encoded[:EXCERPT_BYTES].decode('utf-8', 'replace')
 
 
@@ -116,6 +125,7 @@
         self._generations = store_generation.GenerationTracker(
             self._store_restored
         )
+        self._max_config_wait_ms = _max_config_wait_ms(app.cfg)
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -304,11 +314,14 @@
 
         :returns: the changed objects without deleted ones
         """
-        query = parse.urlencode({'watch': revision, 'waitMs': WATCH_WAIT_MS})
+        wait_ms = WATCH_WAIT_MS
+        if kind == objects.CONFIG_KIND:
+            wait_ms = min(wait_ms, self._max_config_wait_ms)
+        query = parse.urlencode({'watch': revision, 'waitMs': wait_ms})
         answer = await self._call(
             'GET',
             f'{_object_path(kind)}?{query}',
-            timeout_s=WATCH_WAIT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S,
+            timeout_s=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
         )
         if isinstance(answer, errors.Refusal):
             return answer
@@ -345,6 +358,11 @@
             restored.set_result(None)
         self._app.events.emit('store-restored')
 
+    def record_answer(self, kind: str, asked_at: float) -> None:
+        """Tell others that the store answered for a kind of objects."""
+        if kind == objects.CONFIG_KIND:
+            self._app.events.emit('store-answered', asked_at)
+
     def _record_delivery(
         self, kind: str, call: str, count: int, answer: _Response
     ) -> None:
@@ -434,6 +452,7 @@
         self, changed_after: int = 0
     ) -> store_watch.Page | errors.Refusal:
         """Return the objects that have changed after a revision."""
+        asked_at = time.monotonic()
         found = await self._store.list_objects(
             self._kind, BURST_SILENCE_TIMEOUT_S if changed_after else None
         )
@@ -441,6 +460,7 @@
             return found
         is_restored = found.generation != self._generation
         self._generation = found.generation
+        self._store.record_answer(self._kind, asked_at)
         if is_restored or not changed_after:
             return found
         changed = [
@@ -454,6 +474,7 @@
         A restore of the store ends the wait: the revision may be assigned to
         another change by then.
         """
+        asked_at = time.monotonic()
         watching = asyncio.ensure_future(
             self._store.watch_objects(self._kind, revision)
         )
@@ -468,14 +489,26 @@
         if not watching.done():
             return _history_lost(self._kind)
         found = watching.result()
-        if (
-            not isinstance(found, errors.Refusal)
-            and found.generation != self._generation
-        ):
+        if isinstance(found, errors.Refusal):
+            return found
+        if found.generation != self._generation:
             return _history_lost(self._kind)
+        self._store.record_answer(self._kind, asked_at)
         return found
 
 
+def _max_config_wait_ms(cfg: config.Settings) -> float:
+    """Return how long a watch of the configuration may wait for a change.
+
+    Where keys depend on contact with the store, watches have to end often,
+    because one that waits shows nothing.
+    """
+    if not cfg.flag('fleet', 'strict_revoke'):
+        return math.inf
+    wait_s = contact.WATCH_WAIT_RATIO * cfg.number('fleet', 'revoke')
+    return max(1, int(wait_s * 1000))
+
+
 def _object_path(kind: str, name: str = '') -> str:
     path = f'/objects/{kind}'
     return f'{path}/{parse.quote(name, safe="")}' if name else path
