--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -246,6 +246,12 @@
     'The upstream shed the request before it ran.',
     'Try again later; the request did not run.',
 )
+CALL_ALLOWANCE = _declare_code(
+    3015,
+    'call-allowance',
+    'The team has used its allowance of requests.',
+    'Send fewer requests, or raise the limit of the team.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -103,7 +103,8 @@
 
     ``is_registered`` is set once this node is in the store's directory, has
     contacted nodes of each failure domain and has announced itself to all that
-    the directory lists.
+    the directory lists. ``directory_size`` is the number of nodes that it
+    listed then; 0 before.
 
     :param clock: returns the time in seconds
     :param rng: source of jitter and of random peers
@@ -116,6 +117,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self.is_registered = False
+        self.directory_size = 0
         self._app = app
         self._clock = clock
         self._rng = rng or random.Random()
@@ -272,6 +274,7 @@
             )
             await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
             delay_s = min(2 * delay_s, MAX_REGISTER_BACKOFF_S)
+        self.directory_size = len(found)
         others = [entry for entry in found if entry.node_id != self._node_id]
         LOG.info('exchange: registered; %d other nodes', len(others))
         await self._contact_nodes(others)
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -294,6 +294,11 @@
                 'the node may end before the request does',
             )
             return self._respond(metadata, route, outcome, began)
+        team = ''
+        refused = await self._take_allowance(metadata, route, team)
+        if refused is not None:
+            return refused
+        admitted_at = self._clock()
         outcome = await self._route(
             metadata,
             route,
@@ -312,10 +317,49 @@
                 priority=route.priority,
                 caller=self._app.cfg.text('node', 'service'),
                 objective=began + route.objective_s,
+                team=team,
             ),
         )
+        if _did_not_run(outcome):
+            self._app.service('allowances').give_back(team, admitted_at)
         return self._respond(metadata, route, outcome, began)
 
+    async def _take_allowance(
+        self,
+        metadata: header_codec.CallerMetadata,
+        route: model.Route,
+        team: str,
+    ) -> http_messages.Response | None:
+        """Count a request against the allowance of its team.
+
+        :param team: empty if the request needs no key
+        :returns: refusal of a request beyond the allowance; None otherwise
+        """
+        retry_s = await self._app.service('allowances').admit(team)
+        if retry_s is None:
+            return None
+        self._app.service('metrics').increment(
+            'requests', code=str(errors.CALL_ALLOWANCE)
+        )
+        LOG.debug(
+            'ingress: %s of %s refused with 429: %s is beyond its allowance',
+            metadata.request_id,
+            route.name,
+            team,
+        )
+        # The callers of a team are spread, as only some of them can have the
+        # next part of its allowance.
+        retry_s *= self._rng.uniform(1.0, 1.0 + JITTER_RATIO)
+        self._retries_until = max(self._retries_until, self._clock() + retry_s)
+        refusal = errors.Refusal(
+            errors.CALL_ALLOWANCE, errors.CALL_ALLOWANCE.meaning
+        )
+        return http_messages.Response(
+            429,
+            self._codec.encode_retry_after(retry_s),
+            f'{refusal}\n'.encode(),
+        )
+
     async def _route(
         self,
         metadata: header_codec.CallerMetadata,
@@ -441,6 +485,14 @@
     return (('Host', host), *headers.end_to_end(request.headers))
 
 
+def _did_not_run(outcome: router.Outcome) -> bool:
+    result = outcome.result
+    return (
+        isinstance(result, errors.Refusal)
+        and result.run is errors.RunState.NOT_RUN
+    )
+
+
 def _refused_outcome(code: errors.ResultCode, reason: str) -> router.Outcome:
     return router.Outcome(errors.Refusal(code, reason))
 
@@ -461,6 +513,7 @@
             'peers',
             'peer-server',
             'exchange',
+            'allowances',
             'router',
             'endpoints',
         ),
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -55,6 +55,9 @@
 AGE = 'Damaskpier-Age-Ms'
 # Path of gossip, as opposed to callers' requests.
 EXCHANGE_PATH = '/damaskpier/exchange'
+# Path of messages about the allowances of teams. Nodes of earlier builds take
+# such a message for a request and refuse it.
+ALLOWANCE_PATH = '/damaskpier/allowances'
 # Path of questions for an attempt that another connection carried, and of
 # cancellations, which have the method CANCEL_METHOD. Nodes of earlier builds
 # refuse a cancellation, because it has no age.
@@ -237,6 +240,8 @@
         if request.path == EXCHANGE_PATH:
             body = self._app.service('exchange').received(request.body)
             return http_messages.Response(200, (), body)
+        if request.path == ALLOWANCE_PATH:
+            return self._app.service('allowances').received(request.body)
         token = request.header(ATTEMPT.lower())
         if request.path == ATTEMPT_PATH:
             if not token:
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -13,6 +13,7 @@
 from damaskpier import application
 from damaskpier import config
 from damaskpier import errors
+from damaskpier.fleet import allowance_exchange
 from damaskpier.fleet import configuration
 from damaskpier.fleet import departures
 from damaskpier.fleet import exchange
@@ -56,6 +57,7 @@
             functools.partial(startup_check.setup, codec=codec),
             peers.setup,
             exchange.setup,
+            allowance_exchange.setup,
             router.setup,
             endpoints.setup,
             functools.partial(ingress.setup, codec=codec),
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -15,6 +15,7 @@
 from damaskpier import application
 from damaskpier import config
 from damaskpier import errors
+from damaskpier.fleet import allowance_exchange
 from damaskpier.fleet import configuration
 from damaskpier.fleet import departures
 from damaskpier.fleet import exchange
@@ -324,6 +325,7 @@
                 functools.partial(startup_check.setup, codec=codec),
                 peers.setup,
                 exchange.setup,
+                allowance_exchange.setup,
                 router.setup,
                 functools.partial(ingress.setup, codec=codec),
             ),
