--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -49,8 +49,9 @@
 # since the epoch of a worker that is leaving; not sent by earlier builds.
 WAIT = 'Damaskpier-Wait-Ms'
 LEAVING = 'Damaskpier-Leaving'
-# Pace of the worker in percent of the usual time, and its age in milliseconds.
-# It is no further field of LOAD, because earlier builds require three.
+# Pace of the worker in percent of the usual time, its age in milliseconds and
+# the mean pace. It is no further field of LOAD, because earlier builds require
+# three.
 PACE = 'Damaskpier-Pace'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
@@ -422,8 +423,7 @@
         if wait_ms:
             fields += ((WAIT, str(wait_ms)),)
         if load.pace is not None:
-            age_ms = int(load.pace_age_s * 1000)
-            fields += ((PACE, f'{load.pace * 100:.0f},{age_ms}'),)
+            fields += ((PACE, _encode_pace(load)),)
     if reply.leaving_started_ms is not None:
         fields += ((LEAVING, str(reply.leaving_started_ms)),)
     result = reply.result
@@ -497,12 +497,17 @@
     )
 
 
-def _decode_pace(text: str | None) -> tuple[float | None, float]:
-    """Return the pace of a worker and its age in seconds."""
+def _encode_pace(load: messages.Load) -> str:
+    age_ms = int(load.pace_age_s * 1000)
+    return f'{load.pace * 100:.0f},{age_ms},{load.mean_pace * 100:.0f}'
+
+
+def _decode_pace(text: str | None) -> tuple[float | None, float, float]:
+    """Return the pace of a worker, its age in seconds and the mean pace."""
     if text is None:
-        return None, 0.0
-    percent, age_ms = text.split(',')
-    return int(percent) / 100, int(age_ms) / 1000
+        return None, 0.0, 1.0
+    percent, age_ms, mean_percent = text.split(',')
+    return int(percent) / 100, int(age_ms) / 1000, int(mean_percent) / 100
 
 
 def setup(app: application.Application) -> None:
--- a/damaskpier/fleet/reported_load.py
+++ b/damaskpier/fleet/reported_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from damaskpier import logs
@@ -13,6 +14,10 @@
     from damaskpier.http1 import messages as http_messages
     from damaskpier.traffic import messages
 
+# Time constant of the mean pace. It averages over the changes of the pace,
+# which come several times a second, and follows a worker that becomes slow.
+MEAN_PACE_TIME_S = 2.0
+
 LOG = logs.get_logger(__name__)
 
 
@@ -29,6 +34,7 @@
         self._codec = codec
         self._clock = clock
         self._pace: float | None = None
+        self._mean_pace = 1.0
         self._reported_at = 0.0
         self._is_unreadable = False
 
@@ -52,8 +58,18 @@
         # A worker that has reported a pace is at its usual one if it leaves
         # the pace out.
         if load.pace is not None or self._pace is not None:
-            self._pace = load.pace or 1.0
-            self._reported_at = self._clock()
+            self._set(load.pace or 1.0)
+
+    def _set(self, pace: float) -> None:
+        now = self._clock()
+        if self._pace is None:
+            self._mean_pace = pace
+        else:
+            age_s = now - self._reported_at
+            weight = 1.0 - math.exp(-age_s / MEAN_PACE_TIME_S)
+            self._mean_pace += weight * (pace - self._mean_pace)
+        self._pace = pace
+        self._reported_at = now
 
     def reset(self) -> None:
         """Forget the pace, because the upstream is another instance."""
@@ -64,5 +80,7 @@
         if self._pace is None:
             return load
         return load._replace(
-            pace=self._pace, pace_age_s=self._clock() - self._reported_at
+            pace=self._pace,
+            pace_age_s=self._clock() - self._reported_at,
+            mean_pace=self._mean_pace,
         )
--- a/damaskpier/traffic/messages.py
+++ b/damaskpier/traffic/messages.py
@@ -62,8 +62,9 @@
     long responses of these requests, and for those that are ready. ``wait_s``
     is the time in seconds until another request may start at the rate that
     the worker takes. ``pace`` is the time that work takes there as a multiple
-    of the usual time, and ``pace_age_s`` the time since the worker reported it
-    in seconds; ``pace`` is None if it reported none.
+    of the usual time, ``pace_age_s`` the time since the worker reported it in
+    seconds, and ``mean_pace`` the mean of the last seconds; ``pace`` is None
+    if the worker reported none.
     """
 
     slots: int
@@ -73,6 +74,7 @@
     wait_s: float = 0.0
     pace: float | None = None
     pace_age_s: float = 0.0
+    mean_pace: float = 1.0
 
 
 class Reply(NamedTuple):
