--- a/damaskpier/balancing/cost.py
+++ b/damaskpier/balancing/cost.py
@@ -281,8 +281,13 @@
 
         :param size: expected bytes of the request and its response
         """
-        expected_s = self.expected_latency_s(worker, now)
         use = self._tier_uses[worker.tier].at(now)
+        return self._cost_s(worker, size, now, use)
+
+    def _cost_s(
+        self, worker: WorkerState, size: float, now: float, use: float
+    ) -> float:
+        expected_s = self.expected_latency_s(worker, now)
         if self.has_paces:
             requests = worker.expected_requests(now, use)
         else:
@@ -290,11 +295,12 @@
         waiting = requests + 1.0 - worker.slots
         if waiting > 0:
             expected_s *= 1.0 + waiting / worker.slots
-        # Dividing by the reliability accounts for the retries of failures.
-        reliability = 1.0 - (
-            1.0 - worker.reliability
-        ) * worker.observation_weight(now)
-        expected_s /= max(reliability, MIN_RELIABILITY) ** 2
+        if worker.reliability < 1.0:
+            # The division accounts for the retries of failures.
+            reliability = 1.0 - (
+                1.0 - worker.reliability
+            ) * worker.observation_weight(now)
+            expected_s /= max(reliability, MIN_RELIABILITY) ** 2
         expected_s += worker.wait_s(now)
         if now < worker.full_until:
             expected_s += FULL_COST_S
@@ -322,11 +328,13 @@
         :param size: expected bytes of the request and its response
         :param random: returns a random number from 0 to 1, without 1
         """
+        uses = [tier_use.at(now) for tier_use in self._tier_uses]
+        costs = [
+            self._cost_s(worker, size, now, uses[worker.tier])
+            for worker in candidates
+        ]
         if not self.has_paces:
-            return min(
-                candidates, key=lambda worker: self.cost_s(worker, size, now)
-            )
-        costs = [self.cost_s(worker, size, now) for worker in candidates]
+            return candidates[costs.index(min(costs))]
         scale_s = max(MIN_SHARE_SCALE_S, SHARE_SCALE * self._mean_latency_s)
         return candidates[draw(costs, scale_s, random())]
 
