--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -753,20 +753,24 @@
         """
         body = self._add_sender(gossip).SerializeToString()
         activity = client.Activity(asyncio.get_running_loop().time())
+        data = http_messages.encode_request(
+            'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
+        )
         sending = asyncio.ensure_future(
-            pool.request(
-                http_messages.encode_request(
-                    'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
-                ),
-                client.Options(deadline, activity=activity),
-            )
+            pool.request(data, client.Options(deadline, activity=activity))
         )
+        reply = b''
         try:
             outcome = await self._receive(
                 record.node_id, sending, activity, silence_timeout_s
             )
+            if isinstance(outcome, http_messages.Response):
+                reply = outcome.body
         finally:
             sending.cancel()
+            self._app.service('peers').byte_counts.add_gossip(
+                record, len(data), gossip, activity.received_bytes, reply
+            )
         if isinstance(outcome, http_messages.Failure):
             LOG.debug(
                 'exchange: no reply from %s: %s', record.node_id, outcome
