--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -16,6 +16,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import attempts
+from damaskpier.fleet import distances
 from damaskpier.fleet import peer_call
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
@@ -49,8 +50,9 @@
 # since the epoch of a worker that is leaving; not sent by earlier builds.
 WAIT = 'Damaskpier-Wait-Ms'
 LEAVING = 'Damaskpier-Leaving'
-# Pace of the worker in percent of the usual time, and its age in milliseconds.
-# It is no further field of LOAD, because earlier builds require three.
+# Pace of the worker in percent of the usual time, its age in milliseconds and
+# the mean pace. It is no further field of LOAD, because earlier builds require
+# three.
 PACE = 'Damaskpier-Pace'
 # Token of an attempt, in its request, in a question for it and in the answer
 # to the question.
@@ -89,6 +91,8 @@
 class Peers(registry.Service):
     """Client of other nodes, with a connection pool per address.
 
+    ``byte_counts`` counts the bytes to and from them.
+
     :param clock: returns the time in seconds
     """
 
@@ -104,6 +108,10 @@
         self._token_prefix = secrets.token_hex(TOKEN_PREFIX_BYTES)
         self._token_numbers = itertools.count()
         self._cancellations: set[asyncio.Task[None]] = set()
+        self.byte_counts = distances.ByteCounts(
+            app.service('metrics'),
+            lambda: app.service('membership').local_record(),
+        )
 
     async def start(self) -> None:
         """Register the gauges of connections and of bytes."""
@@ -153,12 +161,30 @@
             is_head=request.method == 'HEAD',
             observer=observer,
         )
+        self.byte_counts.add(record, 'requests', call.request_bytes)
+        reply = None
         try:
-            return await call.run()
+            reply = await call.run()
+            return reply
         except asyncio.CancelledError:
             if call.is_silent():
                 self._start_cancellation(call)
             raise
+        finally:
+            self._count_reply(record, call, reply)
+
+    def _count_reply(
+        self,
+        record: model.NodeRecord,
+        call: peer_call.PeerCall,
+        reply: messages.Reply | None,
+    ) -> None:
+        purpose = 'other'
+        if reply is not None:
+            is_answer = isinstance(reply.result, messages.Answer)
+            purpose = 'answers' if is_answer else 'refusals'
+        self.byte_counts.add(record, purpose, call.received_bytes)
+        self.byte_counts.add(record, 'other', call.question_bytes)
 
     def _start_cancellation(self, call: peer_call.PeerCall) -> None:
         task = asyncio.ensure_future(call.cancel_attempt())
@@ -428,8 +454,7 @@
         if wait_ms:
             fields += ((WAIT, str(wait_ms)),)
         if load.pace is not None:
-            age_ms = int(load.pace_age_s * 1000)
-            fields += ((PACE, f'{load.pace * 100:.0f},{age_ms}'),)
+            fields += ((PACE, _encode_pace(load)),)
     if reply.leaving_started_ms is not None:
         fields += ((LEAVING, str(reply.leaving_started_ms)),)
     result = reply.result
@@ -503,12 +528,17 @@
     )
 
 
-def _decode_pace(text: str | None) -> tuple[float | None, float]:
-    """Return the pace of a worker and its age in seconds."""
+def _encode_pace(load: messages.Load) -> str:
+    age_ms = int(load.pace_age_s * 1000)
+    return f'{load.pace * 100:.0f},{age_ms},{load.mean_pace * 100:.0f}'
+
+
+def _decode_pace(text: str | None) -> tuple[float | None, float, float]:
+    """Return the pace of a worker, its age in seconds and the mean pace."""
     if text is None:
-        return None, 0.0
-    percent, age_ms = text.split(',')
-    return int(percent) / 100, int(age_ms) / 1000
+        return None, 0.0, 1.0
+    percent, age_ms, mean_percent = text.split(',')
+    return int(percent) / 100, int(age_ms) / 1000, int(mean_percent) / 100
 
 
 def setup(app: application.Application) -> None:
