--- a/damaskpier/fleet/model.py
+++ b/damaskpier/fleet/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import NamedTuple
 
 
@@ -186,7 +187,8 @@
 
     Announcements of one worker are ordered by ``(started_ms, sequence)``.
     ``started_ms`` is the time of the worker's start since the epoch; 0 if
-    unknown.
+    unknown. ``warmup_s`` is the time for which the worker stays cold, in
+    seconds; infinite if unknown.
     """
 
     instance: str
@@ -204,11 +206,13 @@
 class Health(NamedTuple):
     """Result of the health check of a healthy worker.
 
-    ``slots`` is 0 if unknown.
+    ``slots`` is 0 if unknown. ``warmup_s`` is the time for which the worker
+    stays cold, in seconds; infinite if it does not say.
     """
 
     instance: str
     slots: int = 0
+    warmup_s: float = math.inf
 
 
 class NodeAddress(NamedTuple):
--- a/damaskpier/fleet/startup_check.py
+++ b/damaskpier/fleet/startup_check.py
@@ -70,6 +70,7 @@
         if not worker.needs_check():
             return
         address = self._app.cfg.address('upstream', 'address')
+        worker.record_check()
         outcome = await health_check.request(
             address.host, address.port, path, CHECK_TIMEOUT_S
         )
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -17,6 +17,7 @@
 from damaskpier import errors
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
+from damaskpier.fleet import local_pace
 from damaskpier.fleet import model
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
@@ -105,7 +106,8 @@
             lambda: pacing.running_pacer().bytes_per_s,
         )
         self._rate = start_limits.RateLimit(clock)
-        self.admission.limits = (self._link, self._rate)
+        self._pace = local_pace.LocalPace(app, self.admission, clock)
+        self.admission.limits = (self._link, self._rate, *self._pace.limits)
         self.admission.on_delay = self._start_waiting_later
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcement: model.Announcement | None = None
@@ -151,6 +153,7 @@
         metrics_service.register_gauge(
             'upstream_queued', lambda: self.admission.load.queued
         )
+        self._pace.register_gauges(metrics_service)
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -185,6 +188,7 @@
         self._held = None
         known = self.announcement
         self.announcement = announcement
+        self._pace.announced(announcement)
         self._connect_failures = 0
         self._heard_at = asyncio.get_running_loop().time()
         self._restart_expiry()
@@ -218,6 +222,7 @@
         if held is not None and held.instance == health.instance:
             self._apply_held()
         if self.announcement is not None:
+            self._pace.checked(health)
             return
         address = self._app.cfg.address('upstream', 'address')
         self.apply_announcement(
@@ -230,9 +235,14 @@
                 health.slots,
                 draining=False,
                 sequence=0,
+                warmup_s=health.warmup_s,
             )
         )
 
+    def record_check(self) -> None:
+        """Record a health check, which counts as a request to the upstream."""
+        self._pace.record_check()
+
     def needs_check(self) -> bool:
         """Return whether a health check may bring the upstream into use."""
         return self.announcement is None or self._held is not None
@@ -306,8 +316,11 @@
         """Return the load that replies report to the callers' nodes."""
         return self.admission.load._replace(
             link_busy_s=self._link.busy_s(self.admission.waiting),
-            wait_s=self._rate.wait_s(
-                len(self.admission.waiting), self.admission.service_s
+            wait_s=max(
+                limit.wait_s(
+                    len(self.admission.waiting), self.admission.service_s
+                )
+                for limit in (self._rate, *self._pace.limits)
             ),
         )
 
@@ -493,6 +506,7 @@
     async def _check_health(
         self, known: model.Announcement, path: str
     ) -> None:
+        self._pace.record_check()
         outcome = await health_check.request(
             known.host, known.port, path, HEALTH_CHECK_TIMEOUT_S
         )
@@ -508,6 +522,7 @@
                 self._max_silence_s,
             )
             self._record_answer(known)
+            self._pace.checked(health)
         if self._is_silent():
             self._remove_instance('is silent')
         else:
@@ -577,6 +592,7 @@
             'worker: %s %s; removed from routing', known.instance, reason
         )
         self.announcement = None
+        self._pace.removed()
         if known.draining:
             # Without the announcement, the sequence number of a delayed one
             # can not be compared.
@@ -716,6 +732,7 @@
     def _handle_failure(
         self, failure: http_messages.Failure
     ) -> errors.Refusal:
+        self._pace.failed(failure)
         if not failure.sent:
             self._connect_failures += 1
             if self._connect_failures >= MAX_CONNECT_FAILURES:
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from damaskpier.fleet import header_codec
@@ -27,6 +28,8 @@
 RATE_LIMIT = 'Server-Limit'
 # Set in all responses of an upstream that is leaving.
 LEAVING = 'Server-Leaving'
+# Time in milliseconds for which an upstream stays cold, in health checks.
+COLD_MS = 'X-Cold-Ms'
 
 OTHER_INSTANCE_STATUS = 421
 
@@ -106,7 +109,12 @@
         if response.status != 200 or not instance:
             return None
         slots = response.header(LOAD.lower()).rpartition(',')[2].strip()
-        return model.Health(instance, int(slots) if slots.isdecimal() else 0)
+        cold_ms = response.header(COLD_MS.lower())
+        return model.Health(
+            instance,
+            int(slots) if slots.isdecimal() else 0,
+            float(cold_ms) / 1000 if _DECIMAL.fullmatch(cold_ms) else math.inf,
+        )
 
     def encode_retry_after(self, delay_s: float) -> messages.Headers:
         """Return the headers that ask a caller to retry after a delay."""
--- a/damaskpier/platform/settings.py
+++ b/damaskpier/platform/settings.py
@@ -12,6 +12,11 @@
 
 PATH_VARIABLE = 'DAMASKPIER_BOOT'
 
+# Only deployments whose settings contain one of these bounds hold requests to
+# started workers back. Workers of the earlier ones report that they are cold,
+# too, and are served as before.
+_PACE_BOUNDS = frozenset(('coldOver', 'coldSlack', 'quotaWindow'))
+
 
 def load(path: pathlib.Path) -> config.Settings:
     """Return the settings in the platform's boot file.
@@ -64,6 +69,7 @@
             'retry_slack': bounds['retrySlack'],
             'retry_window': notation.parse_duration_s(bounds['retryWindow']),
             **_optional_bounds(bounds),
+            'adaptive_pace': not _PACE_BOUNDS.isdisjoint(bounds),
         },
         'log': {'format': 'json'},
     }
--- a/damaskpier/settings.py
+++ b/damaskpier/settings.py
@@ -212,6 +212,14 @@
         low=0,
         high=100000,
     ),
+    Setting(
+        'fleet',
+        'adaptive_pace',
+        'bool',
+        False,
+        'Whether an upstream that has started or recovered gets its requests '
+        'at a pace that follows its answers, or its bound while cold.',
+    ),
     Setting(
         'fleet',
         'evacuate',
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -158,6 +158,7 @@
         self.slots = 4
         self.sequence = 0
         self.is_healthy = True
+        self.health_headers: messages.Headers = ()
         self.answer: Callable[
             [messages.Request], Awaitable[messages.Response]
         ] = self.ok
@@ -178,6 +179,7 @@
                 (
                     (headers.INSTANCE, self.instance),
                     (headers.LOAD, f'0,0,{self.slots}'),
+                    *self.health_headers,
                 ),
             )
         expected = request.header(headers.EXPECTED_INSTANCE.lower())
@@ -208,7 +210,13 @@
         """Return the node's identifier."""
         return self.app.cfg.text('node', 'id')
 
-    def announce(self, *, draining: bool = False, started_ms: int = 1) -> bool:
+    def announce(
+        self,
+        *,
+        draining: bool = False,
+        started_ms: int = 1,
+        warmup_s: float = 0.0,
+    ) -> bool:
         """Send an announcement of the upstream to the node.
 
         :returns: whether the node applied the announcement
@@ -226,6 +234,7 @@
                 draining,
                 up.sequence,
                 started_ms,
+                warmup_s,
             )
         )
 
--- /dev/null
+++ b/tests/test_fleet/test_pace.py
@@ -0,0 +1,185 @@
+"""Pace of upstreams that are cold, in whole nodes.
+
+The tests guard against requests beyond the bound of a cold upstream, which
+crashes, and against upstreams that get nothing though they are warm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from damaskpier.capacity import pace
+from damaskpier.fleet import model
+from damaskpier.http1 import messages
+from damaskpier.http1 import server
+from damaskpier.platform import headers
+
+from tests.test_fleet import conftest
+
+COLD_RATE_PER_S = 8.5
+# With the default settings.
+BOUND = 20
+
+
+def _with_cold_rate(version: int = 2) -> model.Configuration:
+    spec = model.ServiceSpec(
+        'reads', 0, conftest.HEALTH_PATH, 3.0, COLD_RATE_PER_S
+    )
+    cfg = conftest.make_configuration(version)
+    return cfg._replace(services={'reads': spec})
+
+
+def _record_arrivals(node: conftest.Node) -> list[float]:
+    """Return a list that gets the time of each arriving request."""
+    arrivals: list[float] = []
+
+    async def answer(request: messages.Request) -> messages.Response:
+        arrivals.append(time.monotonic())
+        return node.upstream.signed(200)
+
+    node.upstream.answer = answer
+    return arrivals
+
+
+async def _wait(request: messages.Request) -> messages.Response:
+    """Never answer."""
+    await asyncio.get_running_loop().create_future()
+    raise AssertionError('unreachable')
+
+
+async def _send(
+    node: conftest.Node, count: int, deadline_ms: int
+) -> list[int]:
+    responses = await asyncio.gather(
+        *(
+            node.request(request_id=f'r{number}', deadline_ms=deadline_ms)
+            for number in range(count)
+        )
+    )
+    return [response.status for response in responses]
+
+
+async def _send_for(node: conftest.Node, seconds: float) -> list[int]:
+    """Send more requests than a cold upstream may get."""
+    statuses = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        statuses += await _send(node, 20, 500)
+    return statuses
+
+
+def _most_in_a_second(times: list[float]) -> int:
+    return max(
+        sum(start <= at < start + 1.0 for at in times) for start in times
+    )
+
+
+@pytest.fixture
+async def cold(fleet) -> conftest.Node:
+    """Return a node beside an upstream for which a bound is named."""
+    fleet.store.put(_with_cold_rate())
+    node = await fleet.add()
+    node.upstream.slots = 12
+    assert node.announce(warmup_s=60.0)
+    return node
+
+
+async def test_cold_upstream_gets_its_bound(cold):
+    """Slots alone would let through all that arrives in the same second."""
+    arrivals = _record_arrivals(cold)
+    worker = cold.app.service('worker')
+    await conftest.wait_until(lambda: not worker.load.wait_s)
+    statuses = await _send_for(cold, 1.5)
+    assert BOUND <= statuses.count(200) == len(arrivals)
+    assert _most_in_a_second(arrivals) <= BOUND
+    assert set(statuses) == {200, 503}
+
+
+async def test_load_names_the_wait_for_a_cold_upstream(fleet, cold):
+    """Other nodes would choose the cold worker again and again."""
+    worker = cold.app.service('worker')
+    await conftest.wait_until(lambda: not worker.load.wait_s)
+    await _send(cold, 20, 300)
+    assert worker.load.wait_s > 0.05
+    other = await fleet.add()
+    await fleet.wait_converged()
+    count = len(cold.upstream.ran)
+    for _ in range(20):
+        assert (await other.request()).status == 200
+    assert len(cold.upstream.ran) - count <= 3
+    assert cold.announce(warmup_s=0.0)
+    assert not worker.load.wait_s
+
+
+async def test_waiting_requests_start_when_the_upstream_is_warm(cold):
+    """They would go on waiting for the bound of an upstream that was cold."""
+    worker = cold.app.service('worker')
+    await conftest.wait_until(lambda: not worker.load.wait_s)
+    # Until the first answer, few requests run in any case.
+    assert (await cold.request()).status == 200
+    sending = asyncio.ensure_future(_send(cold, 20, 5000))
+    await conftest.wait_until(lambda: worker.load.queued)
+    cold.announce(warmup_s=0.0)
+    assert worker.load.in_use == worker.load.slots
+    assert set(await sending) == {200}
+
+
+async def test_restarted_node_does_not_send_the_bound_again(fleet, cold):
+    arrivals = _record_arrivals(cold)
+    worker = cold.app.service('worker')
+    await conftest.wait_until(lambda: not worker.load.wait_s)
+    await _send(cold, 20, 300)
+    restarted = await fleet.restart(cold)
+    await conftest.wait_until(
+        lambda: restarted.app.service('worker').announcement
+    )
+    known = restarted.app.service('configuration')
+    await conftest.wait_until(lambda: known.current())
+    began = time.monotonic()
+    assert set(await _send(restarted, 20, 500)) == {503}
+    assert (await restarted.request(deadline_ms=5000)).status == 200
+    assert time.monotonic() - began >= pace.WINDOW_S - 0.3
+    assert _most_in_a_second(arrivals) <= BOUND
+
+
+@pytest.mark.parametrize('by', ['heartbeat', 'health check'])
+async def test_warm_upstream_gets_requests_at_once_after_a_restart(
+    fleet, cold, by
+):
+    """A node that restarts beside a warm upstream must not stop serving."""
+    cold.announce(warmup_s=0.0)
+    if by == 'health check':
+        cold.upstream.health_headers = ((headers.COLD_MS, '0'),)
+    restarted = await fleet.restart(cold)
+    service = restarted.app.service('worker')
+    await conftest.wait_until(lambda: service.announcement)
+    known = restarted.app.service('configuration')
+    await conftest.wait_until(lambda: known.current())
+    if by == 'heartbeat':
+        restarted.announce(warmup_s=0.0)
+    assert (await _send(restarted, 30, 700)).count(200) == 30
+
+
+async def test_upstream_that_breaks_connections_counts_as_cold(cold):
+    """It may have crashed and run again before its next heartbeat."""
+    cold.announce(warmup_s=0.0)
+    worker = cold.app.service('worker')
+    await conftest.wait_until(lambda: not worker.load.wait_s)
+    assert set(await _send(cold, 30, 700)) == {200}
+    cold.upstream.answer = _wait
+    running = asyncio.ensure_future(
+        cold.request(method='POST', target='/write/1')
+    )
+    await conftest.wait_until(lambda: len(cold.upstream.ran) == 31)
+    port = cold.upstream.server.port
+    await cold.upstream.server.stop(0.0)
+    cold.upstream.server = server.Server(cold.upstream._handle)
+    await cold.upstream.server.listen(conftest.HOST, port)
+    assert (await running).status == 502
+    arrivals = _record_arrivals(cold)
+    await _send_for(cold, 1.5)
+    assert arrivals
+    assert _most_in_a_second(arrivals) <= BOUND
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 
 import msgspec
@@ -70,6 +71,8 @@
     assert cfg.integer('node', 'health_port') == 8302
     assert cfg.number('fleet', 'heartbeat') == 1.5
     assert cfg.number('fleet', 'retry_slack') == 58
+    # Deployments without bounds for hard load are served as before.
+    assert not cfg.flag('fleet', 'adaptive_pace')
 
 
 @pytest.mark.parametrize(
@@ -187,6 +190,21 @@
             ((headers.INSTANCE, 'i-1'), (headers.LOAD, '3,0,8')),
             model.Health('i-1', 8),
         ),
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.COLD_MS, '1250')),
+            model.Health('i-1', 0, 1.25),
+        ),
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.COLD_MS, '0')),
+            model.Health('i-1', 0, 0.0),
+        ),
+        (
+            200,
+            ((headers.INSTANCE, 'i-1'), (headers.COLD_MS, '-1')),
+            model.Health('i-1', 0, math.inf),
+        ),
         (200, ((headers.INSTANCE, 'i-1'),), model.Health('i-1', 0)),
         (
             200,
@@ -384,6 +402,7 @@
     assert cfg.number('fleet', 'allowance_slack') == 7.0
     assert cfg.number('fleet', 'cold_over') == 1.25
     assert cfg.number('fleet', 'cold_slack') == 3.0
+    assert cfg.flag('fleet', 'adaptive_pace')
     assert cfg.number('fleet', 'evacuate') == 4.5
     assert cfg.number('fleet', 'revoke') == 2.5
     assert cfg.flag('fleet', 'strict_revoke')
