--- a/damaskpier/fleet/header_codec.py
+++ b/damaskpier/fleet/header_codec.py
@@ -79,6 +79,15 @@
         :raises ValueError: if the limit can not be read
         """
 
+    @abc.abstractmethod
+    def decode_reported_pace(
+        self, response: messages.Response
+    ) -> float | None:
+        """Return how much longer than usual work takes, as a factor.
+
+        :returns: None if the response does not say
+        """
+
     @abc.abstractmethod
     def is_leaving(self, response: messages.Response) -> bool:
         """Return whether the upstream says that it is leaving."""
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -5,7 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import adaptive_pace
 from damaskpier.capacity import pace
+from damaskpier.http1 import messages
 from damaskpier import logs
 from damaskpier.traffic import pace_limits
 
@@ -13,8 +15,8 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier.fleet import header_codec
     from damaskpier.fleet import model
-    from damaskpier.http1 import messages
     from damaskpier import metrics
     from damaskpier.traffic import admission
 
@@ -27,22 +29,43 @@
     ``limits`` are the limits on the start of its requests.
 
     :param admission_: admission of the worker
+    :param codec: reads the pace that the worker reports
     :param clock: returns the time in seconds
+    :param started_ms: start of this node since the epoch
     """
 
     def __init__(
         self,
         app: application.Application,
         admission_: admission.Admission,
+        codec: header_codec.HeaderCodec,
         clock: Callable[[], float],
+        started_ms: float,
     ) -> None:
         self._app = app
         self._admission = admission_
+        self._codec = codec
         self._clock = clock
+        self._started_ms = started_ms
+        self._service = app.cfg.text('node', 'service')
         self._cold = pace.ColdPace()
         self._is_cold = False
-        self.limits = (pace_limits.ColdLimit(self._cold, clock),)
-        if app.cfg.flag('fleet', 'adaptive_pace'):
+        # Whether the configuration names a bound, which takes the place of the
+        # adaptive pace.
+        self._has_named_bound = False
+        self._adaptive = adaptive_pace.AdaptivePace()
+        self._usual = adaptive_pace.UsualTimes()
+        self._is_enabled = app.cfg.flag('fleet', 'adaptive_pace')
+        # Instance and start of the latest announcement, and whether it was
+        # cold.
+        self._known: tuple[str, int] | None = None
+        self._was_cold = False
+        self._was_removed = False
+        self.limits = (
+            pace_limits.ColdLimit(self._cold, clock),
+            pace_limits.AdaptiveLimit(self._adaptive, clock),
+        )
+        if self._is_enabled:
             # Without a configuration, the rate of the worker is unknown and
             # may be any, so that only what is allowed beyond it is sent.
             self._cold.set_bound(
@@ -56,10 +79,27 @@
             'upstream_is_cold',
             lambda: float(self._cold.is_cold(self._clock())),
         )
+        metrics_service.register_gauge(
+            'upstream_pace_limit',
+            lambda: self._adaptive.count if self._adaptive.is_active else 0.0,
+        )
 
     def announced(self, announcement: model.Announcement) -> None:
         """Apply an announcement of the worker."""
+        reason = self._begin_reason(announcement)
+        self._known = announcement.instance, announcement.started_ms
+        self._was_cold = 0 < announcement.warmup_s < math.inf
+        self._was_removed = False
         self._learn(announcement.warmup_s)
+        if reason and self._is_enabled and not self._has_named_bound:
+            self._adaptive.begin(self._clock(), announcement.slots)
+            LOG.info(
+                'pace: %s %s; %d requests run at first, %d slots',
+                announcement.instance,
+                reason,
+                self._adaptive.count,
+                announcement.slots,
+            )
 
     def checked(self, health: model.Health) -> None:
         """Apply a health check of the worker, which may not say it is cold."""
@@ -68,28 +108,95 @@
 
     def removed(self) -> None:
         """Apply that the worker was removed from routing."""
+        self._was_removed = True
         self._learn(math.inf)
 
-    def failed(self, failure: messages.Failure) -> None:
-        """Apply a request that got no answer.
+    def record_outcome(
+        self,
+        route: str,
+        outcome: messages.Response | messages.Failure,
+        took_s: float,
+    ) -> None:
+        """Apply the outcome of a request that was sent to the worker.
 
-        The worker may have crashed and may run again, cold, before it
-        announces itself.
+        A worker that breaks a connection may have crashed and may run again,
+        cold, before it announces itself.
         """
-        if not failure.timed_out:
-            self._learn(math.inf)
+        usual_s = self._usual.get(route) or self._usual_elsewhere_s()
+        if isinstance(outcome, messages.Failure):
+            if not outcome.timed_out:
+                self._learn(math.inf)
+            self._record(route, took_s, usual_s, is_bad=True)
+            return
+        if self._codec.is_other_instance(outcome):
+            return
+        reported = self._codec.decode_reported_pace(outcome)
+        if reported is not None:
+            # Only workers of the deployments for hard load report a pace.
+            self._is_enabled = True
+            if usual_s is not None:
+                usual_s *= max(1.0, reported)
+        is_refusal = self._codec.is_not_run(outcome)
+        if is_refusal or outcome.status < 500:
+            self._record(route, took_s, usual_s, is_bad=is_refusal)
+        if outcome.status < 300 and not self._adaptive.is_active:
+            self._usual.record(route, took_s)
 
     def record_check(self) -> None:
         """Record that a health check is sent to the worker."""
         self._cold.record_start(self._clock())
 
+    def _begin_reason(self, announcement: model.Announcement) -> str:
+        """Return why the pace begins, or an empty text if it does not."""
+        known = self._known
+        if known != (announcement.instance, announcement.started_ms):
+            # A worker that runs for longer than this node may have been in
+            # use all the time.
+            if announcement.started_ms > self._started_ms:
+                return 'has started'
+        elif self._was_removed:
+            return 'is back'
+        if 0 < announcement.warmup_s < math.inf and not self._was_cold:
+            return 'is cold'
+        return ''
+
+    def _usual_elsewhere_s(self) -> float | None:
+        """Return the usual time of the service's workers; None if unknown."""
+        return self._app.service('router').mean_latency_s(self._service)
+
+    def _record(
+        self, route: str, took_s: float, usual_s: float | None, *, is_bad: bool
+    ) -> None:
+        if not self._adaptive.is_active:
+            return
+        before = self._adaptive.count
+        self._adaptive.record_answer(
+            self._clock(), route, took_s, usual_s, is_bad
+        )
+        if self._adaptive.count < before:
+            LOG.info(
+                'pace: %d requests run at most after a request of %s took '
+                '%d ms, usually %d ms%s',
+                self._adaptive.count,
+                route,
+                took_s * 1000,
+                (usual_s or 0.0) * 1000,
+                ', or was refused or broken off' if is_bad else '',
+            )
+        if not self._adaptive.is_active:
+            LOG.info('pace: the limit has ended')
+        self._admission.start_waiting()
+
     def _config_applied(self, cfg: model.Configuration) -> None:
-        spec = cfg.services.get(self._app.cfg.text('node', 'service'))
+        spec = cfg.services.get(self._service)
         bound_per_s = None
         if spec is not None and spec.cold_rate_per_s > 0:
             bound_per_s = spec.cold_rate_per_s * self._app.cfg.number(
                 'fleet', 'cold_over'
             ) + self._app.cfg.number('fleet', 'cold_slack')
+        self._has_named_bound = bound_per_s is not None
+        if self._has_named_bound:
+            self._adaptive.is_active = False
         self._cold.set_bound(self._clock(), bound_per_s)
         self._update()
 
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -178,6 +178,13 @@
         """Start without requests to abandon."""
         self._abandoned = asyncio.get_running_loop().create_future()
 
+    def mean_latency_s(self, service: str) -> float | None:
+        """Return the mean latency of a service; None if unknown."""
+        for key, entry in self._selectors.items():
+            if key[0] == service and entry.selector.mean_latency_s:
+                return entry.selector.mean_latency_s
+        return None
+
     def abandon_requests(self) -> None:
         """End all requests with what is known of them."""
         if not self._abandoned.done():
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -143,6 +143,11 @@
     def __len__(self) -> int:
         return len(self._workers)
 
+    @property
+    def mean_latency_s(self) -> float | None:
+        """Return the mean latency of all workers; None before an answer."""
+        return self._mean_latency_s or None
+
     def update(self, records: Iterable[model.NodeRecord]) -> None:
         """Set the routable workers, keeping the state of known ones."""
         workers: dict[str, WorkerState] = {}
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -106,7 +106,9 @@
             lambda: pacing.running_pacer().bytes_per_s,
         )
         self._rate = start_limits.RateLimit(clock)
-        self._pace = local_pace.LocalPace(app, self.admission, clock)
+        self._pace = local_pace.LocalPace(
+            app, self.admission, codec, clock, wall() * 1000
+        )
         self.admission.limits = (self._link, self._rate, *self._pace.limits)
         self.admission.on_delay = self._start_waiting_later
         self._start_timer: asyncio.TimerHandle | None = None
@@ -694,6 +696,7 @@
         )
         took_s = self._clock() - began
         self._app.service('metrics').observe('upstream_call', took_s)
+        self._pace.record_outcome(request.route, outcome, took_s)
         if isinstance(outcome, http_messages.Failure):
             return self._handle_failure(outcome)
         self._connect_failures = 0
@@ -732,7 +735,6 @@
     def _handle_failure(
         self, failure: http_messages.Failure
     ) -> errors.Refusal:
-        self._pace.failed(failure)
         if not failure.sent:
             self._connect_failures += 1
             if self._connect_failures >= MAX_CONNECT_FAILURES:
--- a/damaskpier/platform/headers.py
+++ b/damaskpier/platform/headers.py
@@ -97,6 +97,16 @@
             raise ValueError(f'{text[:40]!r} is not a decimal number')
         return float(text)
 
+    def decode_reported_pace(
+        self, response: messages.Response
+    ) -> float | None:
+        """Return how much longer than usual work takes, as a factor."""
+        fields = response.header(LOAD.lower()).split(',')
+        if len(fields) < 4:
+            return None
+        text = fields[3].strip()
+        return float(text) / 100 if _DECIMAL.fullmatch(text) else None
+
     def is_leaving(self, response: messages.Response) -> bool:
         """Return whether the upstream says that it is leaving."""
         return response.header(LEAVING.lower()) == '1'
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -269,6 +269,8 @@
     def __init__(self) -> None:
         self.store = SharedStore()
         self.nodes: list[Node] = []
+        # Lines of the section ``fleet`` of the settings of new nodes.
+        self.settings = ''
 
     async def add(
         self,
@@ -313,6 +315,7 @@
             f'service = {upstream.service}\n'
             '[platform]\naddress = 127.0.0.1:1\n'
             '[fleet]\ngrace = 0.5\nheartbeat = 60\nretry_slack = 1000\n'
+            f'{self.settings}'
             f'[upstream]\naddress = {HOST}:{upstream.server.port}\n'
         )
         memory = MemoryStore(self.store)
--- a/tests/test_fleet/test_pace.py
+++ b/tests/test_fleet/test_pace.py
@@ -183,3 +183,79 @@
     await _send_for(cold, 1.5)
     assert arrivals
     assert _most_in_a_second(arrivals) <= BOUND
+
+
+def _later_ms() -> int:
+    """Return a start of an upstream after that of its node."""
+    return int(time.time() * 1000) + 1000
+
+
+def _is_limited(node: conftest.Node) -> bool:
+    """Return whether a burst would wait though slots are free."""
+    limits = node.app.service('worker').admission.limits
+    # The first two limits are those of the link and of the named rate.
+    ahead = node.app.service('worker').admission.slots - 1
+    return any(limit.wait_s(ahead, 0.1) > 0 for limit in limits[2:])
+
+
+@pytest.fixture
+async def adaptive(fleet) -> conftest.Node:
+    """Return a node with the setting whose upstream runs and has answered."""
+    fleet.settings = 'adaptive_pace = true\n'
+    node = await fleet.add()
+    await fleet.wait_converged()
+    node.upstream.slots = 12
+    node.announce()
+    assert (await node.request()).status == 200
+    return node
+
+
+async def test_upstream_that_ran_before_its_node_is_not_held_back(adaptive):
+    """Deployments whose workers start before traffic must not lose service."""
+    assert not _is_limited(adaptive)
+
+
+@pytest.mark.parametrize('how', ['started', 'cold', 'back'])
+async def test_started_upstream_begins_low_and_ends_on_answers(adaptive, how):
+    worker = adaptive.app.service('worker')
+    if how == 'started':
+        adaptive.announce(started_ms=_later_ms())
+    elif how == 'cold':
+        adaptive.announce(warmup_s=2.0)
+    else:
+        worker._remove_instance('is silent')
+        adaptive.announce()
+    assert _is_limited(adaptive)
+    assert worker.load.wait_s == 0
+    statuses = []
+    async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
+        while _is_limited(adaptive):
+            statuses += await _send(adaptive, 4, 5000)
+    assert set(statuses) == {200}
+    assert len(statuses) >= 12
+    # The next heartbeat is of the same start, and does not begin again.
+    adaptive.announce(started_ms=worker.announcement.started_ms)
+    assert not _is_limited(adaptive)
+
+
+async def test_pace_follows_the_configuration_of_the_deployment(fleet):
+    """Workers of earlier deployments report that they are cold, too.
+
+    Those of deployments for hard load report a pace in their answers.
+    """
+    node = await fleet.add()
+    await fleet.wait_converged()
+    assert (await node.request()).status == 200
+    node.announce(started_ms=_later_ms(), warmup_s=2.0)
+    assert (await node.request()).status == 200
+    assert not _is_limited(node)
+
+    async def answer(request: messages.Request) -> messages.Response:
+        response = node.upstream.signed(200)
+        fields = (*response.headers, (headers.LOAD, '1,0,4,100'))
+        return response._replace(headers=fields)
+
+    node.upstream.answer = answer
+    assert (await node.request()).status == 200
+    node.announce(started_ms=_later_ms() + 1000)
+    assert _is_limited(node)
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -406,3 +406,19 @@
     assert cfg.number('fleet', 'evacuate') == 4.5
     assert cfg.number('fleet', 'revoke') == 2.5
     assert cfg.flag('fleet', 'strict_revoke')
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('', None),
+        ('1,0,6', None),
+        ('1,0,6,200', 2.0),
+        ('1, 0, 6, 87.5', 0.875),
+        ('1,0,6,nan', None),
+    ],
+)
+def test_reported_pace_is_read(text: str, expected: float | None):
+    response = messages.Response(200, ((headers.LOAD, text),))
+    codec = headers.PlatformHeaderCodec()
+    assert codec.decode_reported_pace(response) == expected
