--- a/damaskpier/balancing/cost.py
+++ b/damaskpier/balancing/cost.py
@@ -202,6 +202,14 @@
         self._pace_count = 0
         self._tier_uses = tuple(_TierUse() for _ in DISTANCES)
 
+    @property
+    def mean_latency_s(self) -> float:
+        """Return the mean latency of all workers; 0 before an answer.
+
+        If workers report their pace, it is the latency at the usual pace.
+        """
+        return self._mean_latency_s
+
     @property
     def usual_pace(self) -> float:
         """Return the mean pace of the workers that have reported one.
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -84,6 +84,11 @@
             for worker in self._workers.values()
         )
 
+    @property
+    def mean_latency_s(self) -> float | None:
+        """Return the mean latency of all workers; None before an answer."""
+        return self._costs.mean_latency_s or None
+
     def update(self, records: Iterable[model.NodeRecord]) -> None:
         """Set the routable workers, keeping the state of known ones."""
         workers: dict[str, WorkerState] = {}
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -18,6 +18,7 @@
 from damaskpier.fleet import authentication
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
+from damaskpier.fleet import local_pace
 from damaskpier.fleet import model
 from damaskpier.fleet import region_check
 from damaskpier.fleet import reported_load
@@ -109,7 +110,14 @@
         )
         self._rate = start_limits.RateLimit(clock)
         self.pace = reported_load.ReportedPace(codec, clock)
-        self.admission.limits = (self._link, self._rate)
+        self._local_pace = local_pace.LocalPace(
+            app, self.admission, codec, clock, wall() * 1000
+        )
+        self.admission.limits = (
+            self._link,
+            self._rate,
+            *self._local_pace.limits,
+        )
         self.admission.on_delay = self._start_waiting_later
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcement: model.Announcement | None = None
@@ -155,6 +163,7 @@
         metrics_service.register_gauge(
             'upstream_queued', lambda: self.admission.load.queued
         )
+        self._local_pace.register_gauges(metrics_service)
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -189,6 +198,7 @@
         self._held = None
         known = self.announcement
         self.announcement = announcement
+        self._local_pace.announced(announcement)
         self._connect_failures = 0
         self._heard_at = asyncio.get_running_loop().time()
         self._restart_expiry()
@@ -222,6 +232,7 @@
         if held is not None and held.instance == health.instance:
             self._apply_held()
         if self.announcement is not None:
+            self._local_pace.checked(health)
             return
         address = self._app.cfg.address('upstream', 'address')
         self.apply_announcement(
@@ -234,9 +245,14 @@
                 health.slots,
                 draining=False,
                 sequence=0,
+                warmup_s=health.warmup_s,
             )
         )
 
+    def record_check(self) -> None:
+        """Record a health check, which counts as a request to the upstream."""
+        self._local_pace.record_check()
+
     def needs_check(self) -> bool:
         """Return whether a health check may bring the upstream into use."""
         return self.announcement is None or self._held is not None
@@ -310,8 +326,11 @@
         """Return the load that replies report to the callers' nodes."""
         load = self.admission.load._replace(
             link_busy_s=self._link.busy_s(self.admission.waiting),
-            wait_s=self._rate.wait_s(
-                len(self.admission.waiting), self.admission.service_s
+            wait_s=max(
+                limit.wait_s(
+                    len(self.admission.waiting), self.admission.service_s
+                )
+                for limit in (self._rate, *self._local_pace.limits)
             ),
         )
         return self.pace.add_to(load)
@@ -499,6 +518,7 @@
     async def _check_health(
         self, known: model.Announcement, path: str
     ) -> None:
+        self._local_pace.record_check()
         outcome = await health_check.request(
             known.host, known.port, path, HEALTH_CHECK_TIMEOUT_S
         )
@@ -515,6 +535,7 @@
                 self._max_silence_s,
             )
             self._record_answer(known)
+            self._local_pace.checked(health)
         if self._is_silent():
             self._remove_instance('is silent')
         else:
@@ -584,6 +605,7 @@
             'worker: %s %s; removed from routing', known.instance, reason
         )
         self.announcement = None
+        self._local_pace.removed()
         if known.draining:
             # Without the announcement, the sequence number of a delayed one
             # can not be compared.
@@ -685,6 +707,7 @@
         )
         took_s = self._clock() - began
         self._app.service('metrics').observe('upstream_call', took_s)
+        self._local_pace.record_outcome(request.route, outcome, took_s)
         if isinstance(outcome, http_messages.Failure):
             return self._handle_failure(outcome)
         self._connect_failures = 0
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -161,6 +161,7 @@
         self.pace: int | None = None
         self.sequence = 0
         self.is_healthy = True
+        self.health_headers: messages.Headers = ()
         self.answer: Callable[
             [messages.Request], Awaitable[messages.Response]
         ] = self.ok
@@ -185,6 +186,7 @@
                 (
                     (headers.INSTANCE, self.instance),
                     (headers.LOAD, self._load()),
+                    *self.health_headers,
                 ),
             )
         expected = request.header(headers.EXPECTED_INSTANCE.lower())
@@ -215,7 +217,13 @@
         """Return the node's identifier."""
         return self.app.cfg.text('node', 'id')
 
-    def announce(self, *, draining: bool = False, started_ms: int = 1) -> bool:
+    def announce(
+        self,
+        *,
+        draining: bool = False,
+        started_ms: int = 1,
+        warmup_s: float = 0.0,
+    ) -> bool:
         """Send an announcement of the upstream to the node.
 
         :returns: whether the node applied the announcement
@@ -233,6 +241,7 @@
                 draining,
                 up.sequence,
                 started_ms,
+                warmup_s,
             )
         )
 
--- a/tests/test_fleet/test_allowances.py
+++ b/tests/test_fleet/test_allowances.py
@@ -1,39 +1,32 @@
-"""Allowances of teams on complete nodes.
-
-The team of a request is set by a stand-in for the check of keys.
-"""
+"""Allowances of teams on complete nodes."""
 
 from __future__ import annotations
 
 import asyncio
 
-import pytest
 
 from damaskpier import errors
 from damaskpier.fleet import allowance_exchange
-from damaskpier.fleet import ingress
 from damaskpier.fleet import model
 from damaskpier.fleet import router
+from damaskpier.platform import headers
+from damaskpier.teams import keys
 
 from tests.test_fleet import conftest
 
 TEAM = 'team-a'
-
-
-@pytest.fixture(autouse=True)
-def known_team(monkeypatch):
-    """Let all requests of callers be those of one team."""
-    take = ingress.Ingress._take_allowance
-    monkeypatch.setattr(
-        ingress.Ingress,
-        '_take_allowance',
-        lambda self, metadata, route, team: take(self, metadata, route, TEAM),
-    )
+KEY = 'key-of-team-a'
+KEY_FIELDS = ((headers.API_KEY, KEY),)
 
 
 def _configure(fleet, rate_per_s, burst=0.0, version=2):
     cfg = conftest.make_configuration(version)
-    team = model.Team(TEAM, rate_per_s=rate_per_s, burst=burst)
+    team = model.Team(
+        TEAM,
+        (keys.digest_of_key(KEY.encode()),),
+        rate_per_s=rate_per_s,
+        burst=burst,
+    )
     fleet.store.put(cfg._replace(teams=(team,)))
 
 
@@ -62,7 +55,9 @@
 async def _request_many(nodes, count):
     return await asyncio.gather(
         *(
-            nodes[number % len(nodes)].request(request_id=f'r{number}')
+            nodes[number % len(nodes)].request(
+                request_id=f'r{number}', fields=KEY_FIELDS
+            )
             for number in range(count)
         )
     )
@@ -140,7 +135,7 @@
 
     for route, expected in ((refuse, 1), (fail, 1)):
         monkeypatch.setattr(nodes[0].app.service('router'), 'route', route)
-        await nodes[0].request()
+        await nodes[0].request(fields=KEY_FIELDS)
         assert len(given) == expected
 
 
@@ -162,7 +157,7 @@
     # The new owner begins with few tokens.
     for node in others:
         async with asyncio.timeout(conftest.TEST_TIMEOUT_S):
-            while (await node.request()).status != 200:
+            while (await node.request(fields=KEY_FIELDS)).status != 200:
                 await asyncio.sleep(0.05)
 
 
