--- a/damaskpier/capacity/entry.py
+++ b/damaskpier/capacity/entry.py
@@ -28,6 +28,11 @@
 TRIED_PER_SERVED = 1.5
 # Part of the requests that is sent on although nothing was served.
 MIN_TRIED_RATIO = 0.05
+# Requests of a team are sent on at least at this part of the rate at which all
+# requests of the service are served. The worker's node serves each team at a
+# part of the rate of all (capacity/order.py), which holds only if enough of
+# its requests arrive there.
+TEAM_TRIED_RATIO = 1.0
 # No request is refused before this many recent ones were refused by workers.
 MIN_REFUSED = 3.0
 # A request that has more time left than any refused one by this ratio is sent
@@ -47,7 +52,7 @@
     """Requests that have the same chance to be admitted.
 
     Routes of one service differ in the time that their requests take and
-    have. ``team`` is empty for the requests of all teams together.
+    have. ``team`` is empty if the requests have none.
     """
 
     service: str
@@ -121,6 +126,10 @@
         if draw < self._tried_ratio(cls, outcomes, now):
             return None
         outcomes.requests += 1.0
+        everyone = self._requests.get(_all_of_service(cls))
+        if everyone is not None:
+            everyone.decay(now)
+            everyone.requests += 1.0
         return errors.Refusal(
             errors.CALL_OVERLOADED,
             f'workers admitted {100 * outcomes.served_ratio:.0f}% of the '
@@ -141,15 +150,8 @@
         is_refused = is_capacity_refusal(result)
         if not is_refused and isinstance(result, errors.Refusal):
             return
-        _record(self._requests, cls, is_refused, remaining_s, now)
-        if cls.team:
-            _record(
-                self._requests,
-                cls._replace(team=''),
-                is_refused,
-                remaining_s,
-                now,
-            )
+        for key in (cls, _all_of_service(cls)):
+            _record(self._requests, key, is_refused, remaining_s, now)
 
     def record_attempt(
         self, cls: Class, reply: messages.Reply, now: float
@@ -185,14 +187,11 @@
     ) -> float:
         """Return the part of the requests of a class that is sent on."""
         ratio = max(MIN_TRIED_RATIO, TRIED_PER_SERVED * outcomes.served_ratio)
-        if cls.team:
-            # The worker serves each team at a part of the rate of all, which
-            # holds only if this many of its requests arrive there.
-            everyone = self._requests.get(cls._replace(team=''))
-            if everyone is not None:
-                everyone.decay(now)
-                ratio = max(ratio, everyone.served_ratio)
-        return ratio
+        everyone = self._requests.get(_all_of_service(cls))
+        if not cls.team or everyone is None:
+            return ratio
+        everyone.decay(now)
+        return max(ratio, TEAM_TRIED_RATIO * everyone.served_ratio)
 
 
 def is_capacity_refusal(result: messages.Answer | errors.Refusal) -> bool:
@@ -204,6 +203,10 @@
     )
 
 
+def _all_of_service(cls: Class) -> Class:
+    return Class(cls.service, cls.version, '', -1)
+
+
 def _has_room(load: messages.Load | None) -> bool:
     return (
         load is not None
--- a/damaskpier/capacity/order.py
+++ b/damaskpier/capacity/order.py
@@ -18,18 +18,22 @@
 # service time fits. With the mean itself, half of the requests that are
 # served last would miss it (tests/test_traffic/test_overload.py).
 OBJECTIVE_MARGIN_RATIO = 1.6
-# Time constant of the recent service of teams and of the counts of arrivals
-# and starts. A worker of 6 slots starts about 100 requests in it.
+# Time constant of the recent service of teams. A worker of 6 slots starts
+# about 100 requests in it.
 RECENT_S = 5.0
+# Time constant of the counts of arrivals and starts. It is longer, so that a
+# class of which few requests arrive is due for at least one start in it.
+FLOOR_RECENT_S = 20.0
 # Teams above their share whose service differs by less than this ratio are
 # equal, so that the objective decides between their requests.
 LEVEL_RATIO = 1.25
 # A team is raised when it is served less than this part as often as all
 # requests of the worker. The requirement is a quarter; the margin makes up
 # for callers whose requests the entry node refuses.
-TEAM_FLOOR_RATIO = 0.4
-# The same for the requests of one priority, so that none starves.
-PRIORITY_FLOOR_RATIO = 0.05
+TEAM_FLOOR_RATIO = 0.5
+# The same for the requests of one priority, so that none starves. The entry
+# nodes send on as few as 5% of them (capacity/entry.py).
+PRIORITY_FLOOR_RATIO = 0.2
 # Requests without a team go before those of teams of the same priority until
 # they have taken this part of the recent service. They are calls of workers,
 # without which the work of a request that already runs is lost.
@@ -72,13 +76,17 @@
     def __init__(self) -> None:
         self._service_s: decay.DecayingSums[str] = decay.DecayingSums(RECENT_S)
         # By team and by priority.
-        self._arrivals: decay.DecayingSums[str] = decay.DecayingSums(RECENT_S)
-        self._starts: decay.DecayingSums[str] = decay.DecayingSums(RECENT_S)
+        self._arrivals: decay.DecayingSums[str] = decay.DecayingSums(
+            FLOOR_RECENT_S
+        )
+        self._starts: decay.DecayingSums[str] = decay.DecayingSums(
+            FLOOR_RECENT_S
+        )
         self._priority_arrivals: decay.DecayingSums[int] = decay.DecayingSums(
-            RECENT_S
+            FLOOR_RECENT_S
         )
         self._priority_starts: decay.DecayingSums[int] = decay.DecayingSums(
-            RECENT_S
+            FLOOR_RECENT_S
         )
         self._has_teams = False
 
