--- a/damaskpier/capacity/entry.py
+++ b/damaskpier/capacity/entry.py
@@ -33,6 +33,9 @@
 # part of the rate of all (capacity/order.py), which holds only if enough of
 # its requests arrive there.
 TEAM_TRIED_RATIO = 1.0
+# Draw of a caller that returns before it was told to: it is sent on only if
+# all requests of its class are.
+TOO_SOON_DRAW = 1.0
 # No request is refused before this many recent ones were refused by workers.
 MIN_REFUSED = 3.0
 # A request that has more time left than any refused one by this ratio is sent
@@ -52,7 +55,9 @@
     """Requests that have the same chance to be admitted.
 
     Routes of one service differ in the time that their requests take and
-    have. ``team`` is empty if the requests have none.
+    have. ``team`` is empty if the requests have none. ``is_return`` is set if
+    the caller was refused before: workers admit these requests after those
+    that can still meet their objective.
     """
 
     service: str
@@ -60,6 +65,7 @@
     route: str
     priority: int
     team: str = ''
+    is_return: bool = False
 
 
 class _Outcomes:
@@ -164,7 +170,7 @@
         is_refused = is_capacity_refusal(reply.result)
         if not is_refused and isinstance(reply.result, errors.Refusal):
             return
-        _record(self._attempts, cls._replace(team=''), is_refused, 0.0, now)
+        _record(self._attempts, _for_attempts(cls), is_refused, 0.0, now)
         if not is_refused and self._requests and _has_room(reply.load):
             for known in [c for c in self._requests if c[:2] == cls[:2]]:
                 del self._requests[known]
@@ -174,7 +180,7 @@
 
         :param usual: the number without overload
         """
-        outcomes = self._attempts.get(cls._replace(team=''))
+        outcomes = self._attempts.get(_for_attempts(cls))
         if outcomes is None:
             return usual
         outcomes.decay(now)
@@ -207,6 +213,10 @@
     return Class(cls.service, cls.version, '', -1)
 
 
+def _for_attempts(cls: Class) -> Class:
+    return cls._replace(team='', is_return=False)
+
+
 def _has_room(load: messages.Load | None) -> bool:
     return (
         load is not None
--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -4,10 +4,14 @@
 
 import collections
 import math
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import elapsed
 from damaskpier.capacity import entry
+from damaskpier.capacity import returns
 from damaskpier import logs
+from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,12 +19,26 @@
 
     from damaskpier import application
     from damaskpier import errors
-    from damaskpier.traffic import messages
 
 LOG = logs.get_logger(__name__)
 
 # Refusals are logged by class in one line of each class at this interval.
 LOG_INTERVAL_S = 1.0
+# Routes whose callers' times are kept. The limit bounds the memory when
+# configurations rename their routes often.
+MAX_ROUTE_COUNT = 1024
+
+
+class Arrival(NamedTuple):
+    """Request that has arrived, with its refusal if it has one.
+
+    The objective of ``request`` counts from the caller's first request.
+    """
+
+    request: messages.Request
+    cls: entry.Class
+    at: float
+    refusal: errors.Refusal | None
 
 
 class EntryAdmission:
@@ -40,42 +58,70 @@
         self._clock = clock
         self._rng = rng
         self._state = entry.EntryAdmission()
+        self._returns = returns.Returns()
+        self._times: dict[str, elapsed.RouteTimes] = {}
         self._refused: collections.Counter[entry.Class] = collections.Counter()
         self._logged_at = -math.inf
 
-    def refusal(self, request: messages.Request) -> errors.Refusal | None:
-        """Return the refusal of a request that no worker would admit."""
+    def receive(self, request: messages.Request) -> Arrival:
+        """Decide whether a request is sent to workers."""
         now = self._clock()
-        cls = _class(request)
-        refusal = self._state.refusal(
-            cls, request.deadline - now, now, self._rng.random()
-        )
+        left_s = request.deadline - now
+        elapsed_s = self._route_times(request.route).elapsed_s(left_s, now)
+        request = request._replace(objective=request.objective - elapsed_s)
+        cls = _class(request)._replace(is_return=elapsed_s > 0)
+        draw = self._rng.random()
+        if returns.is_too_soon(elapsed_s, left_s):
+            draw = entry.TOO_SOON_DRAW
+        refusal = self._state.refusal(cls, left_s, now, draw)
         if refusal is not None:
             self._count('entry', request)
             self._log(cls, refusal, now)
-        return refusal
+        return Arrival(request, cls, now, refusal)
 
     def record(
-        self,
-        request: messages.Request,
-        result: messages.Answer | errors.Refusal,
-        began: float,
+        self, arrival: Arrival, result: messages.Answer | errors.Refusal
     ) -> None:
-        """Record the result of a request that was sent to workers.
-
-        :param began: arrival of the request
-        """
+        """Record the result of a request that was sent to workers."""
+        request = arrival.request
         if entry.is_capacity_refusal(result):
             self._count('workers', request)
         self._state.record(
-            _class(request), result, request.deadline - began, self._clock()
+            arrival.cls, result, request.deadline - arrival.at, self._clock()
         )
 
     def record_attempt(
-        self, request: messages.Request, reply: messages.Reply
+        self, request: messages.Request, reply: messages.Reply, took_s: float
     ) -> None:
-        """Record one attempt on a worker."""
-        self._state.record_attempt(_class(request), reply, self._clock())
+        """Record one attempt on a worker.
+
+        :param took_s: duration of the attempt in seconds
+        """
+        now = self._clock()
+        self._state.record_attempt(_class(request), reply, now)
+        if isinstance(reply.result, messages.Answer):
+            self._returns.record_answer(
+                _return_class(request), reply.load, took_s, now
+            )
+
+    def return_s(
+        self,
+        request: messages.Request,
+        result: messages.Answer | errors.Refusal,
+    ) -> float | None:
+        """Return after which time a refused caller should return, in seconds.
+
+        :returns: None if the request was not refused for lack of capacity
+        """
+        if not entry.is_capacity_refusal(result):
+            return None
+        now = self._clock()
+        return self._returns.delay_s(
+            _return_class(request),
+            request.deadline - now,
+            now,
+            self._rng.random(),
+        )
 
     def may_try_again(
         self,
@@ -94,6 +140,14 @@
             _class(request), tried + 1, self._clock()
         )
 
+    def _route_times(self, route: str) -> elapsed.RouteTimes:
+        times = self._times.get(route)
+        if times is None:
+            if len(self._times) >= MAX_ROUTE_COUNT:
+                self._times.clear()
+            times = self._times[route] = elapsed.RouteTimes()
+        return times
+
     def _count(self, place: str, request: messages.Request) -> None:
         self._app.service('metrics').increment(
             'capacity_refusals', place=place, priority=str(request.priority)
@@ -108,12 +162,13 @@
         self._logged_at = now
         for known, count in self._refused.most_common():
             LOG.info(
-                'entry: refused %d requests of %s, priority %d, team %s '
+                'entry: refused %d requests of %s, priority %d, team %s%s '
                 'without an attempt; last: %s',
                 count,
                 known.route,
                 known.priority,
                 known.team or '-',
+                ', returned' if known.is_return else '',
                 refusal.reason,
             )
         self._refused.clear()
@@ -127,3 +182,7 @@
         request.priority,
         request.team,
     )
+
+
+def _return_class(request: messages.Request) -> returns.Class:
+    return returns.Class(request.service, request.priority)
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -358,7 +358,9 @@
             )
         metrics.increment('requests', code=str(result.code))
         remaining_s = (metadata.deadline_s or DEFAULT_DEADLINE_S) - took_s
-        status, fields = self._refusal_status(result, remaining_s)
+        status, fields = self._refusal_status(
+            result, remaining_s, outcome.return_s
+        )
         LOG.info(
             'ingress: %s of %s refused with %d: %s; run %s; %d attempts, '
             'last on %s, after %d ms, config %d',
@@ -397,13 +399,20 @@
         )
 
     def _refusal_status(
-        self, result: errors.Refusal, remaining_s: float
+        self,
+        result: errors.Refusal,
+        remaining_s: float,
+        return_s: float | None,
     ) -> tuple[int, http_messages.Headers]:
         if result.run is errors.RunState.NOT_RUN:
             status = _STATUS_BY_CODE.get(result.code, 503)
             if status in (503, 504):
                 # Nothing has run, so that any request may be retried.
-                retry_after_s = self._retry_after_s(result.code, remaining_s)
+                retry_after_s = return_s
+                if return_s is None:
+                    retry_after_s = self._retry_after_s(
+                        result.code, remaining_s
+                    )
                 self._retries_until = max(
                     self._retries_until, self._clock() + retry_after_s
                 )
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -68,13 +68,15 @@
 
     ``version`` is empty if any version may have served the request.
     ``attempts`` counts refused attempts too. ``worker`` is the node of the
-    last attempt.
+    last attempt. ``return_s`` is the time in seconds after which a caller that
+    was refused for lack of capacity should return; None for other results.
     """
 
     result: messages.Answer | errors.Refusal
     version: str = ''
     attempts: int = 0
     worker: str = ''
+    return_s: float | None = None
 
 
 class _Attempts:
@@ -199,14 +201,17 @@
             service=service, version=version_choice.version
         )
         began = self._clock()
-        attempts = _Attempts(request)
-        refusal = self._entry.refusal(request)
-        if refusal is not None:
-            attempts.add_result('', refusal)
+        arrival = self._entry.receive(request)
+        attempts = _Attempts(arrival.request)
+        if arrival.refusal is not None:
+            attempts.add_result('', arrival.refusal)
         else:
             await self._run_attempts(route, selector_, attempts)
-            self._entry.record(request, attempts.outcome().result, began)
+            self._entry.record(arrival, attempts.outcome().result)
         outcome = attempts.outcome()
+        outcome = outcome._replace(
+            return_s=self._entry.return_s(request, outcome.result)
+        )
         self._record(route, service, version_choice, attempts, began)
         return outcome
 
@@ -383,7 +388,7 @@
                 selector_.record_abandoned(worker, self._clock() - began)
         took_s = self._clock() - began
         selector_.record_outcome(worker, reply, took_s)
-        self._entry.record_attempt(request, reply)
+        self._entry.record_attempt(request, reply, took_s)
         if reply.leaving_started_ms is not None:
             self._record_left(record, reply.leaving_started_ms)
         if _is_unreachable(reply.result):
--- a/tests/test_capacity/simulation.py
+++ b/tests/test_capacity/simulation.py
@@ -14,7 +14,9 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import elapsed
 from damaskpier.capacity import entry
+from damaskpier.capacity import returns
 from damaskpier import errors
 from damaskpier.traffic import admission
 from damaskpier.traffic import messages
@@ -25,6 +27,8 @@
 
 SERVICE_LOG_SIGMA = 0.4
 HALF_ROUND_TRIP_S = 0.002
+# From the refusal of a caller to its next request on a new connection.
+CALLER_ROUND_TRIP_S = 0.003
 CANDIDATE_COUNT = 3
 # As in fleet/router.py.
 MAX_ATTEMPTS = 4
@@ -84,6 +88,7 @@
         'returns',
         'tried',
         'sent_at',
+        'objective_at',
         'node',
     )
 
@@ -97,6 +102,7 @@
         self.returns = 0
         self.tried: list[int] = []
         self.sent_at = first_at
+        self.objective_at = first_at + traffic.objective_s
         self.node = node
 
     @property
@@ -162,6 +168,15 @@
         """Let a request arrive at its entry node."""
         record.tried = []
         record.sent_at = self.now
+        record.objective_at = self.objective_at(record)
+        self.send_on(record)
+
+    def objective_at(self, record: Record) -> float:
+        """Return the objective that the entry node assumes."""
+        return self.now + record.traffic.objective_s
+
+    def send_on(self, record: Record) -> None:
+        """Make the first attempt of a request that has arrived."""
         self.attempt(record)
 
     def attempt(self, record: Record) -> None:
@@ -201,7 +216,7 @@
             traffic.name,
             traffic.priority,
             max_wait_s,
-            record.sent_at + traffic.objective_s,
+            record.objective_at,
             traffic.team,
         )
         tickets.append(ticket)
@@ -264,7 +279,8 @@
         ):
             record.returns += 1
             record.node = self.rng.randrange(self.setup.nodes)
-            self.schedule(self.now + retry_after_s, self.arrive, record)
+            at = self.now + CALLER_ROUND_TRIP_S + retry_after_s
+            self.schedule(at, self.arrive, record)
             return
         record.ended_at = self.now
 
@@ -300,15 +316,29 @@
     def __init__(self, setup: Setup) -> None:
         super().__init__(setup)
         self.entries = [entry.EntryAdmission() for _ in range(setup.nodes)]
-
-    def arrive(self, record: Record) -> None:
+        self.is_too_soon = False
+        self.times: dict[tuple[int, str], elapsed.RouteTimes] = {}
+
+    def objective_at(self, record: Record) -> float:
+        """Return the objective by the time that the caller has left."""
+        key = record.node, record.traffic.name
+        times = self.times.setdefault(key, elapsed.RouteTimes())
+        left_s = int(1000 * (record.deadline - self.now) + 1e-6) / 1000
+        elapsed_s = times.elapsed_s(left_s, self.now)
+        self.is_too_soon = returns.is_too_soon(elapsed_s, left_s)
+        return super().objective_at(record) - elapsed_s
+
+    def send_on(self, record: Record) -> None:
         """Refuse a request without an attempt, or send it on."""
         left_s = record.deadline - self.now
+        draw = self.rng.random()
+        if self.is_too_soon:
+            draw = entry.TOO_SOON_DRAW
         refusal = self.entries[record.node].refusal(
-            _class(record), left_s, self.now, self.rng.random()
+            _class(record), left_s, self.now, draw
         )
         if refusal is None:
-            super().arrive(record)
+            super().send_on(record)
         else:
             self.refuse_caller(record, refusal)
 
@@ -358,4 +388,38 @@
 
 def _class(record: Record) -> entry.Class:
     traffic = record.traffic
-    return entry.Class('s', '', traffic.name, traffic.priority, traffic.team)
+    return entry.Class(
+        's',
+        '',
+        traffic.name,
+        traffic.priority,
+        traffic.team,
+        record.objective_at < record.sent_at + traffic.objective_s,
+    )
+
+
+class ReturnsSimulation(EntrySimulation):
+    """Simulation with the product's return times as well."""
+
+    def __init__(self, setup: Setup) -> None:
+        super().__init__(setup)
+        self.returns = [returns.Returns() for _ in range(setup.nodes)]
+
+    def on_served(self, record: Record, index: int) -> None:
+        """Record the answer of a worker."""
+        super().on_served(record, index)
+        self.returns[record.node].record_answer(
+            returns.Class('s', record.traffic.priority),
+            self.workers[index].load,
+            self.now - record.sent_at,
+            self.now,
+        )
+
+    def retry_after_s(self, record: Record, left_s: float) -> float:
+        """Return the Retry-After of a refused caller."""
+        return self.returns[record.node].delay_s(
+            returns.Class('s', record.traffic.priority),
+            left_s,
+            self.now,
+            self.rng.random(),
+        )
--- a/tests/test_fleet/test_entry_admission.py
+++ b/tests/test_fleet/test_entry_admission.py
@@ -4,6 +4,8 @@
 
 import math
 
+import pytest
+
 from damaskpier.capacity import entry
 
 REQUEST_COUNT = 40
@@ -77,3 +79,43 @@
     assert count < 5 / entry.MIN_TRIED_RATIO
     for _ in range(10):
         assert (await nodes[0].request()).status == 200
+
+
+async def test_objective_of_a_return_counts_from_the_first_request(fleet):
+    """Load: callers return after a refusal.
+
+    With an objective that begins anew, they would take the slots of requests
+    that can still meet theirs.
+    """
+    node = await fleet.add()
+    await fleet.wait_converged()
+    requests = []
+    service = node.app.service('worker')
+
+    async def call(request, run=service.call):
+        left_s = request.deadline - request.objective
+        requests.append(left_s)
+        return await run(request)
+
+    service.call = call
+    for _ in range(20):
+        await node.request(deadline_ms=4000)
+    await node.request(deadline_ms=3400)
+    first_s, *_, returned_s = requests
+    assert first_s == pytest.approx(3.0)
+    # The objective of the route is 1 s.
+    assert returned_s == pytest.approx(3.4 - (1.0 - 0.6), abs=0.01)
+
+
+async def test_callers_of_full_workers_return_spread(fleet):
+    """Load: callers are refused together while nothing is served.
+
+    Callers that return together are refused together again.
+    """
+    nodes, _, _ = await make_full_fleet(fleet)
+    delays = []
+    for _ in range(12):
+        response = await nodes[0].request(deadline_ms=10_000)
+        delays.append(float(response.header('retry-after')))
+    assert max(delays) - min(delays) > 1.0
+    assert max(delays) <= 0.3 * 10
