--- a/tests/test_capacity/simulation.py
+++ b/tests/test_capacity/simulation.py
@@ -44,7 +44,7 @@
 
     ``load`` is a multiple of what all slots can serve, ``factor`` changes it
     over time. ``impatient`` is the part of the callers that return at once
-    after a refusal.
+    after a refusal, ``call`` the request that a worker makes for each one.
     """
 
     name: str
@@ -55,12 +55,18 @@
     deadline_s: float = 4.0
     impatient: float = 0.0
     factor: Callable[[float], float] = lambda now: 1.0
+    service: int = 0
+    call: Traffic | None = None
 
 
 class Setup(NamedTuple):
-    """Parameters of a run; ``returns_max`` is the number of returns."""
+    """Parameters of a run; ``returns_max`` is the number of returns.
+
+    ``workers`` is the number of workers of each service.
+    """
 
     traffic: tuple[Traffic, ...]
+    services: int = 1
     workers: int = 1
     slots: int = 6
     service_s: float = 0.25
@@ -90,6 +96,7 @@
         'sent_at',
         'objective_at',
         'node',
+        'on_end',
     )
 
     def __init__(self, traffic: Traffic, first_at: float, node: int) -> None:
@@ -104,6 +111,7 @@
         self.sent_at = first_at
         self.objective_at = first_at + traffic.objective_s
         self.node = node
+        self.on_end: Callable[[], None] = lambda: None
 
     @property
     def in_time(self) -> bool:
@@ -123,7 +131,7 @@
         self._numbers = itertools.count()
         self._events: list = []
         self.workers = []
-        for _ in range(setup.workers):
+        for _ in range(setup.services * setup.workers):
             worker = admission.Admission(lambda: self.now)
             worker.configure(setup.slots, 3 * setup.slots)
             self.workers.append(worker)
@@ -181,7 +189,9 @@
 
     def attempt(self, record: Record) -> None:
         """Send a request to a worker that it was not sent to yet."""
-        left = [i for i in range(len(self.workers)) if i not in record.tried]
+        first = record.traffic.service * self.setup.workers
+        every = range(first, first + self.setup.workers)
+        left = [i for i in every if i not in record.tried]
         candidates = self.rng.sample(left, min(CANDIDATE_COUNT, len(left)))
         chosen = min(candidates, key=self._use)
         record.tried.append(chosen)
@@ -198,7 +208,7 @@
         worker = self.workers[index]
         traffic = record.traffic
         max_wait_s = math.inf
-        if len(record.tried) < min(FULL_WAIT_ATTEMPT, len(self.workers)):
+        if len(record.tried) < min(FULL_WAIT_ATTEMPT, self.setup.workers):
             max_wait_s = FIRST_WAIT_RATIO * traffic.objective_s
         tickets: list[admission.Ticket] = []
 
@@ -207,8 +217,12 @@
             if refusal is not None:
                 self.schedule(at, self.on_refusal, record, refusal, index)
                 return
-            end = min(self.now + self.service_time_s(), record.deadline)
-            self.schedule(end, self._finish, record, worker, tickets, index)
+            finish = (self._finish, record, worker, tickets, index)
+            if traffic.call is None:
+                self._run(record, self.service_time_s(), *finish)
+            else:
+                half_s = self.service_time_s() / 2
+                self._run(record, half_s, self._call, half_s, *finish)
 
         ticket = worker.submit(
             record.deadline,
@@ -226,6 +240,42 @@
             )
         self.schedule(record.deadline, worker.refuse_past_deadline, ticket)
 
+    def _run(
+        self,
+        record: Record,
+        length_s: float,
+        event: Callable[..., None],
+        *args: object,
+    ) -> None:
+        """Run a request for a time, but not beyond its deadline."""
+        end = min(self.now + length_s, record.deadline)
+        self.schedule(end, event, *args)
+
+    def _call(
+        self,
+        rest_s: float,
+        finish: Callable[..., None],
+        record: Record,
+        *args: object,
+    ) -> None:
+        """Make the call of a running request, which keeps its slot.
+
+        Without an answer, the request fails and its work is lost.
+        """
+        call = Record(record.traffic.call, self.now, record.node)
+        call.deadline = min(call.deadline, record.deadline)
+
+        def go_on() -> None:
+            if call.served:
+                self._run(record, rest_s, finish, record, *args)
+            else:
+                record.deadline = self.now
+                finish(record, *args)
+
+        call.on_end = go_on
+        self.records.append(call)
+        self.arrive(call)
+
     def service_time_s(self) -> float:
         """Return how long a request runs in a slot."""
         log_mean = math.log(self.setup.service_s) - SERVICE_LOG_SIGMA**2 / 2
@@ -242,13 +292,14 @@
         record.ended_at = self.now
         record.served = self.now < record.deadline
         self.on_served(record, index)
+        record.on_end()
 
     def on_served(self, record: Record, index: int) -> None:
         """Handle the answer of a worker at the entry node."""
 
     def attempts_max(self, record: Record) -> int:
         """Return how many workers a request is sent to."""
-        return min(MAX_ATTEMPTS, len(self.workers))
+        return min(MAX_ATTEMPTS, self.setup.workers)
 
     def on_refusal(
         self, record: Record, refusal: errors.Refusal, index: int
@@ -283,6 +334,7 @@
             self.schedule(at, self.arrive, record)
             return
         record.ended_at = self.now
+        record.on_end()
 
     def retry_after_s(self, record: Record, left_s: float) -> float:
         """Return the Retry-After of a refused caller."""
@@ -389,7 +441,7 @@
 def _class(record: Record) -> entry.Class:
     traffic = record.traffic
     return entry.Class(
-        's',
+        str(traffic.service),
         '',
         traffic.name,
         traffic.priority,
@@ -409,7 +461,7 @@
         """Record the answer of a worker."""
         super().on_served(record, index)
         self.returns[record.node].record_answer(
-            returns.Class('s', record.traffic.priority),
+            _return_class(record),
             self.workers[index].load,
             self.now - record.sent_at,
             self.now,
@@ -418,8 +470,12 @@
     def retry_after_s(self, record: Record, left_s: float) -> float:
         """Return the Retry-After of a refused caller."""
         return self.returns[record.node].delay_s(
-            returns.Class('s', record.traffic.priority),
+            _return_class(record),
             left_s,
             self.now,
             self.rng.random(),
         )
+
+
+def _return_class(record: Record) -> returns.Class:
+    return returns.Class(str(record.traffic.service), record.traffic.priority)
