--- a/damaskpier/capacity/entry.py
+++ b/damaskpier/capacity/entry.py
@@ -28,6 +28,14 @@
 TRIED_PER_SERVED = 1.5
 # Part of the requests that is sent on although nothing was served.
 MIN_TRIED_RATIO = 0.05
+# Requests of a team are sent on at least at this part of the rate at which all
+# requests of the service are served. The worker's node serves each team at a
+# part of the rate of all (capacity/order.py), which holds only if enough of
+# its requests arrive there.
+TEAM_TRIED_RATIO = 1.0
+# Draw of a caller that returns before it was told to: it is sent on only if
+# all requests of its class are.
+TOO_SOON_DRAW = 1.0
 # No request is refused before this many recent ones were refused by workers.
 MIN_REFUSED = 3.0
 # A request that has more time left than any refused one by this ratio is sent
@@ -47,7 +55,9 @@
     """Requests that have the same chance to be admitted.
 
     Routes of one service differ in the time that their requests take and
-    have. ``team`` is empty for the requests of all teams together.
+    have. ``team`` is empty if the requests have none. ``is_return`` is set if
+    the caller was refused before: workers admit these requests after those
+    that can still meet their objective.
     """
 
     service: str
@@ -55,6 +65,7 @@
     route: str
     priority: int
     team: str = ''
+    is_return: bool = False
 
 
 class _Outcomes:
@@ -121,6 +132,10 @@
         if draw < self._tried_ratio(cls, outcomes, now):
             return None
         outcomes.requests += 1.0
+        everyone = self._requests.get(_all_of_service(cls))
+        if everyone is not None:
+            everyone.decay(now)
+            everyone.requests += 1.0
         return errors.Refusal(
             errors.CALL_OVERLOADED,
             f'workers admitted {100 * outcomes.served_ratio:.0f}% of the '
@@ -141,15 +156,8 @@
         is_refused = is_capacity_refusal(result)
         if not is_refused and isinstance(result, errors.Refusal):
             return
-        _record(self._requests, cls, is_refused, remaining_s, now)
-        if cls.team:
-            _record(
-                self._requests,
-                cls._replace(team=''),
-                is_refused,
-                remaining_s,
-                now,
-            )
+        for key in (cls, _all_of_service(cls)):
+            _record(self._requests, key, is_refused, remaining_s, now)
 
     def record_attempt(
         self, cls: Class, reply: messages.Reply, now: float
@@ -162,7 +170,7 @@
         is_refused = is_capacity_refusal(reply.result)
         if not is_refused and isinstance(reply.result, errors.Refusal):
             return
-        _record(self._attempts, cls._replace(team=''), is_refused, 0.0, now)
+        _record(self._attempts, _for_attempts(cls), is_refused, 0.0, now)
         if not is_refused and self._requests and _has_room(reply.load):
             for known in [c for c in self._requests if c[:2] == cls[:2]]:
                 del self._requests[known]
@@ -172,7 +180,7 @@
 
         :param usual: the number without overload
         """
-        outcomes = self._attempts.get(cls._replace(team=''))
+        outcomes = self._attempts.get(_for_attempts(cls))
         if outcomes is None:
             return usual
         outcomes.decay(now)
@@ -185,14 +193,11 @@
     ) -> float:
         """Return the part of the requests of a class that is sent on."""
         ratio = max(MIN_TRIED_RATIO, TRIED_PER_SERVED * outcomes.served_ratio)
-        if cls.team:
-            # The worker serves each team at a part of the rate of all, which
-            # holds only if this many of its requests arrive there.
-            everyone = self._requests.get(cls._replace(team=''))
-            if everyone is not None:
-                everyone.decay(now)
-                ratio = max(ratio, everyone.served_ratio)
-        return ratio
+        everyone = self._requests.get(_all_of_service(cls))
+        if not cls.team or everyone is None:
+            return ratio
+        everyone.decay(now)
+        return max(ratio, TEAM_TRIED_RATIO * everyone.served_ratio)
 
 
 def is_capacity_refusal(result: messages.Answer | errors.Refusal) -> bool:
@@ -204,6 +209,14 @@
     )
 
 
+def _all_of_service(cls: Class) -> Class:
+    return Class(cls.service, cls.version, '', -1)
+
+
+def _for_attempts(cls: Class) -> Class:
+    return cls._replace(team='', is_return=False)
+
+
 def _has_room(load: messages.Load | None) -> bool:
     return (
         load is not None
--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -4,10 +4,14 @@
 
 import collections
 import math
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from damaskpier.capacity import elapsed
 from damaskpier.capacity import entry
+from damaskpier.capacity import returns
 from damaskpier import logs
+from damaskpier.traffic import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,12 +20,26 @@
     from damaskpier import application
     from damaskpier import errors
     from damaskpier.fleet import model
-    from damaskpier.traffic import messages
 
 LOG = logs.get_logger(__name__)
 
 # Refusals are logged by class in one line of each class at this interval.
 LOG_INTERVAL_S = 1.0
+# Routes whose callers' times are kept. The limit bounds the memory when
+# configurations rename their routes often.
+MAX_ROUTE_COUNT = 1024
+
+
+class Arrival(NamedTuple):
+    """Request that has arrived, with its refusal if it has one.
+
+    The objective of ``request`` counts from the caller's first request.
+    """
+
+    request: messages.Request
+    cls: entry.Class
+    at: float
+    refusal: errors.Refusal | None
 
 
 class EntryAdmission:
@@ -47,6 +65,8 @@
         self._has_teams = False
         self._has_paced_workers = False
         app.events.connect('config-applied', self._config_applied)
+        self._returns = returns.Returns()
+        self._times: dict[str, elapsed.RouteTimes] = {}
         self._refused: collections.Counter[entry.Class] = collections.Counter()
         self._logged_at = -math.inf
 
@@ -57,46 +77,73 @@
     def _is_active(self) -> bool:
         return self._has_teams or self._has_paced_workers
 
-    def refusal(self, request: messages.Request) -> errors.Refusal | None:
-        """Return the refusal of a request that no worker would admit."""
+    def receive(self, request: messages.Request) -> Arrival:
+        """Decide whether a request is sent to workers."""
         if not self._is_active:
-            return None
+            return Arrival(request, _class(request), self._clock(), None)
         now = self._clock()
-        cls = _class(request)
-        refusal = self._state.refusal(
-            cls, request.deadline - now, now, self._rng.random()
-        )
+        left_s = request.deadline - now
+        elapsed_s = self._route_times(request.route).elapsed_s(left_s, now)
+        request = request._replace(objective=request.objective - elapsed_s)
+        cls = _class(request)._replace(is_return=elapsed_s > 0)
+        draw = self._rng.random()
+        if returns.is_too_soon(elapsed_s, left_s):
+            draw = entry.TOO_SOON_DRAW
+        refusal = self._state.refusal(cls, left_s, now, draw)
         if refusal is not None:
             self._count('entry', request)
             self._log(cls, refusal, now)
-        return refusal
+        return Arrival(request, cls, now, refusal)
 
     def record(
-        self,
-        request: messages.Request,
-        result: messages.Answer | errors.Refusal,
-        began: float,
+        self, arrival: Arrival, result: messages.Answer | errors.Refusal
     ) -> None:
-        """Record the result of a request that was sent to workers.
-
-        :param began: arrival of the request
-        """
+        """Record the result of a request that was sent to workers."""
+        request = arrival.request
         if entry.is_capacity_refusal(result):
             self._count('workers', request)
         if not self._is_active:
             return
         self._state.record(
-            _class(request), result, request.deadline - began, self._clock()
+            arrival.cls, result, request.deadline - arrival.at, self._clock()
         )
 
     def record_attempt(
-        self, request: messages.Request, reply: messages.Reply
+        self, request: messages.Request, reply: messages.Reply, took_s: float
     ) -> None:
-        """Record one attempt on a worker."""
+        """Record one attempt on a worker.
+
+        :param took_s: duration of the attempt in seconds
+        """
         if reply.load is not None and reply.load.pace is not None:
             self._has_paced_workers = True
-        if self._is_active:
-            self._state.record_attempt(_class(request), reply, self._clock())
+        if not self._is_active:
+            return
+        now = self._clock()
+        self._state.record_attempt(_class(request), reply, now)
+        if isinstance(reply.result, messages.Answer):
+            self._returns.record_answer(
+                _return_class(request), reply.load, took_s, now
+            )
+
+    def return_s(
+        self,
+        request: messages.Request,
+        result: messages.Answer | errors.Refusal,
+    ) -> float | None:
+        """Return after which time a refused caller should return, in seconds.
+
+        :returns: None if the request was not refused for lack of capacity
+        """
+        if not self._is_active or not entry.is_capacity_refusal(result):
+            return None
+        now = self._clock()
+        return self._returns.delay_s(
+            _return_class(request),
+            request.deadline - now,
+            now,
+            self._rng.random(),
+        )
 
     def may_try_again(
         self,
@@ -115,6 +162,14 @@
             _class(request), tried + 1, self._clock()
         )
 
+    def _route_times(self, route: str) -> elapsed.RouteTimes:
+        times = self._times.get(route)
+        if times is None:
+            if len(self._times) >= MAX_ROUTE_COUNT:
+                self._times.clear()
+            times = self._times[route] = elapsed.RouteTimes()
+        return times
+
     def _count(self, place: str, request: messages.Request) -> None:
         self._app.service('metrics').increment(
             'capacity_refusals', place=place, priority=str(request.priority)
@@ -129,12 +184,13 @@
         self._logged_at = now
         for known, count in self._refused.most_common():
             LOG.info(
-                'entry: refused %d requests of %s, priority %d, team %s '
+                'entry: refused %d requests of %s, priority %d, team %s%s '
                 'without an attempt; last: %s',
                 count,
                 known.route,
                 known.priority,
                 known.team or '-',
+                ', returned' if known.is_return else '',
                 refusal.reason,
             )
         self._refused.clear()
@@ -148,3 +204,7 @@
         request.priority,
         request.team,
     )
+
+
+def _return_class(request: messages.Request) -> returns.Class:
+    return returns.Class(request.service, request.priority)
