--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import admission_report
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
 from damaskpier.fleet import model
@@ -107,6 +108,7 @@
         self._rate = start_limits.RateLimit(clock)
         self.admission.limits = (self._link, self._rate)
         self.admission.on_delay = self._start_waiting_later
+        self._report = admission_report.AdmissionReport(clock)
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcement: model.Announcement | None = None
         self._app = app
@@ -151,6 +153,7 @@
         metrics_service.register_gauge(
             'upstream_queued', lambda: self.admission.load.queued
         )
+        admission_report.register_gauges(metrics_service, self.admission)
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -283,9 +286,12 @@
             self._log_cancellation(call, request)
             raise
         load = self.load
+        self._report.record(request, result)
         if isinstance(result, errors.Refusal):
             self._app.service('metrics').increment(
-                'worker_refusals', code=str(result.code)
+                'worker_refusals',
+                code=str(result.code),
+                priority=str(request.priority),
             )
             LOG.info(
                 'worker: %s of %s refused: %s; run %s; %d running, %d queued, '
--- a/damaskpier/metrics.py
+++ b/damaskpier/metrics.py
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         self._counters: dict[str, dict[Labels, float]] = {}
-        self._gauges: dict[str, Callable[[], float]] = {}
+        self._gauges: dict[str, dict[Labels, Callable[[], float]]] = {}
         self._histograms: dict[str, _Histogram] = {}
 
     def increment(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -58,13 +58,15 @@
         series = self._counters.get(name, {})
         return series.get(tuple(labels.items()), 0)
 
-    def register_gauge(self, name: str, read: Callable[[], float]) -> None:
+    def register_gauge(
+        self, name: str, read: Callable[[], float], **labels: str
+    ) -> None:
         """Register a gauge.
 
         :param read: returns the value; called each time the metrics are
             rendered
         """
-        self._gauges[name] = read
+        self._gauges.setdefault(name, {})[tuple(labels.items())] = read
 
     def observe(self, name: str, seconds: float) -> None:
         """Add a duration to a histogram."""
@@ -94,9 +96,13 @@
             lines.append(f'# TYPE {full} counter')
             for labels, value in sorted(series.items()):
                 lines.append(f'{full}{_format_labels(labels)} {value:.17g}')
-        for name, read in sorted(self._gauges.items()):
-            lines.append(f'# TYPE {PREFIX}{name} gauge')
-            lines.append(f'{PREFIX}{name} {read():.17g}')
+        for name, readers in sorted(self._gauges.items()):
+            full = f'{PREFIX}{name}'
+            lines.append(f'# TYPE {full} gauge')
+            for labels, read in sorted(
+                readers.items(), key=lambda item: item[0]
+            ):
+                lines.append(f'{full}{_format_labels(labels)} {read():.17g}')
         for name, entry in sorted(self._histograms.items()):
             full = f'{PREFIX}{name}_seconds'
             lines.append(f'# TYPE {full} summary')
