--- a/damaskpier/capacity/decay.py
+++ b/damaskpier/capacity/decay.py
@@ -11,6 +11,9 @@
 # Sums below this value are dropped, so that the memory follows the number of
 # recent keys.
 NEGLIGIBLE = 0.02
+# Age of the sums in time constants above which they count as 0 in practice,
+# and which keeps their weight within the range of numbers.
+MAX_AGE_RATIO = 500.0
 
 
 class DecayingSums(Generic[KeyT]):
@@ -24,9 +27,12 @@
 
     def __init__(self, time_constant_s: float) -> None:
         self._time_constant_s = time_constant_s
-        self._origin = -math.inf
+        self._origin = 0.0
         self._sums: dict[KeyT, float] = {}
         self._total = 0.0
+        # Weight at the time of the latest decision, which asks for many keys.
+        self._weight_at = math.nan
+        self._latest_weight = 1.0
 
     def __len__(self) -> int:
         return len(self._sums)
@@ -48,10 +54,11 @@
         return self._total / self._weight(now)
 
     def _weight(self, now: float) -> float:
-        if not self._sums:
-            return 1.0
-        age = (now - self._origin) / self._time_constant_s
-        return math.exp(min(age, 700.0))
+        if now != self._weight_at:
+            age = (now - self._origin) / self._time_constant_s
+            self._latest_weight = math.exp(min(age, MAX_AGE_RATIO))
+            self._weight_at = now
+        return self._latest_weight
 
     def _rebase(self, now: float) -> None:
         """Express the sums as of now, without the negligible ones."""
@@ -62,3 +69,4 @@
         }
         self._total = sum(self._sums.values())
         self._origin = now
+        self._weight_at = math.nan
--- a/damaskpier/capacity/order.py
+++ b/damaskpier/capacity/order.py
@@ -64,6 +64,10 @@
     level: int
 
 
+# What is known of teams and priorities is used for this time, in which a
+# worker of 6 slots starts one or two requests.
+STANDING_S = 0.05
+
 _NO_TEAM = _Standing(is_served=True, is_caller=True, level=0)
 
 
@@ -89,6 +93,10 @@
             FLOOR_RECENT_S
         )
         self._has_teams = False
+        # Standing of teams and priorities since a time.
+        self._teams: dict[str, _Standing] = {}
+        self._priorities: dict[int, bool] = {}
+        self._known_at = -math.inf
 
     def record_arrival(self, ticket: admission.Ticket, now: float) -> None:
         """Record a request that asks for a slot."""
@@ -106,6 +114,8 @@
         :param service_s: expected time in the slot, in seconds
         """
         self._priority_starts.add(ticket.priority, 1.0, now)
+        self._priorities.pop(ticket.priority, None)
+        self._teams.pop(ticket.team, None)
         if self._has_teams:
             self._starts.add(ticket.team, 1.0, now)
             self._service_s.add(ticket.team, service_s, now)
@@ -116,12 +126,16 @@
         """Return the sort key for one decision.
 
         What is known of a team and a priority is computed once for all of
-        their requests.
+        their requests, and again after each of their starts.
 
         :param run_s: expected times of routes from start to end, in seconds
         """
-        teams: dict[str, _Standing] = {}
-        priorities: dict[int, bool] = {}
+        if now - self._known_at > STANDING_S:
+            self._teams.clear()
+            self._priorities.clear()
+            self._known_at = now
+        teams = self._teams
+        priorities = self._priorities
 
         def rank(ticket: admission.Ticket) -> Rank:
             standing = teams.get(ticket.team)
