--- a/damaskpier/balancing/cost.py
+++ b/damaskpier/balancing/cost.py
@@ -276,6 +276,19 @@
             latency_s *= worker.expected_pace(now, self.usual_pace)
         return latency_s
 
+    def is_full(self, worker: WorkerState, now: float) -> bool:
+        """Return whether a request is expected to wait for a slot."""
+        use = self._tier_uses[worker.tier].at(now)
+        return (
+            now < worker.full_until
+            or self._requests(worker, now, use) + 1.0 > worker.slots
+        )
+
+    def _requests(self, worker: WorkerState, now: float, use: float) -> float:
+        if self.has_paces:
+            return worker.expected_requests(now, use)
+        return worker.estimated_requests(now, use)
+
     def cost_s(self, worker: WorkerState, size: float, now: float) -> float:
         """Return the cost of a request on a worker.
 
@@ -288,11 +301,7 @@
         self, worker: WorkerState, size: float, now: float, use: float
     ) -> float:
         expected_s = self.expected_latency_s(worker, now)
-        if self.has_paces:
-            requests = worker.expected_requests(now, use)
-        else:
-            requests = worker.estimated_requests(now, use)
-        waiting = requests + 1.0 - worker.slots
+        waiting = self._requests(worker, now, use) + 1.0 - worker.slots
         if waiting > 0:
             expected_s *= 1.0 + waiting / worker.slots
         if worker.reliability < 1.0:
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -26,6 +26,7 @@
 from damaskpier.fleet import batch_log
 from damaskpier.fleet import check_timing
 from damaskpier.fleet import dissemination
+from damaskpier.fleet import distances
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.http1 import client
@@ -131,6 +132,10 @@
         # Per node that is being checked, a future that is done as soon as
         # something was received from it.
         self._checks: dict[str, asyncio.Future[None]] = {}
+        self._byte_counts = distances.ByteCounts(
+            app.service('metrics'),
+            lambda: app.service('membership').local_record(),
+        )
         self._check_timing = check_timing.CheckTiming(clock)
         # Versions that were applied within CONFIG_SEND_DELAY_S, oldest first,
         # and the one before them.
@@ -753,20 +758,24 @@
         """
         body = self._add_sender(gossip).SerializeToString()
         activity = client.Activity(asyncio.get_running_loop().time())
+        data = http_messages.encode_request(
+            'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
+        )
         sending = asyncio.ensure_future(
-            pool.request(
-                http_messages.encode_request(
-                    'POST', peers.EXCHANGE_PATH, (('Host', record.host),), body
-                ),
-                client.Options(deadline, activity=activity),
-            )
+            pool.request(data, client.Options(deadline, activity=activity))
         )
+        reply = b''
         try:
             outcome = await self._receive(
                 record.node_id, sending, activity, silence_timeout_s
             )
+            if isinstance(outcome, http_messages.Response):
+                reply = outcome.body
         finally:
             sending.cancel()
+            self._byte_counts.add_gossip(
+                record, len(data), gossip, activity.received_bytes, reply
+            )
         if isinstance(outcome, http_messages.Failure):
             LOG.debug(
                 'exchange: no reply from %s: %s', record.node_id, outcome
--- a/damaskpier/fleet/peer_call.py
+++ b/damaskpier/fleet/peer_call.py
@@ -84,6 +84,7 @@
     Silence does not end the attempt, because the worker may be at work behind
     a link that is full or a connection that has been lost without a reset.
     After a silence, the reply may also come over another connection.
+    ``question_bytes`` counts the bytes that asked for it there.
 
     :param pool: connections to the other node
     :param name: names the attempt in log lines
@@ -115,6 +116,7 @@
         self._stall_timer: asyncio.TimerHandle | None = None
         self._stall_timeout_s = STALL_TIMEOUT_S
         self._sent_at = 0.0
+        self.question_bytes = 0
 
     async def run(self) -> messages.Reply:
         """Send the request and return the reply, from either connection."""
@@ -153,6 +155,16 @@
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
 
+    @property
+    def request_bytes(self) -> int:
+        """Return the size of the encoded request."""
+        return len(self._exchange.request)
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes that were received, interim responses included."""
+        return self._activity.received_bytes
+
     def is_silent(self) -> bool:
         """Return whether the connection of the attempt has been silent."""
         return self._silent.done()
@@ -262,7 +274,9 @@
 
     async def _ask(self) -> Found | None:
         age_s = _time_with_suspension() - self._sent_at
-        outcome = await self._request_anew(self._exchange.question(age_s))
+        question = self._exchange.question(age_s)
+        self.question_bytes += len(question)
+        outcome = await self._request_anew(question)
         if isinstance(outcome, http_messages.Response):
             found = self._exchange.decode_found(outcome)
             if found is not None:
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -16,6 +16,7 @@
 
 from damaskpier import errors
 from damaskpier.fleet import attempts
+from damaskpier.fleet import distances
 from damaskpier.fleet import peer_call
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
@@ -87,6 +88,8 @@
 class Peers(registry.Service):
     """Client of other nodes, with a connection pool per address.
 
+    ``byte_counts`` counts the bytes to and from them.
+
     :param clock: returns the time in seconds
     """
 
@@ -102,6 +105,10 @@
         self._token_prefix = secrets.token_hex(TOKEN_PREFIX_BYTES)
         self._token_numbers = itertools.count()
         self._cancellations: set[asyncio.Task[None]] = set()
+        self.byte_counts = distances.ByteCounts(
+            app.service('metrics'),
+            lambda: app.service('membership').local_record(),
+        )
 
     async def start(self) -> None:
         """Register the gauges of connections and of bytes."""
@@ -151,12 +158,30 @@
             is_head=request.method == 'HEAD',
             observer=observer,
         )
+        self.byte_counts.add(record, 'requests', call.request_bytes)
+        reply = None
         try:
-            return await call.run()
+            reply = await call.run()
+            return reply
         except asyncio.CancelledError:
             if call.is_silent():
                 self._start_cancellation(call)
             raise
+        finally:
+            self._count_reply(record, call, reply)
+
+    def _count_reply(
+        self,
+        record: model.NodeRecord,
+        call: peer_call.PeerCall,
+        reply: messages.Reply | None,
+    ) -> None:
+        purpose = 'other'
+        if reply is not None:
+            is_answer = isinstance(reply.result, messages.Answer)
+            purpose = 'answers' if is_answer else 'refusals'
+        self.byte_counts.add(record, purpose, call.received_bytes)
+        self.byte_counts.add(record, 'other', call.question_bytes)
 
     def _start_cancellation(self, call: peer_call.PeerCall) -> None:
         task = asyncio.ensure_future(call.cancel_attempt())
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpier import errors
+from damaskpier.fleet import distances
 from damaskpier.fleet import model
 from damaskpier.fleet import peer_call
 from damaskpier.fleet import selector
@@ -172,6 +173,7 @@
         self._left_started_ms: dict[tuple[str, str], int] = {}
         # Done when the running requests are to end without further waiting.
         self._abandoned: asyncio.Future[None] | None = None
+        self._choices = distances.ChoiceCounts(app.service('metrics'), clock)
         app.events.connect('workers-changed', self._workers_changed)
 
     async def start(self) -> None:
@@ -227,6 +229,9 @@
                     max_wait_s = self._max_wait_s(
                         route, selector_, attempts.tried
                     )
+                    self._choices.record(
+                        worker.tier, selector_.reason(worker, attempts.tried)
+                    )
                     is_repeat = attempts.runs + len(running) > 0
                     attempts.tried.append(worker.key)
                     running.append(
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -7,6 +7,7 @@
 
 from damaskpier.balancing import cost
 from damaskpier import errors
+from damaskpier.fleet import distances
 from damaskpier.traffic.balancer import base
 from damaskpier.traffic import ejection
 from damaskpier.traffic import messages
@@ -84,7 +85,8 @@
                 or worker.record.instance != record.instance
             ):
                 tier = self._tier(record)
-                worker = WorkerState(record, 0.0, tier)
+                distance = cost.PACE_DISTANCES[tier]
+                worker = WorkerState(record, distance.round_trip_s, tier)
                 self._skipped_until.pop(record.node_id, None)
             worker.record = record
             workers[record.node_id] = worker
@@ -133,6 +135,26 @@
             candidates += usable
         return candidates
 
+    def reason(
+        self, worker: WorkerState, exclude: Collection[str] = ()
+    ) -> str:
+        """Return why a worker was chosen, by what is known now.
+
+        :param exclude: keys of the workers that have been tried
+        :returns: ``near`` for a worker of the own failure domain, ``missing``
+            if that has no other usable one, ``full`` if no usable one there
+            has a free slot, and ``slower`` otherwise
+        """
+        if worker.tier == 0:
+            return 'near'
+        now = self._clock()
+        near = self._usable(self._by_tier[0], exclude, now)
+        if not near:
+            return 'missing'
+        if all(self._costs.is_full(item, now) for item in near):
+            return 'full'
+        return 'slower'
+
     def record_start(self, worker: WorkerState) -> None:
         """Record that an attempt on a worker begins."""
         worker.outstanding += 1
@@ -229,7 +251,4 @@
         return usable
 
     def _tier(self, record: model.NodeRecord) -> int:
-        local = self._local()
-        if record.failure_domain == local.failure_domain:
-            return 0
-        return 1 if record.region == local.region else 2
+        return distances.tier(self._local(), record)
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -67,13 +67,16 @@
 class Activity:
     """Time at which data last arrived, for one or more requests.
 
+    ``received_bytes`` counts the data.
+
     :param heard_at: time of the loop's clock in seconds
     """
 
-    __slots__ = ('heard_at',)
+    __slots__ = ('heard_at', 'received_bytes')
 
     def __init__(self, heard_at: float) -> None:
         self.heard_at = heard_at
+        self.received_bytes = 0
 
 
 class Options(NamedTuple):
@@ -418,6 +421,7 @@
         self._received_by_all = byte_counter.RECEIVED.total
         if self._options.activity is not None:
             self._options.activity.heard_at = self._last_received_at
+            self._options.activity.received_bytes += len(data)
         self._framing_bytes += len(data)
         self._received_bytes += len(data)
         self._pool.memory.add(self, len(data))
--- a/tests/test_fleet/test_selector.py
+++ b/tests/test_fleet/test_selector.py
@@ -295,3 +295,15 @@
         assert worker.key not in tried
         tried.append(worker.key)
     assert len(tried) == len(DOMAINS)
+
+
+def test_reason_why_a_request_leaves_its_failure_domain(selector_):
+    """Operators must see whether workers are missing, full or slow."""
+    for domain in DOMAINS:
+        _answer(selector_, domain, 90.0)
+    own, other = (selector_._workers[f'n-{name}'] for name in ('a1', 'a2'))
+    assert selector_.reason(own) == 'near'
+    assert selector_.reason(other) == 'slower'
+    assert selector_.reason(other, [own.key]) == 'missing'
+    _answer(selector_, 'a1', 90.0, in_use=6)
+    assert selector_.reason(other) == 'full'
