--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -18,6 +18,7 @@
 from damaskpier.fleet import attempts
 from damaskpier.fleet import distances
 from damaskpier.fleet import peer_call
+from damaskpier.fleet import short_headers
 from damaskpier.http1 import byte_counter
 from damaskpier.http1 import client
 from damaskpier.http1 import messages as http_messages
@@ -83,13 +84,13 @@
 DRAIN_NOTICE_S = 0.5
 DRAIN_POLL_S = 0.01
 TOKEN_PREFIX_BYTES = 8
+# Nodes of which the names of headers that they read are remembered.
+MAX_SHORT_READERS = 4096
 
 
 class Peers(registry.Service):
     """Client of other nodes, with a connection pool per address.
 
-    ``byte_counts`` counts the bytes to and from them.
-
     :param clock: returns the time in seconds
     """
 
@@ -105,7 +106,9 @@
         self._token_prefix = secrets.token_hex(TOKEN_PREFIX_BYTES)
         self._token_numbers = itertools.count()
         self._cancellations: set[asyncio.Task[None]] = set()
-        self.byte_counts = distances.ByteCounts(
+        # Start of the nodes that read short names of headers, by node.
+        self._short_readers: dict[str, int] = {}
+        self._byte_counts = distances.ByteCounts(
             app.service('metrics'),
             lambda: app.service('membership').local_record(),
         )
@@ -148,17 +151,37 @@
         """
         if record.node_id == self._node_id:
             return await self._app.service('worker').call(request)
+        is_short = (
+            self._short_readers.get(record.node_id) == record.incarnation
+        )
+        reply = await self._call(record, request, observer, is_short)
+        if is_short and _is_misread(reply):
+            # A node of an earlier build has started at the address.
+            self._short_readers.pop(record.node_id, None)
+            reply = await self._call(record, request, observer, False)
+        return reply
+
+    async def _call(
+        self,
+        record: model.NodeRecord,
+        request: messages.Request,
+        observer: peer_call.Observer | None,
+        is_short: bool,
+    ) -> messages.Reply:
         now = self._clock()
         token = f'{self._token_prefix}-{next(self._token_numbers)}'
+        exchange = _make_exchange(request, record.host, token, now, is_short)
         call = peer_call.PeerCall(
             self.pool(record),
-            _make_exchange(request, record.host, token, now),
+            exchange._replace(
+                decode=functools.partial(self._decode_reply, record)
+            ),
             f'{request.request_id} on {record.node_id}',
             asyncio.get_running_loop().time() + request.deadline - now,
             is_head=request.method == 'HEAD',
             observer=observer,
         )
-        self.byte_counts.add(record, 'requests', call.request_bytes)
+        self._byte_counts.add(record, 'requests', call.request_bytes)
         reply = None
         try:
             reply = await call.run()
@@ -170,6 +193,15 @@
         finally:
             self._count_reply(record, call, reply)
 
+    def _decode_reply(
+        self, record: model.NodeRecord, response: http_messages.Response
+    ) -> messages.Reply:
+        if response.header(short_headers.READS_SHORT.lower()):
+            if len(self._short_readers) >= MAX_SHORT_READERS:
+                self._short_readers.clear()
+            self._short_readers[record.node_id] = record.incarnation
+        return _decode_reply(response)
+
     def _count_reply(
         self,
         record: model.NodeRecord,
@@ -180,8 +212,8 @@
         if reply is not None:
             is_answer = isinstance(reply.result, messages.Answer)
             purpose = 'answers' if is_answer else 'refusals'
-        self.byte_counts.add(record, purpose, call.received_bytes)
-        self.byte_counts.add(record, 'other', call.question_bytes)
+        self._byte_counts.add(record, purpose, call.received_bytes)
+        self._byte_counts.add(record, 'other', call.question_bytes)
 
     def _start_cancellation(self, call: peer_call.PeerCall) -> None:
         task = asyncio.ensure_future(call.cancel_attempt())
@@ -262,6 +294,22 @@
 
     async def _handle(
         self, request: http_messages.Request
+    ) -> http_messages.Response:
+        is_short = short_headers.is_short(request.headers)
+        if is_short:
+            fields = short_headers.expand(request.headers)
+            request = request._replace(headers=fields)
+        response = await self._handle_expanded(request)
+        if is_short:
+            fields = short_headers.shorten(response.headers)
+            return response._replace(headers=fields or response.headers)
+        if request.path in (EXCHANGE_PATH, ATTEMPT_PATH):
+            return response
+        mark = (short_headers.READS_SHORT, '1')
+        return response._replace(headers=(*response.headers, mark))
+
+    async def _handle_expanded(
+        self, request: http_messages.Request
     ) -> http_messages.Response:
         if request.path == EXCHANGE_PATH:
             body = self._app.service('exchange').received(request.body)
@@ -302,7 +350,9 @@
     def _observe_arrival(
         self, fields: http_messages.Headers
     ) -> Callable[[], None]:
-        own_headers = {name.lower(): value for name, value in fields}
+        own_headers = {
+            name.lower(): value for name, value in short_headers.expand(fields)
+        }
         token = own_headers.get(ATTEMPT.lower())
         # A question has the token too, and an age.
         if token is None or AGE.lower() in own_headers:
@@ -318,9 +368,16 @@
 
 
 def _make_exchange(
-    request: messages.Request, host: str, token: str, now: float
+    request: messages.Request,
+    host: str,
+    token: str,
+    now: float,
+    is_short: bool = False,
 ) -> peer_call.Exchange:
     attempt = (ATTEMPT, token)
+    fields = (*_encode_headers(request, now), attempt)
+    if is_short:
+        fields = short_headers.shorten(fields) or fields
 
     def encode_question(age_s: float) -> bytes:
         age_ms = str(int(age_s * 1000))
@@ -344,7 +401,7 @@
         http_messages.encode_request(
             request.method,
             request.target,
-            (*_encode_headers(request, now), attempt),
+            fields,
             request.body,
         ),
         encode_question,
@@ -356,6 +413,16 @@
     )
 
 
+def _is_misread(reply: messages.Reply) -> bool:
+    """Return whether a node did not read the headers of a request."""
+    result = reply.result
+    return (
+        isinstance(result, errors.Refusal)
+        and result.code is errors.CALL_BAD_HEADER
+        and result.run is errors.RunState.NOT_RUN
+    )
+
+
 def _stopping_refusal() -> errors.Refusal:
     return errors.Refusal(errors.CALL_DRAINING, 'the node is stopping')
 
@@ -470,7 +537,7 @@
 def _decode_reply(response: http_messages.Response) -> messages.Reply:
     own_headers = {}
     other_headers = []
-    for name, value in response.headers:
+    for name, value in short_headers.expand(response.headers):
         lower = name.lower()
         if lower.startswith(headers.OWN_PREFIX):
             own_headers[lower] = value
