--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -26,6 +26,7 @@
 from damaskpier.fleet import batch_log
 from damaskpier.fleet import check_timing
 from damaskpier.fleet import dissemination
+from damaskpier.fleet import distances
 from damaskpier.fleet import model
 from damaskpier.fleet import peers
 from damaskpier.http1 import client
@@ -133,6 +134,10 @@
         # Per node that is being checked, a future that is done as soon as
         # something was received from it.
         self._checks: dict[str, asyncio.Future[None]] = {}
+        self._byte_counts = distances.ByteCounts(
+            app.service('metrics'),
+            lambda: app.service('membership').local_record(),
+        )
         self._check_timing = check_timing.CheckTiming(clock)
         # Versions that were applied within CONFIG_SEND_DELAY_S, oldest first,
         # and the one before them.
@@ -767,7 +772,7 @@
                 reply = outcome.body
         finally:
             sending.cancel()
-            self._app.service('peers').byte_counts.add_gossip(
+            self._byte_counts.add_gossip(
                 record, len(data), gossip, activity.received_bytes, reply
             )
         if isinstance(outcome, http_messages.Failure):
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -100,7 +100,8 @@
                 or worker.record.instance != record.instance
             ):
                 tier = self._tier(record)
-                worker = WorkerState(record, 0.0, tier)
+                distance = cost.PACE_DISTANCES[tier]
+                worker = WorkerState(record, distance.round_trip_s, tier)
                 self._skipped_until.pop(record.node_id, None)
             worker.record = record
             workers[record.node_id] = worker
