--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -246,6 +246,12 @@
     'The upstream shed the request before it ran.',
     'Try again later; the request did not run.',
 )
+CALL_EVACUATED = _declare_code(
+    3030,
+    'call-evacuated',
+    'All failure domains with workers of the service are evacuated.',
+    'Remove the evacuation of a domain; the request did not run.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -506,6 +506,7 @@
                 for state in self._app.service('rollouts').states()
             ],
         )
+        self._app.service('evacuations').add_to(gossip)
         body = await self._send(record, gossip)
         if body is None:
             return False
@@ -543,6 +544,7 @@
             rollout_wire.state_to_message(state)
             for state in self._app.service('rollouts').states()
         )
+        self._app.service('evacuations').add_to(reply)
         applied = self._app.service('configuration')
         reply.config_version = applied.version()
         if message.config_version < applied.version() and (
@@ -627,6 +629,7 @@
             )
         for move in gossip.moves:
             rollouts.merge(rollout_wire.state_from_message(move))
+        self._app.service('evacuations').read_from(gossip)
         if gossip.config:
             self._apply_config(gossip.config)
 
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -61,6 +61,7 @@
         self._known: tuple[str, int] | None = None
         self._was_cold = False
         self._was_removed = False
+        self._is_evacuated = False
         self.limits = (
             pace_limits.ColdLimit(self._cold, clock),
             pace_limits.AdaptiveLimit(self._adaptive, clock),
@@ -91,15 +92,8 @@
         self._was_cold = 0 < announcement.warmup_s < math.inf
         self._was_removed = False
         self._learn(announcement.warmup_s)
-        if reason and self._is_enabled and not self._has_named_bound:
-            self._adaptive.begin(self._clock(), announcement.slots)
-            LOG.info(
-                'pace: %s %s; %d requests run at first, %d slots',
-                announcement.instance,
-                reason,
-                self._adaptive.count,
-                announcement.slots,
-            )
+        if reason:
+            self._begin(announcement, reason)
 
     def checked(self, health: model.Health) -> None:
         """Apply a health check of the worker, which may not say it is cold."""
@@ -111,6 +105,20 @@
         self._was_removed = True
         self._learn(math.inf)
 
+    def evacuated(
+        self, is_evacuated: bool, announcement: model.Announcement | None
+    ) -> None:
+        """Apply whether the failure domain of the worker is evacuated.
+
+        A worker that comes back may have become cold, so that what it said
+        before does not count.
+        """
+        was_evacuated, self._is_evacuated = self._is_evacuated, is_evacuated
+        if was_evacuated and not is_evacuated:
+            self._learn(math.inf)
+            if announcement is not None:
+                self._begin(announcement, 'is back from an evacuation')
+
     def record_outcome(
         self,
         route: str,
@@ -160,6 +168,18 @@
             return 'is cold'
         return ''
 
+    def _begin(self, announcement: model.Announcement, reason: str) -> None:
+        """Begin the adaptive pace unless a bound is named."""
+        if self._is_enabled and not self._has_named_bound:
+            self._adaptive.begin(self._clock(), announcement.slots)
+            LOG.info(
+                'pace: %s %s; %d requests run at first, %d slots',
+                announcement.instance,
+                reason,
+                self._adaptive.count,
+                announcement.slots,
+            )
+
     def _usual_elsewhere_s(self) -> float | None:
         """Return the usual time of the service's workers; None if unknown."""
         return self._app.service('router').mean_latency_s(self._service)
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -51,6 +51,10 @@
     (errors.CALL_OVERLOADED, errors.CALL_UPSTREAM_REFUSED)
 )
 
+_LEAVING_CODES = frozenset(
+    (errors.CALL_DRAINING, errors.CALL_NO_WORKER, errors.CALL_EVACUATED)
+)
+
 
 class WorkerState(base.WorkerState):
     """State of a worker with the time of its last observed result."""
@@ -240,7 +244,7 @@
             self._record_answer(worker, result, latency_s)
         elif result.code in _OVERLOAD_CODES:
             worker.full_until = now + OVERLOAD_PENALTY_S
-        elif result.code in (errors.CALL_DRAINING, errors.CALL_NO_WORKER):
+        elif result.code in _LEAVING_CODES:
             self._skipped_until[worker.key] = now + LEAVING_SKIP_S
         elif result.code is errors.CALL_DEADLINE:
             if result.run is errors.RunState.UNKNOWN:
--- a/damaskpier/fleet/store.py
+++ b/damaskpier/fleet/store.py
@@ -5,6 +5,7 @@
 import abc
 from collections.abc import AsyncIterator
 
+from damaskpier.balancing import evacuation
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier import registry
@@ -33,6 +34,13 @@
         Failed calls are treated as in :meth:`configurations`.
         """
 
+    @abc.abstractmethod
+    def evacuations(self) -> AsyncIterator[evacuation.State | errors.Refusal]:
+        """Yield the evacuated failure domains and then each change.
+
+        Failed calls are treated as in :meth:`configurations`.
+        """
+
     @abc.abstractmethod
     async def write_phase(
         self, order: model.Order, phase: model.Phase
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -142,6 +142,7 @@
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         app.events.connect('left-worker-learned', self._learn_left)
         app.events.connect('departures-known', self._apply_held)
+        app.events.connect('evacuations-changed', self._evacuations_changed)
 
     async def start(self) -> None:
         """Register the gauges of the load."""
@@ -390,6 +391,12 @@
         if held is not None:
             self.apply_announcement(held)
 
+    def _evacuations_changed(self, is_local: bool) -> None:
+        if is_local:
+            refusal = self._app.service('evacuations').local_refusal()
+            self.admission.refuse_queued(refusal)
+        self._pace.evacuated(is_local, self.announcement)
+
     def _learn_left(self, instance: str, started_ms: int) -> None:
         """Apply a departure from before this node started."""
         known = self.announcement
@@ -643,6 +650,9 @@
             return _missing_refusal()
         if self.admission.draining:
             return _draining_refusal()
+        refusal = self._app.service('evacuations').local_refusal()
+        if refusal is not None:
+            return refusal
         # Whether an upstream of unknown version may run the request is decided
         # by the caller's node.
         if known.service != request.service or (
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -15,6 +15,7 @@
 from damaskpier import errors
 from damaskpier.fleet import configuration
 from damaskpier.fleet import departures
+from damaskpier.fleet import evacuations
 from damaskpier.fleet import exchange
 from damaskpier.fleet import ingress
 from damaskpier.fleet import peers
@@ -52,6 +53,7 @@
             functools.partial(membership.setup, timing=times),
             configuration.setup,
             rollouts.setup,
+            evacuations.setup,
             functools.partial(worker.setup, codec=codec),
             functools.partial(startup_check.setup, codec=codec),
             peers.setup,
--- a/damaskpier/platform/objects.py
+++ b/damaskpier/platform/objects.py
@@ -20,6 +20,8 @@
 CONFIG_NAME = 'main'
 ORDER_KIND = 'rollouts'
 NODE_KIND = 'nodes'
+# The name of an object is that of the failure domain.
+EVACUATION_KIND = 'evacuations'
 
 # States in the status of an order, which operators read.
 STATE_BY_PHASE = {
--- a/damaskpier/platform/settings.py
+++ b/damaskpier/platform/settings.py
@@ -69,6 +69,7 @@
             'retry_slack': bounds['retrySlack'],
             'retry_window': notation.parse_duration_s(bounds['retryWindow']),
             **_optional_bounds(bounds),
+            'evacuations': 'evacuate' in bounds,
             'adaptive_pace': not _PACE_BOUNDS.isdisjoint(bounds),
         },
         'log': {'format': 'json'},
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from damaskpier.balancing import evacuation
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import store
@@ -43,6 +44,8 @@
 # Longest wait that the store accepts in a watch call.
 WATCH_WAIT_MS = 30_000
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# Number that rises when the store comes back from an older copy.
+ERA = 'store-era'
 # Length of the part of a response that is logged if it can not be read.
 EXCERPT_BYTES = 200
 
@@ -104,6 +107,8 @@
         self._host = str(address)
         self._pool = client.Pool(address.host, address.port, max_idle=2)
         self._apply_limit_s = app.cfg.number('fleet', 'apply')
+        # Highest era that an answer of the store has named.
+        self._era = 0
 
     async def stop(self) -> None:
         """Close the connections."""
@@ -137,6 +142,59 @@
             ]
             yield [order for order in orders if order is not None]
 
+    async def evacuations(
+        self,
+    ) -> AsyncIterator[evacuation.State | errors.Refusal]:
+        """Yield the evacuated failure domains and then each change."""
+        backoff_s = store_watch.INITIAL_BACKOFF_S
+        state: evacuation.State | None = None
+        while True:
+            if state is None:
+                found = await self._list_evacuations()
+            else:
+                found = await self._watch_evacuations(state)
+            if state is not None and self._era != state.era:
+                # The store has assigned the revisions again.
+                state = None
+                continue
+            if isinstance(found, errors.Refusal):
+                state = None
+                if found.code is errors.PLATFORM_HISTORY_LOST:
+                    continue
+                yield found
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, store_watch.MAX_BACKOFF_S)
+                continue
+            backoff_s = store_watch.INITIAL_BACKOFF_S
+            if state is None or found.domains != state.domains:
+                yield found
+            state = found
+
+    async def _list_evacuations(self) -> evacuation.State | errors.Refusal:
+        found = await self.list_objects(objects.EVACUATION_KIND)
+        if isinstance(found, errors.Refusal):
+            return found
+        names = frozenset(map(objects.object_name, found.items))
+        return evacuation.State(self._era, found.revision, names)
+
+    async def _watch_evacuations(
+        self, state: evacuation.State
+    ) -> evacuation.State | errors.Refusal:
+        found = await self._watch_events(
+            objects.EVACUATION_KIND, state.revision
+        )
+        if isinstance(found, errors.Refusal):
+            return found
+        for event in found.items:
+            name = _name_of(event.get('object'))
+            if name is None:
+                # It may be a removal, which the list shows.
+                return await self._list_evacuations()
+            state = state.after_change(
+                found.revision, name, is_evacuated=not event.get('deleted')
+            )
+        return state._replace(revision=found.revision)
+
     async def write_phase(
         self, order: model.Order, phase: model.Phase
     ) -> model.Order | errors.Refusal:
@@ -288,6 +346,20 @@
 
         :returns: the changed objects without deleted ones
         """
+        found = await self._watch_events(kind, revision)
+        if isinstance(found, errors.Refusal):
+            return found
+        changed = [
+            event.get('object')
+            for event in found.items
+            if not event.get('deleted')
+        ]
+        return found._replace(items=_keep_named(changed))
+
+    async def _watch_events(
+        self, kind: str, revision: int
+    ) -> store_watch.Page | errors.Refusal:
+        """Wait for changes after a revision and return their events."""
         query = parse.urlencode({'watch': revision, 'waitMs': WATCH_WAIT_MS})
         answer = await self._call(
             'GET',
@@ -308,13 +380,10 @@
         if revision is None or not isinstance(events, list):
             return _unreadable(answer)
         self._record_delivery(kind, 'watch', len(events), answer)
-        changed = [
-            event.get('object')
-            for event in events
-            if isinstance(event, dict) and not event.get('deleted')
-        ]
         return store_watch.Page(
-            _keep_named(changed), revision, answer.transfer_s
+            [event for event in events if isinstance(event, dict)],
+            revision,
+            answer.transfer_s,
         )
 
     def _record_delivery(
@@ -364,6 +433,9 @@
             if outcome.sent and method != 'GET':
                 code = errors.PLATFORM_UNKNOWN
             return errors.Refusal(code, f'{method} {target}: {outcome.reason}')
+        era = outcome.header(ERA)
+        if era.isdecimal() and len(era) <= 18:
+            self._era = max(self._era, int(era))
         metrics.increment('store_bytes_received', len(outcome.body))
         if outcome.status in _CODE_BY_STATUS:
             return errors.Refusal(
--- a/damaskpier/settings.py
+++ b/damaskpier/settings.py
@@ -230,6 +230,14 @@
         low=0.1,
         high=600,
     ),
+    Setting(
+        'fleet',
+        'evacuations',
+        'bool',
+        False,
+        'Whether the node follows evacuations of failure domains, which takes '
+        'one more watch of the store.',
+    ),
     Setting(
         'fleet',
         'revoke',
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -34,6 +34,7 @@
     (
         errors.CALL_OVERLOADED,
         errors.CALL_DRAINING,
+        errors.CALL_EVACUATED,
         errors.CALL_CONNECT,
         errors.CALL_NO_WORKER,
         errors.CALL_UPSTREAM_REFUSED,
--- a/tests/test_fleet/conftest.py
+++ b/tests/test_fleet/conftest.py
@@ -13,10 +13,12 @@
 import pytest
 
 from damaskpier import application
+from damaskpier.balancing import evacuation
 from damaskpier import config
 from damaskpier import errors
 from damaskpier.fleet import configuration
 from damaskpier.fleet import departures
+from damaskpier.fleet import evacuations
 from damaskpier.fleet import exchange
 from damaskpier.fleet import ingress
 from damaskpier.fleet import model
@@ -47,6 +49,7 @@
         self.orders: dict[str, model.Order] = {}
         self.nodes: dict[str, model.NodeAddress] = {}
         self.entries: dict[str, model.DirectoryEntry] = {}
+        self.evacuations = evacuation.State(0, 1, frozenset())
         self.is_down = False
         self.changed = asyncio.Event()
 
@@ -66,6 +69,13 @@
         self.orders[order.service] = order
         self._notify()
 
+    def evacuate(self, *domains: str) -> None:
+        """Set the failure domains that are evacuated."""
+        self.evacuations = evacuation.State(
+            0, self.evacuations.revision + 1, frozenset(domains)
+        )
+        self._notify()
+
     def _notify(self) -> None:
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
@@ -98,6 +108,16 @@
                 yield list(self._store.orders.values())
             await changed.wait()
 
+    async def evacuations(self):
+        """Yield the evacuated domains whenever something changes."""
+        while True:
+            changed = self._store.changed
+            if self._is_down():
+                yield _down()
+            else:
+                yield self._store.evacuations
+            await changed.wait()
+
     async def write_phase(self, order, phase):
         """Write the phase of an order unless it has changed."""
         if self._is_down():
@@ -332,6 +352,7 @@
                 ),
                 configuration.setup,
                 rollouts.setup,
+                evacuations.setup,
                 functools.partial(worker.setup, codec=codec),
                 functools.partial(startup_check.setup, codec=codec),
                 peers.setup,
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -41,6 +41,9 @@
         self.revision = 1
         self.objects: dict[str, dict[str, dict]] = {}
         self.events: list[tuple[int, str, dict]] = []
+        # Revisions of the events that report a removal.
+        self.removals: set[int] = set()
+        self.era = 0
         self.calls: list[tuple[str, str]] = []
         # Number of writes whose answer is lost after they took effect.
         self.lost = 0
@@ -75,6 +78,15 @@
         changed.set()
         return obj
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object as an operator does."""
+        self.revision += 1
+        obj = self.objects[kind].pop(name)
+        self.events.append((self.revision, kind, obj))
+        self.removals.add(self.revision)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     async def _handle(self, request: messages.Request) -> messages.Response:
         self.calls.append((request.method, request.target))
         if self.silent:
@@ -82,6 +94,9 @@
         if self.refusals:
             return messages.Response(self.refusals.pop(0))
         response = await self._answer(request)
+        if self.era:
+            fields = (('Store-Era', str(self.era)),)
+            response = response._replace(headers=fields)
         if self.lost and request.method != 'GET':
             self.lost -= 1
             await asyncio.Event().wait()
@@ -132,7 +147,7 @@
             return messages.Response(410)
         while True:
             found = [
-                {'object': obj, 'deleted': False}
+                {'object': obj, 'deleted': at in self.removals}
                 for at, of, obj in self.events
                 if at > revision and of == kind
             ]
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -73,6 +73,7 @@
     assert cfg.number('fleet', 'retry_slack') == 58
     # Deployments without bounds for hard load are served as before.
     assert not cfg.flag('fleet', 'adaptive_pace')
+    assert not cfg.flag('fleet', 'evacuations')
 
 
 @pytest.mark.parametrize(
@@ -403,6 +404,7 @@
     assert cfg.number('fleet', 'cold_over') == 1.25
     assert cfg.number('fleet', 'cold_slack') == 3.0
     assert cfg.flag('fleet', 'adaptive_pace')
+    assert cfg.flag('fleet', 'evacuations')
     assert cfg.number('fleet', 'evacuate') == 4.5
     assert cfg.number('fleet', 'revoke') == 2.5
     assert cfg.flag('fleet', 'strict_revoke')
