--- a/damaskpier/errors.py
+++ b/damaskpier/errors.py
@@ -270,6 +270,12 @@
     'No ready worker is in a region that the request may go to.',
     'Start workers there, or change the regions of the route or the team.',
 )
+CALL_EVACUATED = _declare_code(
+    3030,
+    'call-evacuated',
+    'All failure domains with workers of the service are evacuated.',
+    'Remove the evacuation of a domain; the request did not run.',
+)
 
 PLATFORM_UNAVAILABLE = _declare_code(
     4001,
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from damaskpier.balancing import evacuation
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import store
@@ -159,6 +160,57 @@
             ]
             yield [order for order in orders if order is not None]
 
+    async def evacuations(
+        self,
+    ) -> AsyncIterator[evacuation.State | errors.Refusal]:
+        """Yield the evacuated failure domains and then each change."""
+        backoff_s = store_watch.INITIAL_BACKOFF_S
+        state: evacuation.State | None = None
+        while True:
+            if state is None:
+                found = await self._list_evacuations()
+            else:
+                found = await self._watch_evacuations(state)
+            if isinstance(found, errors.Refusal):
+                state = None
+                if found.code is errors.PLATFORM_HISTORY_LOST:
+                    continue
+                yield found
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, store_watch.MAX_BACKOFF_S)
+                continue
+            backoff_s = store_watch.INITIAL_BACKOFF_S
+            if state is None or found.domains != state.domains:
+                yield found
+            state = found
+
+    async def _list_evacuations(self) -> evacuation.State | errors.Refusal:
+        found = await self.list_objects(objects.EVACUATION_KIND)
+        if isinstance(found, errors.Refusal):
+            return found
+        names = frozenset(map(objects.object_name, found.items))
+        return evacuation.State(found.generation, found.revision, names)
+
+    async def _watch_evacuations(
+        self, state: evacuation.State
+    ) -> evacuation.State | errors.Refusal:
+        found = await self._watch_events(
+            objects.EVACUATION_KIND, state.revision
+        )
+        if isinstance(found, errors.Refusal):
+            return found
+        if found.generation != state.era:
+            return _history_lost(objects.EVACUATION_KIND)
+        for event in found.items:
+            name = _name_of(event.get('object'))
+            if name is None:
+                # It may be a removal, which the list shows.
+                return await self._list_evacuations()
+            state = state.after_change(
+                found.revision, name, is_evacuated=not event.get('deleted')
+            )
+        return state._replace(revision=found.revision)
+
     async def write_phase(
         self, order: model.Order, phase: model.Phase
     ) -> model.Order | errors.Refusal:
@@ -314,6 +366,40 @@
 
         :returns: the changed objects without deleted ones
         """
+        found = await self._watch_events(kind, revision)
+        if isinstance(found, errors.Refusal):
+            return found
+        changed = [
+            event.get('object')
+            for event in found.items
+            if not event.get('deleted')
+        ]
+        return found._replace(items=_keep_named(changed))
+
+    async def _watch_events(
+        self, kind: str, revision: int
+    ) -> store_watch.Page | errors.Refusal:
+        """Wait for changes after a revision and return their events.
+
+        A restore of the store ends the wait: the revision may be assigned to
+        another change by then.
+        """
+        watching = asyncio.ensure_future(self._call_watch(kind, revision))
+        restored = asyncio.ensure_future(self._wait_restored())
+        try:
+            await asyncio.wait(
+                (watching, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            restored.cancel()
+            watching.cancel()
+        if not watching.done():
+            return _history_lost(kind)
+        return watching.result()
+
+    async def _call_watch(
+        self, kind: str, revision: int
+    ) -> store_watch.Page | errors.Refusal:
         wait_ms = WATCH_WAIT_MS
         if kind == objects.CONFIG_KIND:
             wait_ms = min(wait_ms, self._max_config_wait_ms)
@@ -334,19 +420,14 @@
         if revision is None or not isinstance(events, list):
             return _unreadable(answer)
         self._record_delivery(kind, 'watch', len(events), answer)
-        changed = [
-            event.get('object')
-            for event in events
-            if isinstance(event, dict) and not event.get('deleted')
-        ]
         return store_watch.Page(
-            _keep_named(changed),
+            [event for event in events if isinstance(event, dict)],
             revision,
             answer.transfer_s,
             answer.generation,
         )
 
-    async def wait_restored(self) -> None:
+    async def _wait_restored(self) -> None:
         """Wait until the store comes back from an older copy."""
         if self._restored is None:
             self._restored = asyncio.get_running_loop().create_future()
@@ -469,26 +550,9 @@
         return found._replace(items=changed)
 
     async def watch(self, revision: int) -> store_watch.Page | errors.Refusal:
-        """Wait for objects that change after a revision and return them.
-
-        A restore of the store ends the wait: the revision may be assigned to
-        another change by then.
-        """
+        """Wait for objects that change after a revision and return them."""
         asked_at = time.monotonic()
-        watching = asyncio.ensure_future(
-            self._store.watch_objects(self._kind, revision)
-        )
-        restored = asyncio.ensure_future(self._store.wait_restored())
-        try:
-            await asyncio.wait(
-                (watching, restored), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            restored.cancel()
-            watching.cancel()
-        if not watching.done():
-            return _history_lost(self._kind)
-        found = watching.result()
+        found = await self._store.watch_objects(self._kind, revision)
         if isinstance(found, errors.Refusal):
             return found
         if found.generation != self._generation:
--- a/tests/test_platform/conftest.py
+++ b/tests/test_platform/conftest.py
@@ -43,6 +43,8 @@
         self.revision = 1
         self.objects: dict[str, dict[str, dict]] = {}
         self.events: list[tuple[int, str, dict]] = []
+        # Revisions of the events that report a removal.
+        self.removals: set[int] = set()
         self.calls: list[tuple[str, str]] = []
         # Number of writes whose answer is lost after they took effect.
         self.lost = 0
@@ -83,14 +85,30 @@
 
         Watches that wait meanwhile go on.
         """
-        state = copy.deepcopy((self.revision, self.objects, self.events))
+        state = copy.deepcopy(
+            (self.revision, self.objects, self.events, self.removals)
+        )
 
         def restore() -> None:
-            self.revision, self.objects, self.events = copy.deepcopy(state)
+            (
+                self.revision,
+                self.objects,
+                self.events,
+                self.removals,
+            ) = copy.deepcopy(state)
             self.era += 1
 
         return restore
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object as an operator does."""
+        self.revision += 1
+        obj = self.objects[kind].pop(name)
+        self.events.append((self.revision, kind, obj))
+        self.removals.add(self.revision)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     async def _handle(self, request: messages.Request) -> messages.Response:
         self.calls.append((request.method, request.target))
         if self.silent:
@@ -160,7 +178,7 @@
             return messages.Response(410)
         while True:
             found = [
-                {'object': obj, 'deleted': False}
+                {'object': obj, 'deleted': at in self.removals}
                 for at, of, obj in self.events
                 if at > revision and of == kind
             ]
