--- a/damaskpier/teams/allowance_owner.py
+++ b/damaskpier/teams/allowance_owner.py
@@ -15,7 +15,7 @@
 # A node that was not heard for this time uses its own part of the rates from
 # APART_S of the entry node on, or that of another owner.
 PRESENT_S = 1.3
-PART_REFRESH_S = 0.1
+REFRESH_S = 0.1
 PRUNE_INTERVAL_S = 10.0
 
 
@@ -38,9 +38,11 @@
         self._changes: list[tuple[str, bool]] = []
         self._accounts: dict[str, allowance_account.Account] = {}
         self._limited: set[str] = set()
+        # Their digests; None after a change.
+        self._packed: bytes | None = None
         self._heard_at: dict[str, float] = {}
         self._part = 0.0
-        self._part_at = float('-inf')
+        self._refreshed_at = float('-inf')
         self._pruned_at = now
 
     @property
@@ -75,8 +77,7 @@
             self._heard_at.pop(report.node_id, None)
         else:
             self._heard_at[report.node_id] = now
-        part = self._granted_part(node_count, now)
-        self._advance_limited(terms, part, now)
+        part = self._refresh(terms, node_count, now)
         grants = []
         for usage in report.usages:
             found = terms.get(usage.team)
@@ -112,8 +113,9 @@
         self._started_at = now
         self._accounts.clear()
         self._limited.clear()
+        self._packed = None
         self._heard_at.clear()
-        self._part_at = float('-inf')
+        self._refreshed_at = float('-inf')
 
     def _account(
         self,
@@ -132,9 +134,20 @@
             )
         return account
 
-    def _granted_part(self, node_count: int, now: float) -> float:
-        if now >= self._part_at + PART_REFRESH_S:
-            self._part_at = now
+    def _refresh(
+        self,
+        terms: Mapping[str, allowance_terms.Terms],
+        node_count: int,
+        now: float,
+    ) -> float:
+        """Find the nodes that are heard and the teams that are limited.
+
+        This is not done for each message, as there may be many of both.
+
+        :returns: part of the limits that this owner may grant
+        """
+        if now >= self._refreshed_at + REFRESH_S:
+            self._refreshed_at = now
             self._heard_at = {
                 node_id: at
                 for node_id, at in self._heard_at.items()
@@ -142,6 +155,7 @@
             }
             heard = len(self._heard_at)
             self._part = heard / max(1, node_count, heard)
+            self._advance_limited(terms, self._part, now)
         return self._part
 
     def _expected_part(self, part: float, now: float) -> float:
@@ -176,16 +190,20 @@
             self._limited.add(team)
         else:
             self._limited.discard(team)
+        self._packed = None
         self._changes.append((team, account.is_limited))
 
     def _drop(self, team: str) -> None:
         self._limited.discard(team)
+        self._packed = None
         del self._accounts[team]
 
     def _pack_limited(self) -> bytes:
-        return allowance_messages.pack_digests(
-            map(allowance_messages.short_digest, self._limited)
-        )
+        if self._packed is None:
+            self._packed = allowance_messages.pack_digests(
+                map(allowance_messages.short_digest, self._limited)
+            )
+        return self._packed
 
     def _prune(
         self,
--- a/damaskpier/teams/allowance_share.py
+++ b/damaskpier/teams/allowance_share.py
@@ -28,6 +28,7 @@
         'digest',
         'waiting',
         'unreported',
+        'in_flight',
         'refused_until',
         'retry_at',
         'last_used_at',
@@ -44,7 +45,10 @@
     def __init__(self, digest: int, now: float) -> None:
         self.digest = digest
         self.waiting = 0
+        # Requests without a token that were not reported, and those in the
+        # report that was not answered yet.
         self.unreported = 0
+        self.in_flight = 0
         # Until the first time, no tokens are asked for. The second one is
         # that after which the owner expects to have some.
         self.refused_until = now
@@ -73,7 +77,8 @@
 
     def take_unreported(self, rate_per_s: float, node_count: int) -> bool:
         """Admit a request that is reported later; return whether it may."""
-        if self.unreported >= _max_unreported(rate_per_s, node_count):
+        taken = self.unreported + self.in_flight + 1
+        if taken > _max_unreported(rate_per_s, node_count):
             return False
         self.unreported += 1
         return True
@@ -122,9 +127,11 @@
         self.retry_at = sent_at + retry_s
         self.refused_until = sent_at + min(retry_s, MAX_REFUSED_S)
 
-    def restore(self, used: int) -> None:
-        """Take requests back into the next report; the last one was lost."""
-        self.unreported += used
+    def end_report(self, *, is_answered: bool) -> None:
+        """End the report in flight; a lost one is repeated in the next."""
+        if not is_answered:
+            self.unreported += self.in_flight
+        self.in_flight = 0
 
     def start_report(self, now: float) -> tuple[int, int, int, int]:
         """Return and reset what is to be reported.
@@ -145,6 +152,7 @@
             ahead = int(self._demand * ASK_AHEAD_S) - self._tokens
             want = max(self.waiting, ahead)
         parts = self.unreported, want, self._unused, self._returned
+        self.in_flight = self.unreported
         self.unreported = self._unused = self._returned = 0
         return parts
 
@@ -152,6 +160,7 @@
         """Return whether there is nothing to report."""
         return not (
             self.unreported
+            or self.in_flight
             or self.waiting
             or self._tokens
             or self._unused
--- a/damaskpier/teams/allowance_terms.py
+++ b/damaskpier/teams/allowance_terms.py
@@ -12,7 +12,7 @@
 SLACK_PART_FOR_BURST = 0.4
 # Part of the slack that an owner begins with when it does not know what was
 # used before. Without it, most requests of small teams were refused then.
-SLACK_PART_AT_START = 0.15
+SLACK_PART_AT_START = 0.25
 
 
 class Bounds(NamedTuple):
