--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -67,7 +67,10 @@
         """Decide whether a request is sent to workers."""
         now = self._clock()
         left_s = request.deadline - now
-        elapsed_s = self._route_times(request.route).elapsed_s(left_s, now)
+        elapsed_s = 0.0
+        if not self._is_call(request):
+            times = self._route_times(request.route)
+            elapsed_s = times.elapsed_s(left_s, now)
         request = request._replace(objective=request.objective - elapsed_s)
         cls = _class(request)._replace(is_return=elapsed_s > 0)
         draw = self._rng.random()
@@ -140,6 +143,16 @@
             _class(request), tried + 1, self._clock()
         )
 
+    def _is_call(self, request: messages.Request) -> bool:
+        """Return whether a worker makes the request while it runs another.
+
+        Such a request ends with the one that made it, so that a short time
+        does not mean that it was refused before. In a configuration without
+        teams, these requests are not known.
+        """
+        cfg = self._app.service('configuration').current()
+        return cfg is not None and bool(cfg.teams) and not request.team
+
     def _route_times(self, route: str) -> elapsed.RouteTimes:
         times = self._times.get(route)
         if times is None:
--- a/tests/test_fleet/test_entry_admission.py
+++ b/tests/test_fleet/test_entry_admission.py
@@ -7,6 +7,9 @@
 import pytest
 
 from damaskpier.capacity import entry
+from damaskpier.fleet import model
+
+from tests.test_fleet import conftest
 
 REQUEST_COUNT = 40
 
@@ -107,6 +110,32 @@
     assert returned_s == pytest.approx(3.4 - (1.0 - 0.6), abs=0.01)
 
 
+async def test_call_with_little_time_is_not_taken_for_a_return(fleet):
+    """Load: workers call others with what is left of their own time.
+
+    With an objective that has passed, such a call would come last, and the
+    work of the request that made it would be lost.
+    """
+    configuration = conftest.make_configuration(
+        2, (conftest.make_route('read', is_public=True),)
+    )
+    fleet.store.put(configuration._replace(teams=(model.Team('a'),)))
+    node = await fleet.add()
+    await fleet.wait_converged()
+    requests = []
+    service = node.app.service('worker')
+
+    async def call(request, run=service.call):
+        requests.append(request.deadline - request.objective)
+        return await run(request)
+
+    service.call = call
+    for _ in range(20):
+        await node.request(deadline_ms=4000)
+    await node.request(deadline_ms=3400)
+    assert requests[-1] == pytest.approx(3.4 - 1.0, abs=0.01)
+
+
 async def test_callers_of_full_workers_return_spread(fleet):
     """Load: callers are refused together while nothing is served.
 
