--- a/damaskpier/fleet/evacuations.py
+++ b/damaskpier/fleet/evacuations.py
@@ -28,7 +28,7 @@
 
     Does nothing unless the setting ``fleet.evacuations`` is set. Emits
     ``evacuations-changed(is_local)``, where ``is_local`` tells whether the
-    domain of this node is evacuated.
+    domain of this node is evacuated, and ``workers-changed(service)``.
 
     :param clock: returns the time in seconds
     """
@@ -83,17 +83,14 @@
             if not self._known.covers(record.failure_domain)
         ]
 
-    def service_refusal(
-        self, records: Iterable[mesh_model.NodeRecord]
-    ) -> errors.Refusal | None:
-        """Return why no worker is left; None if it is not an evacuation.
-
-        :param records: all workers of the service
-        """
-        domains = {record.failure_domain for record in records}
-        if domains and all(map(self._known.covers, domains)):
-            return evacuated_refusal(', '.join(sorted(domains)))
-        return None
+    def covers_service(self, service: str) -> bool:
+        """Return whether all workers of a service are evacuated."""
+        domains = self._domains_of(service)
+        return bool(domains) and all(map(self._known.covers, domains))
+
+    def service_refusal(self, service: str) -> errors.Refusal:
+        """Return the refusal for requests to an evacuated service."""
+        return evacuated_refusal(', '.join(sorted(self._domains_of(service))))
 
     def add_to(self, gossip: mesh_pb2.Gossip) -> None:
         """Add the state to a message for another node."""
@@ -114,6 +111,11 @@
                 'another node',
             )
 
+    def _domains_of(self, service: str) -> set[str]:
+        """Return the failure domains with workers of a service."""
+        records = self._app.service('membership').workers(service)
+        return {record.failure_domain for record in records}
+
     async def _follow(self) -> None:
         is_store_lost = False
         async for state in self._app.service('store').evacuations():
@@ -141,6 +143,8 @@
         self._app.events.emit(
             'evacuations-changed', self._known.covers(self._domain)
         )
+        for service in self._app.service('membership').services():
+            self._app.events.emit('workers-changed', service)
 
 
 def evacuated_refusal(domains: str) -> errors.Refusal:
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -182,6 +182,8 @@
 
     def _usual_elsewhere_s(self) -> float | None:
         """Return the usual time of the service's workers; None if unknown."""
+        if not self._adaptive.is_active:
+            return None
         return self._app.service('router').mean_latency_s(self._service)
 
     def _record(
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -173,7 +173,6 @@
         # Done when the running requests are to end without further waiting.
         self._abandoned: asyncio.Future[None] | None = None
         app.events.connect('workers-changed', self._workers_changed)
-        app.events.connect('evacuations-changed', self._evacuations_changed)
 
     async def start(self) -> None:
         """Start without requests to abandon."""
@@ -206,9 +205,9 @@
         )
         began = self._clock()
         attempts = _Attempts(request)
-        refusal = self._evacuation_refusal(selector_, service)
-        if refusal is not None:
-            return Outcome(refusal, request.version)
+        evacuations = self._app.service('evacuations')
+        if not selector_ and evacuations.covers_service(service):
+            return Outcome(evacuations.service_refusal(service))
         await self._run_attempts(route, selector_, attempts)
         outcome = attempts.outcome()
         self._record(route, service, version_choice, attempts, began)
@@ -529,20 +528,6 @@
             version_choice.share,
         )
 
-    def _evacuation_refusal(
-        self, selector_: selector.Selector, service: str
-    ) -> errors.Refusal | None:
-        """Return the refusal of requests to a service that is evacuated."""
-        if len(selector_):
-            return None
-        return self._app.service('evacuations').service_refusal(
-            self._app.service('membership').workers(service)
-        )
-
-    def _evacuations_changed(self, is_local: bool) -> None:
-        for entry in self._selectors.values():
-            entry.refreshed_at = float('-inf')
-
     def _workers_changed(self, service: str) -> None:
         for key, entry in self._selectors.items():
             if key[0] == service:
--- a/tests/test_fleet/test_evacuation.py
+++ b/tests/test_fleet/test_evacuation.py
@@ -106,10 +106,9 @@
     assert response.status == 503
     assert response.header('retry-after')
     assert 'DP-3030' in caplog.text
-    router = nodes[0].app.service('router')
-    refusal = router._evacuation_refusal(
-        router._selector('reads', ''), 'reads'
-    )
+    service = nodes[0].app.service('evacuations')
+    assert service.covers_service('reads')
+    refusal = service.service_refusal('reads')
     assert refusal.code is errors.CALL_EVACUATED
     assert refusal.run is errors.RunState.NOT_RUN
     assert 'a, b' in refusal.reason
--- a/tests/test_fleet/test_upstream_silence.py
+++ b/tests/test_fleet/test_upstream_silence.py
@@ -19,6 +19,7 @@
 from damaskpier import config
 from damaskpier.fleet import configuration
 from damaskpier.fleet import departures
+from damaskpier.fleet import evacuations
 from damaskpier.fleet import model
 from damaskpier.fleet import worker
 from damaskpier.http1 import client
@@ -73,6 +74,7 @@
                 timing=timing.Timing(announce_expiry_s=1e9),
             ),
             configuration.setup,
+            evacuations.setup,
         ),
     )
     app.service('departures').entry_read(
