--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -182,7 +182,6 @@
         self._abandoned: asyncio.Future[None] | None = None
         self._choices = distances.ChoiceCounts(app.service('metrics'), clock)
         app.events.connect('workers-changed', self._workers_changed)
-        app.events.connect('evacuations-changed', self._evacuations_changed)
 
     async def start(self) -> None:
         """Start without requests to abandon."""
@@ -216,9 +215,9 @@
             service=service, version=version_choice.version
         )
         began = self._clock()
-        refusal = self._evacuation_refusal(selector_, service)
-        if refusal is not None:
-            return Outcome(refusal, request.version)
+        evacuations = self._app.service('evacuations')
+        if not selector_ and evacuations.covers_service(service):
+            return Outcome(evacuations.service_refusal(service))
         arrival = self._entry.receive(request)
         attempts = _Attempts(
             arrival.request,
@@ -563,20 +562,6 @@
             version_choice.share,
         )
 
-    def _evacuation_refusal(
-        self, selector_: selector.Selector, service: str
-    ) -> errors.Refusal | None:
-        """Return the refusal of requests to a service that is evacuated."""
-        if len(selector_):
-            return None
-        return self._app.service('evacuations').service_refusal(
-            self._app.service('membership').workers(service)
-        )
-
-    def _evacuations_changed(self, is_local: bool) -> None:
-        for entry in self._selectors.values():
-            entry.refreshed_at = float('-inf')
-
     def _workers_changed(self, service: str) -> None:
         for key, entry in self._selectors.items():
             if key[0] == service:
