--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -350,7 +350,12 @@
         # The callers of a team are spread, as only some of them can have the
         # next part of its allowance.
         retry_s *= self._rng.uniform(1.0, 1.0 + JITTER_RATIO)
-        self._retries_until = max(self._retries_until, self._clock() + retry_s)
+        # Callers do not come back after a longer delay than this.
+        wait_s = metadata.deadline_s or DEFAULT_DEADLINE_S
+        if retry_s <= MAX_RETRY_AFTER_RATIO * wait_s:
+            self._retries_until = max(
+                self._retries_until, self._clock() + retry_s
+            )
         refusal = errors.Refusal(
             errors.CALL_ALLOWANCE, errors.CALL_ALLOWANCE.meaning
         )
--- a/damaskpier/teams/allowances.py
+++ b/damaskpier/teams/allowances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -261,7 +262,7 @@
 
     def _forget_idle(self, now: float) -> None:
         # The oldest shares are first, and at most two of them are looked at.
-        for team in list(self._shares)[:2]:
+        for team in list(itertools.islice(self._shares, 2)):
             share = self._shares.pop(team)
             if share.last_used_at > now - IDLE_SHARE_S or (
                 team in self._active or not share.is_empty()
