--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -157,6 +157,10 @@
     def _begin_reason(self, announcement: model.Announcement) -> str:
         """Return why the pace begins, or an empty text if it does not."""
         known = self._known
+        if announcement.warmup_s == 0 and not self._was_removed:
+            # The worker knows itself to be warm. Before the first requests of
+            # a fleet, there are no answers that would end the limit.
+            return ''
         if known != (announcement.instance, announcement.started_ms):
             # A worker that runs for longer than this node may have been in
             # use all the time.
