--- a/damaskpier/fleet/allowance_exchange.py
+++ b/damaskpier/fleet/allowance_exchange.py
@@ -272,8 +272,12 @@
         self, report: allowance_messages.Report, waiters: list[_Waiter]
     ) -> None:
         owner_id = self._owner_id
+        reply = None
         try:
             reply = await self._request(owner_id, report)
+        except Exception:
+            # Without the end of this message, no other one would be sent.
+            LOG.exception('allowances: can not send a report')
         finally:
             self._release(waiters)
         metrics = self._app.service('metrics')
--- a/damaskpier/fleet/evacuations.py
+++ b/damaskpier/fleet/evacuations.py
@@ -135,9 +135,9 @@
 
     def _merge(self, state: evacuation.State, source: str) -> None:
         before = self._known.state
-        held = self._known.held
         has_changed = self._known.merge(state)
-        if self._known.held - held:
+        is_restored = before is not None and state.era > before.era
+        if is_restored and self._known.held:
             self._hold()
         if not has_changed:
             return
--- a/damaskpier/fleet/store_generation.py
+++ b/damaskpier/fleet/store_generation.py
@@ -21,7 +21,8 @@
     """
 
     def __init__(self, on_restore: Callable[[], None]) -> None:
-        self.current = 0
+        # None before the first answer that states one.
+        self.current: int | None = None
         self._on_restore = on_restore
 
     def observe(self, generation: int | None) -> bool:
@@ -32,9 +33,9 @@
         """
         if generation is None or generation == self.current:
             return True
-        if generation < self.current:
+        if self.current is not None and generation < self.current:
             return False
-        is_first = not self.current
+        is_first = self.current is None
         self.current = generation
         if not is_first:
             LOG.warning(
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -322,6 +322,8 @@
         after = ''
         size = 0
         generation = None
+        # That of the first page: later pages do not show what changes in it.
+        first_revision = None
         while True:
             query = '?' + parse.urlencode({'after': after}) if after else ''
             answer = await self._call(
@@ -341,6 +343,8 @@
             if generation not in (None, answer.generation):
                 return _history_lost(kind)
             generation = answer.generation
+            if first_revision is None:
+                first_revision = revision
             page = _keep_named(entries)
             self._record_delivery(kind, 'list', len(page), answer)
             items += page
@@ -348,7 +352,9 @@
                 if entries and not page and answer.body.get('hasMore'):
                     # There is no name to continue after.
                     return _unreadable(answer)
-                return store_watch.Page(items, revision, generation=generation)
+                return store_watch.Page(
+                    items, first_revision, generation=generation
+                )
             size += answer.size
             last_name = objects.object_name(page[-1])
             if last_name == after or size > MAX_LIST_BYTES:
--- a/damaskpier/teams/allowance_owner.py
+++ b/damaskpier/teams/allowance_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from damaskpier.teams import allowance_account
@@ -42,6 +43,11 @@
         self._packed: bytes | None = None
         self._heard_at: dict[str, float] = {}
         self._part = 0.0
+        # Parts in the last window and their times. Nodes that were not heard
+        # for all of it may have used tokens of another owner.
+        self._parts: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self._refreshed_at = float('-inf')
         self._pruned_at = now
 
@@ -115,6 +121,7 @@
         self._limited.clear()
         self._packed = None
         self._heard_at.clear()
+        self._parts.clear()
         self._refreshed_at = float('-inf')
 
     def _account(
@@ -128,7 +135,9 @@
         if account is None:
             is_new = now < self._started_at + self._window_s
             account = self._accounts[team] = allowance_account.Account(
-                part * (terms.start if is_new else terms.depth),
+                part * terms.start
+                if is_new
+                else min(known for _, known in self._parts) * terms.depth,
                 is_limited=is_new,
                 now=now,
             )
@@ -155,6 +164,9 @@
             }
             heard = len(self._heard_at)
             self._part = heard / max(1, node_count, heard)
+            self._parts.append((now, self._part))
+            while self._parts[0][0] < now - self._window_s:
+                self._parts.popleft()
             self._advance_limited(terms, self._part, now)
         return self._part
 
--- a/tests/test_platform/test_restore.py
+++ b/tests/test_platform/test_restore.py
@@ -267,3 +267,41 @@
     # Later, the operator may return to the earlier version.
     fleet.store.put('rollouts', 's1', EARLIER_ORDER)
     await _wait_until(lambda: _move(fleet).order.version == 'v1')
+
+
+async def test_restore_of_a_store_that_counts_from_0_is_noticed(
+    fake, client, monkeypatch
+):
+    """The first generation was taken for an unknown one."""
+    restored = []
+    client._app.events.connect('store-restored', lambda: restored.append(1))
+    for era in (0, 1):
+        monkeypatch.setattr(
+            fake,
+            '_with_era',
+            lambda response, era=era: response._replace(
+                headers=(('Store-Era', str(era)),)
+            ),
+        )
+        await client.register(NODE)
+    assert len(restored) == 1
+
+
+async def test_change_between_two_pages_of_a_list_is_watched(fake, client):
+    """The watch began after the last page, and the change was lost."""
+    fake.page = 1
+    fake.put('nodes', 'a', objects.spec_from_node(NODE))
+    fake.put('nodes', 'b', objects.spec_from_node(NODE))
+    original = fake._list
+
+    def list_and_change(kind, after):
+        page = original(kind, after)
+        if not after:
+            fake.put('nodes', 'a', {'changed': True})
+        return page
+
+    fake._list = list_and_change
+    page = await client.list_objects('nodes')
+    fake._list = original
+    changed = await client.watch_objects('nodes', page.revision)
+    assert [obj['spec'] for obj in changed.items] == [{'changed': True}]
--- a/tests/test_teams/test_allowance_account.py
+++ b/tests/test_teams/test_allowance_account.py
@@ -167,3 +167,19 @@
     encode = allowance_messages.encode
     assert allowance_messages.decode_report(encode(report)) == report
     assert allowance_messages.decode_reply(encode(reply)) == reply
+
+
+def test_owner_grants_no_burst_that_another_owner_may_have_granted():
+    """The others had another owner until a partition healed.
+
+    This one had no account of the team, and granted the whole burst again:
+    115 tokens at 50 requests a second.
+    """
+    owner = allowance_owner.Owner(BOUNDS.window_s, 0.0)
+    for step in range(40):
+        for node in range(3):
+            report = allowance_messages.Report(f'n-{node}', False, [])
+            owner.receive(report, {'t': TERMS}, 10, 0.25 * step)
+    usage = allowance_messages.Usage('t', want=100)
+    granted = _hear_all(owner, 10.0, usage).grants[0].tokens
+    assert granted <= 0.3 * TERMS.depth
