--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -45,8 +45,9 @@
 class EntryAdmission:
     """Applies :class:`entry.EntryAdmission` to the requests of the router.
 
-    It has an effect only where the configuration has teams or a worker reports
-    its pace, because the other deployments are served as before.
+    It has an effect only where the configuration has teams or names the rate
+    of cold workers, or where a worker reports its pace. The other deployments
+    are served as before.
 
     :param clock: returns the time in seconds
     :param rng: chooses the requests that are sent on during refusals
@@ -62,7 +63,7 @@
         self._clock = clock
         self._rng = rng
         self._state = entry.EntryAdmission()
-        self._has_teams = False
+        self._is_configured = False
         self._has_paced_workers = False
         app.events.connect('config-applied', self._config_applied)
         self._returns = returns.Returns()
@@ -71,22 +72,31 @@
         self._logged_at = -math.inf
 
     def _config_applied(self, cfg: model.Configuration) -> None:
-        self._has_teams = bool(cfg.teams)
+        self._is_configured = bool(cfg.teams) or any(
+            spec.cold_rate_per_s for spec in cfg.services.values()
+        )
 
     @property
     def _is_active(self) -> bool:
-        return self._has_teams or self._has_paced_workers
+        return self._is_configured or self._has_paced_workers
+
+    def receive(self, request: messages.Request, began: float) -> Arrival:
+        """Decide whether a request is sent to workers.
 
-    def receive(self, request: messages.Request) -> Arrival:
-        """Decide whether a request is sent to workers."""
+        :param began: arrival of the request at this node. What it has waited
+            there since, for the allowance of its team, does not make it the
+            return of a refused caller.
+        """
         if not self._is_active:
             return Arrival(request, _class(request), self._clock(), None)
         now = self._clock()
         left_s = request.deadline - now
         elapsed_s = 0.0
-        if not self._is_call(request):
+        if not self._may_be_call(request):
             times = self._route_times(request.route)
-            elapsed_s = times.elapsed_s(left_s, now)
+            elapsed_s = times.elapsed_s(
+                request.deadline - min(began, now), now
+            )
         request = request._replace(objective=request.objective - elapsed_s)
         cls = _class(request)._replace(is_return=elapsed_s > 0)
         draw = self._rng.random()
@@ -165,15 +175,15 @@
             _class(request), tried + 1, self._clock()
         )
 
-    def _is_call(self, request: messages.Request) -> bool:
-        """Return whether a worker makes the request while it runs another.
+    def _may_be_call(self, request: messages.Request) -> bool:
+        """Return whether a worker may make it while it runs another request.
 
         Such a request ends with the one that made it, so that a short time
         does not mean that it was refused before. In a configuration without
-        teams, these requests are not known.
+        teams, any request may be one: the work that is lost with a call costs
+        more than the order of returns gains.
         """
-        cfg = self._app.service('configuration').current()
-        return cfg is not None and bool(cfg.teams) and not request.team
+        return not request.team
 
     def _route_times(self, route: str) -> elapsed.RouteTimes:
         times = self._times.get(route)
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -218,7 +218,10 @@
         evacuations = self._app.service('evacuations')
         if not selector_ and evacuations.covers_service(service):
             return Outcome(evacuations.service_refusal(service))
-        arrival = self._entry.receive(request)
+        # The objective counts from the arrival at the ingress.
+        arrival = self._entry.receive(
+            request, request.objective - route.objective_s
+        )
         attempts = _Attempts(
             arrival.request,
             region_check.refuse_without_worker(request, allowed),
