--- a/damaskpier/capacity/adaptive_pace.py
+++ b/damaskpier/capacity/adaptive_pace.py
@@ -84,14 +84,18 @@
         self._log = pace.StartLog()
         self._usual_s = MIN_TIME_S
 
-    def begin(self, now: float, slots: int) -> None:
+    def begin(
+        self, now: float, slots: int, *, is_new_start: bool = True
+    ) -> None:
         """Begin for a worker that has started or recovered.
 
         :param slots: number of its slots
+        :param is_new_start: False for a worker that has recovered, which has
+            not crashed
         """
         self._slow_from = float('inf')
         lived_s = now - self._began_at
-        if lived_s < CRASH_MEMORY_S:
+        if is_new_start and lived_s < CRASH_MEMORY_S:
             self._slow_from = self._cap = max(1.0, self.count / 2)
             self._capped_until = now + CRASH_HOLD_RATIO * lived_s
         self.count = min(START_COUNT, self._slow_from)
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -22,6 +22,9 @@
 
 LOG = logs.get_logger(__name__)
 
+# Reason of a pace that begins with a new start of the worker.
+STARTED = 'has started'
+
 
 class LocalPace:
     """Applies the pace of the local worker to its admission.
@@ -145,7 +148,9 @@
             if usual_s is not None:
                 usual_s *= max(1.0, reported)
         is_refusal = self._codec.is_not_run(outcome)
-        if is_refusal or outcome.status < 500:
+        # Errors of callers are answered at once, and say nothing of the time
+        # that work takes.
+        if is_refusal or outcome.status < 400:
             self._record(route, took_s, usual_s, is_bad=is_refusal)
         if outcome.status < 300 and not self._adaptive.is_active:
             self._usual.record(route, took_s)
@@ -161,11 +166,16 @@
             # The worker knows itself to be warm. Before the first requests of
             # a fleet, there are no answers that would end the limit.
             return ''
-        if known != (announcement.instance, announcement.started_ms):
+        # A health check does not tell the start, so that the first heartbeat
+        # after it is of the same one.
+        if known not in (
+            (announcement.instance, announcement.started_ms),
+            (announcement.instance, 0),
+        ):
             # A worker that runs for longer than this node may have been in
             # use all the time.
             if announcement.started_ms > self._started_ms:
-                return 'has started'
+                return STARTED
         elif self._was_removed:
             return 'is back'
         if 0 < announcement.warmup_s < math.inf and not self._was_cold:
@@ -183,7 +193,11 @@
     def _begin(self, announcement: model.Announcement, reason: str) -> None:
         """Begin the adaptive pace unless a bound is named."""
         if self._is_enabled and not self._has_named_bound:
-            self._adaptive.begin(self._clock(), announcement.slots)
+            self._adaptive.begin(
+                self._clock(),
+                announcement.slots,
+                is_new_start=reason == STARTED,
+            )
             LOG.info(
                 'pace: %s %s; %d requests run at first, %d slots',
                 announcement.instance,
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -599,7 +599,10 @@
 
 def _encode_pace(load: messages.Load) -> str:
     age_ms = int(load.pace_age_s * 1000)
-    return f'{load.pace * 100:.0f},{age_ms},{load.mean_pace * 100:.0f}'
+    # Times are divided by the pace, which must not be 0.
+    percent = max(1, round(load.pace * 100))
+    mean_percent = max(1, round(load.mean_pace * 100))
+    return f'{percent},{age_ms},{mean_percent}'
 
 
 def _decode_pace(text: str | None) -> tuple[float | None, float, float]:
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -343,10 +343,13 @@
         return self.pace.add_to(load)
 
     def _start_waiting_later(self, delay_s: float) -> None:
-        if self._start_timer is None:
-            self._start_timer = asyncio.get_running_loop().call_later(
-                max(delay_s, MIN_START_DELAY_S), self._start_waiting
-            )
+        loop = asyncio.get_running_loop()
+        at = loop.time() + max(delay_s, MIN_START_DELAY_S)
+        if self._start_timer is not None:
+            if self._start_timer.when() <= at:
+                return
+            self._start_timer.cancel()
+        self._start_timer = loop.call_at(at, self._start_waiting)
 
     def _start_waiting(self) -> None:
         self._start_timer = None
--- a/tests/test_capacity/test_adaptive_pace.py
+++ b/tests/test_capacity/test_adaptive_pace.py
@@ -193,3 +193,15 @@
     for _ in range(20):
         times.record('r', 0.8)
     assert times.get('r') < 0.25
+
+
+def test_recovery_is_no_crash():
+    """A worker that became cold again was held at half for 20 s."""
+    made = adaptive_pace.AdaptivePace()
+    made.begin(0.0, 6)
+    while made.is_active:
+        made.record_answer(10.0, 'route', 0.1, 0.1)
+    made.begin(10.0, 6, is_new_start=False)
+    for _ in range(100):
+        made.record_answer(11.0, 'route', 0.1, 0.1)
+    assert not made.is_active
--- a/tests/test_fleet/test_pace.py
+++ b/tests/test_fleet/test_pace.py
@@ -268,3 +268,34 @@
     assert (await node.request()).status == 200
     node.announce(started_ms=_later_ms() + 1000, warmup_s=2.0)
     assert _is_limited(node)
+
+
+async def test_error_of_a_caller_is_no_time_of_work(adaptive, monkeypatch):
+    """One answer in 1 ms made all later ones count as an overload."""
+    # Nothing is known of the other workers, as after a restart of the node.
+    router = adaptive.app.service('router')
+    monkeypatch.setattr(router, 'mean_latency_s', lambda service: None)
+    adaptive.announce(started_ms=_later_ms(), warmup_s=2.0)
+    pace = adaptive.app.service('worker')._local_pace
+    # Requests that began before the pace do not count.
+    pace._adaptive._began_at = float('-inf')
+    not_found = messages.Response(404, ((headers.SIGNATURE, 's'),))
+    pace.record_outcome('other', not_found, 0.001)
+    before = pace._adaptive.count
+    found = messages.Response(200, ((headers.SIGNATURE, 's'),))
+    for _ in range(3):
+        pace.record_outcome('other', found, 0.24)
+    assert pace._adaptive.count > before
+
+
+async def test_first_heartbeat_after_a_health_check_is_no_new_start(adaptive):
+    """The second begin of one start counted as a crash."""
+    pace = adaptive.app.service('worker')._local_pace
+    announcement = adaptive.app.service('worker').announcement
+    pace._known = None
+    pace.announced(announcement._replace(started_ms=0, warmup_s=2.0))
+    assert _is_limited(adaptive)
+    began_at = pace._adaptive._began_at
+    later = announcement._replace(started_ms=_later_ms(), warmup_s=1.5)
+    pace.announced(later)
+    assert pace._adaptive._began_at == began_at
--- a/tests/test_fleet/test_reported_load.py
+++ b/tests/test_fleet/test_reported_load.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from damaskpier.fleet import peers
 from damaskpier.fleet import reported_load
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
@@ -106,3 +107,11 @@
     service._heard_at = 0.0
     await service._check_health(service.announcement, conftest.HEALTH_PATH)
     assert service.load.pace == 3.0
+
+
+def test_pace_of_nearly_nothing_is_not_sent_as_0():
+    """The caller's node divided by it, and the request ended in an error."""
+    load = traffic_messages.Load(
+        6, 0, 0, pace=0.004, pace_age_s=0.0, mean_pace=0.004
+    )
+    assert peers._decode_pace(peers._encode_pace(load))[0] > 0
