--- a/damaskpier/fleet/allowance_exchange.py
+++ b/damaskpier/fleet/allowance_exchange.py
@@ -85,8 +85,11 @@
         self._entry = allowances.EntryNode(self._node_id, now)
         self._owner = allowance_owner.Owner(self._bounds.window_s, now)
         self._terms: dict[str, allowance_terms.Terms] = {}
-        # Nodes of the fleet, reachable or not; 0 while it is unknown.
+        # Number of the nodes of the fleet, reachable or not; 0 while it is
+        # unknown.
         self._node_count = 0
+        self._node_ids: set[str] = set()
+        self._registered: frozenset[str] = frozenset()
         self._owner_id = ''
         self._is_view_changed = True
         self._waiters: list[_Waiter] = []
@@ -204,19 +207,31 @@
 
     def _refresh_view(self) -> None:
         """Find the size of the fleet and the owner."""
-        if not self._is_view_changed and self._node_count:
+        registered = self._app.service('exchange').directory_ids
+        is_registration_new = registered is not self._registered
+        if not (
+            self._is_view_changed
+            or is_registration_new
+            or not self._node_count
+        ):
             return
         self._is_view_changed = False
         membership = self._app.service('membership')
-        known = len(membership.all_records())
-        registered = self._app.service('exchange').directory_size
-        if not registered and known < 2:
+        if is_registration_new:
+            self._registered = registered
+            self._node_ids |= registered
+        for record in membership.all_records():
+            # A node that was lost without draining may still be at work behind
+            # a broken link.
+            if record.gone and record.draining:
+                self._node_ids.discard(record.node_id)
+            else:
+                self._node_ids.add(record.node_id)
+        if not registered and len(self._node_ids) < 2:
             # A node that took itself for the whole fleet would use the whole
             # limit of each team.
             return
-        # Records of lost nodes are dropped at some time, but such a node may
-        # still be at work behind a broken link.
-        self._node_count = max(self._node_count, known, registered)
+        self._node_count = len(self._node_ids)
         region = membership.local_record().region
         is_large = self._node_count > MAX_NODES_PER_OWNER
         reachable = [
--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -104,8 +104,7 @@
 
     ``is_registered`` is set once this node is in the store's directory, has
     contacted nodes of each failure domain and has announced itself to all that
-    the directory lists. ``directory_size`` is the number of nodes that it
-    listed then; 0 before.
+    the directory lists. ``directory_ids`` are the nodes that it listed then.
 
     :param clock: returns the time in seconds
     :param rng: source of jitter and of random peers
@@ -118,7 +117,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self.is_registered = False
-        self.directory_size = 0
+        self.directory_ids: frozenset[str] = frozenset()
         self._app = app
         self._clock = clock
         self._rng = rng or random.Random()
@@ -272,7 +271,7 @@
             )
             await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
             delay_s = min(2 * delay_s, MAX_REGISTER_BACKOFF_S)
-        self.directory_size = len(found)
+        self.directory_ids = frozenset(entry.node_id for entry in found)
         others = [entry for entry in found if entry.node_id != self._node_id]
         LOG.info('exchange: registered; %d other nodes', len(others))
         await self._contact_nodes(others)
--- a/tests/test_fleet/test_allowances.py
+++ b/tests/test_fleet/test_allowances.py
@@ -174,6 +174,22 @@
     assert await service.admit(TEAM) is not None
 
 
+async def test_node_that_was_stopped_by_plan_does_not_count(fleet):
+    """The owner would grant only the part of the nodes that are left."""
+    _configure(fleet, 100.0, 100.0)
+    nodes = await _add_nodes(fleet, 3)
+    await _settle(nodes)
+    service = nodes[0].app.service('allowances')
+    assert service._node_count == 3
+    await nodes[2].app.stop()
+
+    def has_left():
+        service._refresh_view()
+        return service._node_count == 2
+
+    await conftest.wait_until(has_left)
+
+
 async def test_invalid_message_is_refused(fleet):
     """Bytes of another program must not end the service."""
     (node,) = await _add_nodes(fleet, 1)
