--- a/damaskpier/capacity/entry.py
+++ b/damaskpier/capacity/entry.py
@@ -51,7 +51,7 @@
 _CAPACITY_CODES = frozenset((errors.CALL_OVERLOADED, errors.CALL_DEADLINE))
 
 
-class Class(NamedTuple):
+class ThrottleClass(NamedTuple):
     """Requests that have the same chance to be admitted.
 
     Routes of one service differ in the time that their requests take and
@@ -97,7 +97,7 @@
         return self.served / self.requests if self.requests else 1.0
 
 
-class EntryAdmission:
+class AdaptiveThrottle:
     """Decides at the entry node which requests are sent to workers.
 
     A class has state only after one of its requests was refused, so that the
@@ -105,15 +105,15 @@
     """
 
     def __init__(self) -> None:
-        self._requests: collections.OrderedDict[Class, _Outcomes] = (
+        self._requests: collections.OrderedDict[ThrottleClass, _Outcomes] = (
             collections.OrderedDict()
         )
-        self._attempts: collections.OrderedDict[Class, _Outcomes] = (
+        self._attempts: collections.OrderedDict[ThrottleClass, _Outcomes] = (
             collections.OrderedDict()
         )
 
     def refusal(
-        self, cls: Class, remaining_s: float, now: float, draw: float
+        self, cls: ThrottleClass, remaining_s: float, now: float, draw: float
     ) -> errors.Refusal | None:
         """Return the refusal of a request that no worker would admit.
 
@@ -144,7 +144,7 @@
 
     def record(
         self,
-        cls: Class,
+        cls: ThrottleClass,
         result: messages.Answer | errors.Refusal,
         remaining_s: float,
         now: float,
@@ -160,7 +160,7 @@
             _record(self._requests, key, is_refused, remaining_s, now)
 
     def record_attempt(
-        self, cls: Class, reply: messages.Reply, now: float
+        self, cls: ThrottleClass, reply: messages.Reply, now: float
     ) -> None:
         """Record one attempt on a worker.
 
@@ -175,7 +175,7 @@
             for known in [c for c in self._requests if c[:2] == cls[:2]]:
                 del self._requests[known]
 
-    def attempts_max(self, cls: Class, usual: int, now: float) -> int:
+    def attempts_max(self, cls: ThrottleClass, usual: int, now: float) -> int:
         """Return to how many workers a request may be sent.
 
         :param usual: the number without overload
@@ -189,7 +189,7 @@
         return min(usual, OVERLOAD_ATTEMPTS)
 
     def _tried_ratio(
-        self, cls: Class, outcomes: _Outcomes, now: float
+        self, cls: ThrottleClass, outcomes: _Outcomes, now: float
     ) -> float:
         """Return the part of the requests of a class that is sent on."""
         ratio = max(MIN_TRIED_RATIO, TRIED_PER_SERVED * outcomes.served_ratio)
@@ -209,11 +209,11 @@
     )
 
 
-def _all_of_service(cls: Class) -> Class:
-    return Class(cls.service, cls.version, '', -1)
+def _all_of_service(cls: ThrottleClass) -> ThrottleClass:
+    return ThrottleClass(cls.service, cls.version, '', -1)
 
 
-def _for_attempts(cls: Class) -> Class:
+def _for_attempts(cls: ThrottleClass) -> ThrottleClass:
     return cls._replace(team='', is_return=False)
 
 
@@ -227,8 +227,8 @@
 
 
 def _record(
-    by_class: collections.OrderedDict[Class, _Outcomes],
-    cls: Class,
+    by_class: collections.OrderedDict[ThrottleClass, _Outcomes],
+    cls: ThrottleClass,
     is_refused: bool,
     remaining_s: float,
     now: float,
--- a/damaskpier/capacity/order.py
+++ b/damaskpier/capacity/order.py
@@ -43,11 +43,11 @@
 class Rank(NamedTuple):
     """Sort key of a waiting request; the lowest key gets the next slot.
 
-    ``is_served`` is False for the requests of a team or priority that is
+    ``is_above_floor`` is False for the requests of a team or priority that is
     raised because it is served far less often than all.
     """
 
-    is_served: bool
+    is_above_floor: bool
     priority: int
     is_caller: bool
     team_level: int
@@ -59,7 +59,7 @@
 class _Standing(NamedTuple):
     """What a decision needs to know of one team."""
 
-    is_served: bool
+    is_above_floor: bool
     is_caller: bool
     level: int
 
@@ -68,7 +68,7 @@
 # worker of 6 slots starts one or two requests.
 STANDING_S = 0.05
 
-_NO_TEAM = _Standing(is_served=True, is_caller=True, level=0)
+_NO_TEAM = _Standing(is_above_floor=True, is_caller=True, level=0)
 
 
 class Order:
@@ -143,15 +143,15 @@
                 standing = teams[ticket.team] = self._standing(
                     ticket.team, now
                 )
-            is_served = priorities.get(ticket.priority)
-            if is_served is None:
-                is_served = priorities[ticket.priority] = (
-                    self._is_priority_served(ticket.priority, now)
+            is_above_floor = priorities.get(ticket.priority)
+            if is_above_floor is None:
+                is_above_floor = priorities[ticket.priority] = (
+                    self._is_priority_above_floor(ticket.priority, now)
                 )
             needed_s = OBJECTIVE_MARGIN_RATIO * run_s[ticket.route]
             misses = now + needed_s > ticket.objective
             return Rank(
-                is_served and standing.is_served,
+                is_above_floor and standing.is_above_floor,
                 ticket.priority,
                 standing.is_caller,
                 standing.level,
@@ -162,8 +162,8 @@
 
         return rank
 
-    def _is_priority_served(self, priority: int, now: float) -> bool:
-        return not self._has_teams or _is_served(
+    def _is_priority_above_floor(self, priority: int, now: float) -> bool:
+        return not self._has_teams or _is_above_floor(
             self._priority_arrivals,
             self._priority_starts,
             priority,
@@ -178,7 +178,7 @@
         service_s = self._service_s.get(team, now)
         is_caller = bool(team) or service_s > CALL_MAX_SHARE * total_s
         return _Standing(
-            _is_served(
+            _is_above_floor(
                 self._arrivals, self._starts, team, TEAM_FLOOR_RATIO, now
             ),
             is_caller,
@@ -186,7 +186,7 @@
         )
 
 
-def _is_served(
+def _is_above_floor(
     arrivals: decay.DecayingSums,
     starts: decay.DecayingSums,
     key: str | int,
--- a/damaskpier/capacity/returns.py
+++ b/damaskpier/capacity/returns.py
@@ -30,7 +30,7 @@
 WAIT_WEIGHT = 0.1
 
 
-class Class(NamedTuple):
+class ReturnClass(NamedTuple):
     """Requests that share the room for returns."""
 
     service: str
@@ -45,12 +45,18 @@
     """
 
     def __init__(self) -> None:
-        self._served: decay.DecayingSums[Class] = decay.DecayingSums(RECENT_S)
-        self._next_at: dict[Class, float] = {}
+        self._served: decay.DecayingSums[ReturnClass] = decay.DecayingSums(
+            RECENT_S
+        )
+        self._next_at: dict[ReturnClass, float] = {}
         self._wait_s: dict[str, float] = {}
 
     def record_answer(
-        self, cls: Class, load: messages.Load | None, took_s: float, now: float
+        self,
+        cls: ReturnClass,
+        load: messages.Load | None,
+        took_s: float,
+        now: float,
     ) -> None:
         """Record a request that was served.
 
@@ -67,7 +73,7 @@
         self._wait_s[cls.service] = known_s + WAIT_WEIGHT * (wait_s - known_s)
 
     def delay_s(
-        self, cls: Class, remaining_s: float, now: float, draw: float
+        self, cls: ReturnClass, remaining_s: float, now: float, draw: float
     ) -> float:
         """Return after which time a refused caller should return, in seconds.
 
@@ -83,7 +89,7 @@
         self._next_at[cls] = at + self._interval_s(cls, now)
         return delay_s
 
-    def _interval_s(self, cls: Class, now: float) -> float:
+    def _interval_s(self, cls: ReturnClass, now: float) -> float:
         returns = RETURNS_RATIO * self._served.get(cls, now)
         return min(MAX_INTERVAL_S, RECENT_S / max(returns, 1e-9))
 
--- a/damaskpier/fleet/entry_admission.py
+++ b/damaskpier/fleet/entry_admission.py
@@ -37,13 +37,13 @@
     """
 
     request: messages.Request
-    cls: entry.Class
+    cls: entry.ThrottleClass
     at: float
     refusal: errors.Refusal | None
 
 
 class EntryAdmission:
-    """Applies :class:`entry.EntryAdmission` to the requests of the router.
+    """Applies :class:`entry.AdaptiveThrottle` to the requests of the router.
 
     It has an effect only where the configuration has teams or names the rate
     of cold workers, or where a worker reports its pace. The other deployments
@@ -62,13 +62,15 @@
         self._app = app
         self._clock = clock
         self._rng = rng
-        self._state = entry.EntryAdmission()
+        self._state = entry.AdaptiveThrottle()
         self._is_configured = False
         self._has_paced_workers = False
         app.events.connect('config-applied', self._config_applied)
         self._returns = returns.Returns()
         self._times: dict[str, elapsed.RouteTimes] = {}
-        self._refused: collections.Counter[entry.Class] = collections.Counter()
+        self._refused: collections.Counter[entry.ThrottleClass] = (
+            collections.Counter()
+        )
         self._logged_at = -math.inf
 
     def _config_applied(self, cfg: model.Configuration) -> None:
@@ -199,7 +201,7 @@
         )
 
     def _log(
-        self, cls: entry.Class, refusal: errors.Refusal, now: float
+        self, cls: entry.ThrottleClass, refusal: errors.Refusal, now: float
     ) -> None:
         self._refused[cls] += 1
         if now - self._logged_at < LOG_INTERVAL_S:
@@ -219,8 +221,8 @@
         self._refused.clear()
 
 
-def _class(request: messages.Request) -> entry.Class:
-    return entry.Class(
+def _class(request: messages.Request) -> entry.ThrottleClass:
+    return entry.ThrottleClass(
         request.service,
         request.version,
         request.route,
@@ -229,5 +231,5 @@
     )
 
 
-def _return_class(request: messages.Request) -> returns.Class:
-    return returns.Class(request.service, request.priority)
+def _return_class(request: messages.Request) -> returns.ReturnClass:
+    return returns.ReturnClass(request.service, request.priority)
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -66,8 +66,8 @@
         self._was_removed = False
         self._is_evacuated = False
         self.limits = (
-            pace_limits.ColdLimit(self._cold, clock),
-            pace_limits.AdaptiveLimit(self._adaptive, clock),
+            pace_limits.ColdPaceLimit(self._cold, clock),
+            pace_limits.AdaptivePaceLimit(self._adaptive, clock),
         )
         if self._is_enabled:
             # Without a configuration, the rate of the worker is unknown and
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -302,7 +302,7 @@
     ) -> http_messages.Response:
         is_short = short_headers.is_short(request.headers)
         if is_short:
-            fields = short_headers.expand(request.headers)
+            fields = short_headers.expand_short(request.headers)
             request = request._replace(headers=fields)
         response = await self._handle_expanded(request)
         if is_short:
--- a/damaskpier/fleet/short_headers.py
+++ b/damaskpier/fleet/short_headers.py
@@ -86,8 +86,11 @@
 
 def expand(fields: messages.Headers) -> messages.Headers:
     """Return the headers of a message with long names."""
-    if not is_short(fields):
-        return fields
+    return expand_short(fields) if is_short(fields) else fields
+
+
+def expand_short(fields: messages.Headers) -> messages.Headers:
+    """Return the headers of a message that has short names."""
     return tuple(
         (_LONG_NAMES.get(name.lower(), name), value) for name, value in fields
     )
--- a/damaskpier/traffic/pace_limits.py
+++ b/damaskpier/traffic/pace_limits.py
@@ -37,7 +37,7 @@
         return self.wait_s(len(ahead), service_s)
 
 
-class ColdLimit(PaceLimit):
+class ColdPaceLimit(PaceLimit):
     """Starts requests at a cold upstream within its bound.
 
     :param cold: pace of the upstream
@@ -63,7 +63,7 @@
         self._cold.record_start(self._clock())
 
 
-class AdaptiveLimit(PaceLimit):
+class AdaptivePaceLimit(PaceLimit):
     """Starts requests at the pace that follows the upstream's answers.
 
     :param adaptive: pace of the upstream
--- a/tests/test_capacity/simulation.py
+++ b/tests/test_capacity/simulation.py
@@ -367,7 +367,7 @@
 
     def __init__(self, setup: Setup) -> None:
         super().__init__(setup)
-        self.entries = [entry.EntryAdmission() for _ in range(setup.nodes)]
+        self.entries = [entry.AdaptiveThrottle() for _ in range(setup.nodes)]
         self.is_too_soon = False
         self.times: dict[tuple[int, str], elapsed.RouteTimes] = {}
 
@@ -438,9 +438,9 @@
         )
 
 
-def _class(record: Record) -> entry.Class:
+def _class(record: Record) -> entry.ThrottleClass:
     traffic = record.traffic
-    return entry.Class(
+    return entry.ThrottleClass(
         str(traffic.service),
         '',
         traffic.name,
@@ -477,5 +477,7 @@
         )
 
 
-def _return_class(record: Record) -> returns.Class:
-    return returns.Class(str(record.traffic.service), record.traffic.priority)
+def _return_class(record: Record) -> returns.ReturnClass:
+    return returns.ReturnClass(
+        str(record.traffic.service), record.traffic.priority
+    )
--- a/tests/test_capacity/test_adaptive_pace.py
+++ b/tests/test_capacity/test_adaptive_pace.py
@@ -31,7 +31,7 @@
         self.pace = adaptive_pace.AdaptivePace()
         self.usual_s: float | None = USUAL_S
         self.queue = conftest.Queue(
-            worker, (pace_limits.AdaptiveLimit(self.pace, self.loop.time),)
+            worker, (pace_limits.AdaptivePaceLimit(self.pace, self.loop.time),)
         )
         self.queue.ended = self._ended
         if is_limited:
--- a/tests/test_capacity/test_entry.py
+++ b/tests/test_capacity/test_entry.py
@@ -10,7 +10,7 @@
 
 from tests.test_capacity import simulation
 
-CLS = entry.Class('s', '', 'r', 1, 'a')
+CLS = entry.ThrottleClass('s', '', 'r', 1, 'a')
 FULL = errors.Refusal(errors.CALL_OVERLOADED, 'full')
 ANSWER = messages.Answer(200, (), b'')
 SENT_ON = entry.MIN_TRIED_RATIO / 2
@@ -18,7 +18,7 @@
 
 def refused_entry(cls=CLS, left_s=4.0):
     """Return an entry node at time 0 after ten refusals of a class."""
-    state = entry.EntryAdmission()
+    state = entry.AdaptiveThrottle()
     for _ in range(10):
         state.record(cls, FULL, left_s, 0.0)
     return state
@@ -49,7 +49,7 @@
 
 def test_few_refusals_are_no_evidence():
     """A request that one full worker refused says little of the others."""
-    state = entry.EntryAdmission()
+    state = entry.AdaptiveThrottle()
     for _ in range(2):
         state.record(CLS, FULL, 4.0, 0.0)
     assert not is_refused(state)
@@ -86,7 +86,7 @@
 
 def test_failures_are_not_taken_for_lack_of_capacity():
     """An unreachable worker or a lost connection says nothing of the load."""
-    state = entry.EntryAdmission()
+    state = entry.AdaptiveThrottle()
     unknown = errors.RunState.UNKNOWN
     for _ in range(10):
         state.record(CLS, errors.Refusal(errors.CALL_CONNECT, ''), 4.0, 0.0)
@@ -125,7 +125,7 @@
 
 def test_number_of_classes_is_bounded():
     """2,000 teams and 41 services must not fill the memory of a node."""
-    state = entry.EntryAdmission()
+    state = entry.AdaptiveThrottle()
     for number in range(2 * entry.MAX_CLASS_COUNT):
         state.record(CLS._replace(team=str(number)), FULL, 4.0, 0.0)
     assert len(state._requests) <= entry.MAX_CLASS_COUNT
--- a/tests/test_capacity/test_pace.py
+++ b/tests/test_capacity/test_pace.py
@@ -37,7 +37,7 @@
         self.cold = pace.ColdPace()
         self.cold.set_bound(self.loop.time(), bound_per_s)
         self.queue = conftest.Queue(
-            worker, (pace_limits.ColdLimit(self.cold, self.loop.time),)
+            worker, (pace_limits.ColdPaceLimit(self.cold, self.loop.time),)
         )
         self.queue.failed = self._forget
         worker.on_start = self.hear
@@ -258,7 +258,7 @@
     cold.set_bound(0.0, BOUND_PER_S)
     ticket = admission.Ticket(1e9, print, 'r')
     now = 5.0
-    limit = pace_limits.ColdLimit(cold, lambda: now)
+    limit = pace_limits.ColdPaceLimit(cold, lambda: now)
     times = []
     while now < 15.0:
         if round(now * 100) % 130 == 0:
--- a/tests/test_capacity/test_returns.py
+++ b/tests/test_capacity/test_returns.py
@@ -14,7 +14,7 @@
 
 from tests.test_capacity import simulation
 
-CLS = returns.Class('s', 0)
+CLS = returns.ReturnClass('s', 0)
 FULL_LOAD = messages.Load(6, 6, 6)
 
 
@@ -153,8 +153,8 @@
 
     Each of their requests would have the chance of a first one.
     """
-    state = entry.EntryAdmission()
-    cls = entry.Class('s', '', 'r', 0, is_return=True)
+    state = entry.AdaptiveThrottle()
+    cls = entry.ThrottleClass('s', '', 'r', 0, is_return=True)
     full = errors.Refusal(errors.CALL_OVERLOADED, 'full')
     for number in range(20):
         served = messages.Answer(200, (), b'')
