Show that a fleet with many removed machines does not come back

A script, review/10: one machine is removed and its entry stays in the store; the entries of 21,000 such machines are added, and all processes are killed. Each node that starts contacts all of them, and goes through all connection pools for each. The stand-in of the store pages its lists.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import bisect
 import json
 import os
 import pathlib
@@ -21,6 +22,8 @@
 PYTHON = ROOT / 'target' / 'venv' / 'bin' / 'python'
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 HOST_NAME = 'hulo84.example'
+# Objects in one answer of the store.
+PAGE_ITEMS = 500
 
 
 def has_trouble():
@@ -146,6 +149,7 @@
         self.objects = {}
         self.events = []
         self.refuse = None
+        self._sorted = {}
         self._changed = asyncio.Event()
         self._server = None
 
@@ -223,10 +227,12 @@
             if len(parts) > 1:
                 found = known.get(parts[1])
                 return (200, found) if found else (404, {})
-            items = [known[name] for name in sorted(known)]
+            names = self._names(kind)
+            first = bisect.bisect_right(names, fields.get('after', ''))
+            page = names[first : first + PAGE_ITEMS]
             return 200, {
-                'items': items,
-                'hasMore': False,
+                'items': [known[name] for name in page],
+                'hasMore': len(names) > first + PAGE_ITEMS,
                 'currentRev': self.revision,
             }
         content = json.loads(request.body or b'{}')
@@ -250,6 +256,14 @@
             return 200, known[name]
         return 200, self.put(kind, name, content['spec'], keep=('status',))
 
+    def _names(self, kind):
+        """Return the sorted names of the objects of a kind."""
+        known = self.objects[kind]
+        names = self._sorted.get(kind, [])
+        if len(names) != len(known):
+            names = self._sorted[kind] = sorted(known)
+        return names
+
     async def _watch(self, kind, revision, wait_s):
         until = time.monotonic() + wait_s
         while True:
