Tell callers' requests from messages of nodes by a header

Cause: the node beside the worker told its own messages from requests that another node passes on by the path alone, and a caller's request keeps its path. The caller's node took any response without a result code for the answer of the worker. Also, gossip that was refused with 503 was taken for received. Ruled out: a new header on the messages of nodes, because nodes of earlier builds do not send it. Change: a message with Damaskpier-Service is a caller's request, whatever its path. Nodes of all builds set it, and remove it from what a caller sent. A response counts as the worker's answer only if the node stated its load or the token of the attempt. Gossip without a 200 is unanswered.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -783,6 +783,14 @@
             )
             return None
         self._heard_from(record.node_id)
+        if outcome.status != 200:
+            LOG.debug(
+                'exchange: %s refused a message with %d: %s',
+                record.node_id,
+                outcome.status,
+                outcome.body[:80],
+            )
+            return None
         return outcome.body
 
     async def _receive(
--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -59,7 +59,8 @@
 # to the question.
 ATTEMPT = 'Damaskpier-Attempt'
 AGE = 'Damaskpier-Age-Ms'
-# Path of gossip, as opposed to callers' requests.
+# Paths of the messages of the nodes themselves. A caller's request keeps its
+# path, which may be one of these, but only it has the header SERVICE.
 EXCHANGE_PATH = '/damaskpier/exchange'
 # Path of messages about the allowances of teams. Nodes of earlier builds take
 # such a message for a request and refuse it.
@@ -72,6 +73,16 @@
 # Status of the answer if there is no record of the attempt.
 NO_RECORD = 404
 
+# Refusals by the HTTP server of the worker's node. It has not passed the
+# request on.
+_CODE_BY_SERVER_STATUS = {
+    400: errors.CALL_BAD_HEADER,
+    408: errors.CALL_OVERLOADED,
+    413: errors.CALL_TOO_LARGE,
+    431: errors.CALL_TOO_LARGE,
+    503: errors.CALL_OVERLOADED,
+}
+
 # A node that is running a request sends interim responses at this interval.
 PROGRESS = server.Progress(initial_delay_s=0.15, interval_s=0.2)
 # The peer gets a deadline this much earlier, so that its refusal, which
@@ -308,7 +319,7 @@
         if is_short:
             fields = short_headers.shorten(response.headers)
             return response._replace(headers=fields or response.headers)
-        if request.path in (EXCHANGE_PATH, ATTEMPT_PATH):
+        if not _is_of_caller(request):
             return response
         mark = (short_headers.READS_SHORT, '1')
         return response._replace(headers=(*response.headers, mark))
@@ -316,25 +327,44 @@
     async def _handle_expanded(
         self, request: http_messages.Request
     ) -> http_messages.Response:
+        if _is_of_caller(request):
+            return await self._handle_caller_request(request)
         if request.path == EXCHANGE_PATH:
             body = self._app.service('exchange').received(request.body)
             return http_messages.Response(200, (), body)
         if request.path == ALLOWANCE_PATH:
             return self._app.service('allowances').received(request.body)
-        token = request.header(ATTEMPT.lower())
         if request.path == ATTEMPT_PATH:
-            if not token:
-                return http_messages.Response(400)
-            if request.method == CANCEL_METHOD:
-                self._attempts.cancel(token)
-                return http_messages.Response(200, ((ATTEMPT, token),))
-            return await self._find_attempt(request, token)
+            return await self._handle_attempt_message(request)
+        return _encode_reply(
+            messages.Reply(
+                errors.Refusal(
+                    errors.CALL_BAD_HEADER, 'not a message of a node'
+                )
+            )
+        )
+
+    async def _handle_attempt_message(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        token = request.header(ATTEMPT.lower())
+        if not token:
+            return http_messages.Response(400)
+        if request.method == CANCEL_METHOD:
+            self._attempts.cancel(token)
+            return http_messages.Response(200, ((ATTEMPT, token),))
+        return await self._find_attempt(request, token)
+
+    async def _handle_caller_request(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         if self._is_refusing:
             # The sender has not learned yet that this node is draining.
             return _encode_reply(messages.Reply(_stopping_refusal()))
         parsed = _decode_request(request, self._clock())
         if isinstance(parsed, errors.Refusal):
             return _encode_reply(messages.Reply(parsed))
+        token = request.header(ATTEMPT.lower())
         if not token:
             return _encode_reply(await self._call_worker(parsed))
         return _encode_reply(await self._attempts.run(token, parsed))
@@ -374,6 +404,16 @@
     pass
 
 
+def _is_of_caller(request: http_messages.Request) -> bool:
+    """Return whether a message with long names carries a caller's request.
+
+    A caller can not set the header itself: its node removes all headers of
+    this system that a caller has sent.
+    """
+    service = SERVICE.lower()
+    return any(name.lower() == service for name, _ in request.headers)
+
+
 def _make_exchange(
     request: messages.Request,
     host: str,
@@ -568,17 +608,10 @@
     leaving_started_ms = None if leaving is None else int(leaving)
     number = own_headers.get(headers.RESULT.lower())
     is_of_handler = load is not None or ATTEMPT.lower() in own_headers
-    if number is None and not is_of_handler and response.status == 503:
+    if number is None and not is_of_handler:
         # The worker's node states its load, or the token in the answer to a
-        # question, as the load has changed since the attempt ended. Its HTTP
-        # server refuses a request by itself if there is no memory for it.
-        return messages.Reply(
-            errors.Refusal(
-                errors.CALL_OVERLOADED,
-                response.body.decode('utf-8', 'replace'),
-                errors.RunState.NOT_RUN,
-            )
-        )
+        # question, as the load has changed since the attempt ended.
+        return messages.Reply(_refusal_without_reply(response))
     if number is None:
         answer = messages.Answer(
             response.status, tuple(other_headers), response.body
@@ -597,6 +630,20 @@
     )
 
 
+def _refusal_without_reply(
+    response: http_messages.Response,
+) -> errors.Refusal:
+    """Return the refusal for a response that holds no reply of a node."""
+    code = _CODE_BY_SERVER_STATUS.get(response.status)
+    if code is not None:
+        return errors.Refusal(code, response.body.decode('utf-8', 'replace'))
+    return errors.Refusal(
+        errors.CALL_UNKNOWN,
+        f'status {response.status} without a reply of the node',
+        errors.RunState.UNKNOWN,
+    )
+
+
 def _encode_pace(load: messages.Load) -> str:
     age_ms = int(load.pace_age_s * 1000)
     # Times are divided by the pace, which must not be 0.
