Tell an answer 404 from a missing record of an attempt

Cause: the answer to a question for an attempt had the status 404 both when the node had no record and when the worker had answered 404. The caller's node took the latter for a lost attempt, and a worker's answer was dropped if its connection did not come back. Change: a reply that was found has the header Damaskpier-Found. Answers of nodes of earlier builds, which do not send it, are read as before. Measured: test_answer_404_is_told_from_an_unknown_attempt failed before, the 46 tests of attempts, silence and short headers pass.

--- a/damaskpier/fleet/peers.py
+++ b/damaskpier/fleet/peers.py
@@ -70,8 +70,11 @@
 # refuse a cancellation, because it has no age.
 ATTEMPT_PATH = '/damaskpier/attempt'
 CANCEL_METHOD = 'DELETE'
-# Status of the answer if there is no record of the attempt.
+# Status of the answer if there is no record of the attempt. A reply that was
+# found may have it, too, and has the header FOUND; nodes of earlier builds do
+# not send that.
 NO_RECORD = 404
+FOUND = 'Damaskpier-Found'
 
 # Refusals by the HTTP server of the worker's node. It has not passed the
 # request on.
@@ -382,7 +385,8 @@
         if reply is None:
             return http_messages.Response(NO_RECORD, ((ATTEMPT, token),))
         response = _encode_reply(reply)
-        return response._replace(headers=(*response.headers, (ATTEMPT, token)))
+        marks = ((ATTEMPT, token), (FOUND, '1'))
+        return response._replace(headers=(*response.headers, *marks))
 
     def _observe_arrival(
         self, fields: http_messages.Headers
@@ -435,7 +439,8 @@
         response: http_messages.Response,
     ) -> peer_call.Found | None:
         if response.header(ATTEMPT.lower()) == token:
-            if response.status == NO_RECORD:
+            is_found = bool(response.header(FOUND.lower()))
+            if response.status == NO_RECORD and not is_found:
                 return peer_call.Found(None)
             return peer_call.Found(_decode_reply(response))
         if response.header(headers.RESULT.lower()):
--- a/tests/test_fleet/test_attempts.py
+++ b/tests/test_fleet/test_attempts.py
@@ -13,8 +13,12 @@
 from damaskpier import errors
 from damaskpier.fleet import attempts
 from damaskpier.fleet import peer_call
+from damaskpier.fleet import peers
+from damaskpier.http1 import client
 from damaskpier.traffic import messages
 
+from tests.test_fleet import conftest
+
 REQUEST = messages.Request(
     'r1', 'read', 'reads', '', 'GET', '/read/1', (), b'', 0.0, 0, True
 )
@@ -201,3 +205,28 @@
     await records.run('t1', REQUEST)
     records.cancel('t1')
     assert (await records.find('t1', 0.5)).result.body == b'ok'
+
+
+async def test_answer_404_is_told_from_an_unknown_attempt(fleet):
+    """An answer 404 on another connection was taken for a lost attempt."""
+    node = await fleet.add()
+    await fleet.wait_converged()
+    peer_server = node.app.service('peer-server')
+    port = peer_server.server.port
+    answer = messages.Answer(404, (('X-Server-Stamp', 's'),), b'no book')
+
+    async def call(request: messages.Request) -> messages.Reply:
+        return messages.Reply(answer)
+
+    peer_server._attempts._call = call
+    await peer_server._attempts.run('t-1', None)
+    found = {}
+    for token in ('t-1', 't-2'):
+        exchange = peers._make_exchange(REQUEST, conftest.HOST, token, 0.0)
+        response = await client.Pool(conftest.HOST, port).request(
+            exchange.question(60.0),
+            client.Options(asyncio.get_running_loop().time() + 5.0),
+        )
+        found[token] = exchange.decode_found(response)
+    assert found['t-1'].reply.result == answer
+    assert found['t-2'].reply is None
