Compare the versions of a move over the whole service, too

Cause: the versions were compared on each route alone. With 84 requests a second on 24 routes, no route had enough of them to decide before the share was 0.95, where nearly nothing is left to compare with. Change: the versions are also compared over all routes of the service. The assignment of requests to versions does not depend on the route, so that the sequential test holds. For the size of the difference, failures are compared with the level of their route and latencies are scaled by it. The bound on false alarms is 0.001 for the service and 0.004 for all routes together; it was 0.001 for each route. Failures are also compared with those of the old version at the same share: a fault of both versions that began at a step of the share took good versions back, before this change, too.

--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -8,6 +8,8 @@
 
 from damaskpier.fleet import comparison
 from damaskpier.fleet import model
+from damaskpier.fleet import regression
+from damaskpier.fleet import service_comparison
 from damaskpier.rollout import latency
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rollout import sequential_test
@@ -29,6 +31,10 @@
     (0.49, 0.95),
     (0.72, 1.0),
 )
+# Upper bounds of the probability that random variation alone makes the
+# versions differ significantly: in one comparison, and on any of the routes.
+FALSE_POSITIVE_RATE = 0.001
+ROUTES_FALSE_POSITIVE_RATE = 0.004
 # Latency is compared only from this time after the first answer of the new
 # version, because workers that have just started are slow.
 LATENCY_WARMUP_S = 4.0
@@ -54,7 +60,8 @@
         self._schedule = sequential_test.CapitalSchedule(
             now, now + order.duration_s
         )
-        self._comparisons: dict[str, comparison.RouteComparison] = {}
+        self._service = service_comparison.ServiceComparison(self._schedule)
+        self._routes: dict[str, comparison.Comparison] = {}
         self._local_counts: dict[tuple[str, float], tuple[list, list]] = {}
         self._pending_cells: dict[
             tuple[str, float], rollout_model.EvidenceCell
@@ -116,29 +123,39 @@
         :returns: description of a regression; empty if there is none
         """
         received, self._pending_cells = self._pending_cells, {}
-        for cell in received.values():
-            self._compare_cell(cell, now)
-        for route, route_comparison in self._comparisons.items():
-            regression = route_comparison.find_regression(now)
-            if regression:
-                return f'{route}: {regression}'
-        return ''
-
-    def _compare_cell(
-        self, cell: rollout_model.EvidenceCell, now: float
-    ) -> None:
-        if cell.new.requests and self.first_answer_at is None:
+        cells = received.values()
+        if self.first_answer_at is None and any(
+            cell.new.requests for cell in cells
+        ):
             self.first_answer_at = now
         is_warm = (
             self.first_answer_at is not None
             and now >= self.first_answer_at + LATENCY_WARMUP_S
         )
-        route_comparison = self._comparisons.get(cell.route)
+        for cell in cells:
+            self._compare_route(cell, now, is_warm)
+        self._service.merge(cells, now, is_warm)
+        route_rate = min(
+            FALSE_POSITIVE_RATE,
+            ROUTES_FALSE_POSITIVE_RATE / max(1, len(self._routes)),
+        )
+        for route, route_comparison in self._routes.items():
+            found = route_comparison.find_regression(now, route_rate)
+            if found:
+                return f'{route}: {found}'
+        found = self._service.find_regression(now, FALSE_POSITIVE_RATE)
+        return f'all routes: {found}' if found else ''
+
+    def _compare_route(
+        self, cell: rollout_model.EvidenceCell, now: float, is_warm: bool
+    ) -> None:
+        route_comparison = self._routes.get(cell.route)
         if route_comparison is None:
-            route_comparison = self._comparisons[cell.route] = (
-                comparison.RouteComparison(self._schedule)
+            route_comparison = self._routes[cell.route] = (
+                comparison.Comparison(self._schedule)
             )
-        route_comparison.merge_cell(cell, now, is_warm)
+        recent = regression.Counts(cell.old, cell.new)
+        route_comparison.merge_cell(cell, recent, now, is_warm)
 
     def share(self, now: float, requests_per_s: float) -> float:
         """Return the share of requests that the new version gets.
--- a/tests/test_fleet/test_comparison.py
+++ b/tests/test_fleet/test_comparison.py
@@ -35,7 +35,9 @@
 
     ``fails`` and ``old_fails`` return the failure rate and ``slower`` the
     factor of the new version's latency; all get the time since the order and
-    the share.
+    the share. ``pick`` returns the route of a request, ``route_fails`` the
+    failure rate and ``route_slower`` the factor of the latency that a route
+    has with both versions.
     """
 
     per_s: float
@@ -45,6 +47,9 @@
     old_fails: Callable[[float, float], float] = lambda at, share: 0.004
     routes: tuple[str, ...] = ('r',)
     bad_route: str = ''
+    pick: Callable[[random.Random, float], str] | None = None
+    route_fails: Callable[[str], float] = lambda route: 0.0
+    route_slower: Callable[[str], float] = lambda route: 1.0
 
 
 class Outcome(NamedTuple):
@@ -82,9 +87,13 @@
             if regression:
                 return Outcome(regression, now, new, total, bad, share)
             share = move.share(now, load.per_s)
-        route = rng.choice(load.routes)
+        if load.pick is None:
+            route = rng.choice(load.routes)
+        else:
+            route = load.pick(rng, now)
         is_new = rng.random() < share
         ms = rng.lognormvariate(0.0, 0.5) * load.median_ms
+        ms *= load.route_slower(route)
         chance = load.old_fails(now, share)
         if is_new:
             # Workers that have just started answer slowly.
@@ -92,10 +101,12 @@
             if load.bad_route in ('', route):
                 chance = load.fails(now, share)
                 ms *= load.slower(now, share)
+        chance += load.route_fails(route)
         failed = rng.random() < chance
         total += 1
         new += is_new
-        bad += is_new and (failed or ms > 3 * load.median_ms)
+        usual_ms = load.median_ms * load.route_slower(route)
+        bad += is_new and (failed or ms > 3 * usual_ms)
         if 0 < share < 1:
             move.record(route, is_new, failed, ms, share)
     return Outcome('', now, new, total, bad, share)
@@ -103,12 +114,25 @@
 
 BUSY = Load(per_s=600.0, median_ms=90.0)
 CALM = Load(per_s=84.0, median_ms=160.0)
+# Each route alone has too few requests to compare the versions.
+MANY_ROUTES = tuple(f'r{number}' for number in range(24))
+CALM_MANY = CALM._replace(routes=MANY_ROUTES)
 
 
 def _from(at: float, rate: float) -> Callable[[float, float], float]:
     return lambda now, share: rate if now >= at else 0.004
 
 
+def _unlike(route: str) -> float:
+    return (0.2, 1.0, 5.0)[int(route[1:]) % 3]
+
+
+def _more_of_one(rng: random.Random, now: float) -> str:
+    if now >= 7.0 and rng.random() < 0.4:
+        return MANY_ROUTES[0]
+    return rng.choice(MANY_ROUTES)
+
+
 def _above(limit: float, rate: float) -> Callable[[float, float], float]:
     return lambda now, share: rate if share >= limit else 0.004
 
@@ -132,6 +156,24 @@
     'errors-amid-trouble': BUSY._replace(
         fails=_from(0.0, 0.6), old_fails=lambda at, share: 0.1
     ),
+    # Case 8 of the review.
+    'errors-many-routes': CALM_MANY._replace(fails=_from(0.0, 0.5)),
+    'late-many-routes': CALM_MANY._replace(fails=_from(3.0, 0.5)),
+    'slow-many-routes': CALM_MANY._replace(slower=lambda at, share: 8.0),
+    'under-load-many-routes': CALM_MANY._replace(fails=_above(0.3, 0.5)),
+    'errors-one-request-a-route': CALM_MANY._replace(
+        fails=_from(0.0, 0.5),
+        routes=tuple(f'r{number}' for number in range(100)),
+    ),
+    # The latencies of all routes together differ more than the versions do.
+    'slow-unlike-routes': CALM_MANY._replace(
+        slower=lambda at, share: 8.0, route_slower=_unlike
+    ),
+    # One of the routes always fails, also with the old version.
+    'errors-beside-a-failing-route': CALM_MANY._replace(
+        fails=_from(0.0, 0.5),
+        route_fails=lambda route: 0.9 * (route == MANY_ROUTES[0]),
+    ),
 }
 
 GOOD = {
@@ -150,6 +192,21 @@
     ),
     'single-workers-fail': BUSY._replace(fails=lambda at, share: 0.06),
     'single-workers-slow': CALM._replace(slower=lambda at, share: 1.6),
+    'many-routes': CALM_MANY,
+    'unlike-routes': CALM_MANY._replace(route_slower=_unlike),
+    # Nearly all requests of the old version came before those of the new one,
+    # and few of them to the route that fails with both.
+    'more-requests-of-a-failing-route': CALM_MANY._replace(
+        pick=_more_of_one,
+        route_fails=lambda route: 0.9 * (route == MANY_ROUTES[0]),
+    ),
+    'more-requests-of-a-slow-route': CALM_MANY._replace(
+        pick=_more_of_one,
+        route_slower=lambda route: 8.0 if route == MANY_ROUTES[0] else 1.0,
+    ),
+    'trouble-of-both-at-a-step': BUSY._replace(
+        fails=_from(8.0, 0.3), old_fails=_from(8.0, 0.3)
+    ),
 }
 
 
