Follow the settings file of a node without a signal

Cause: a node took the service of its machine from the settings that it had read at its start or at the last SIGHUP. The platform changes the file without a signal when the address of a worker goes to a worker of another service. Evidence: in the case, the report of the new worker is confirmed and its requests are answered, and X-Caller keeps the old name. Change: the file is read every 0.3 s; a content that two reads in a row have found and that is valid is applied, else the last good one is kept and logged. All services follow changes, among them many that had copied values at their start: times, limits, bounds, switches and the address of the store. An announcement of a later worker names the service, too. A worker of the old service leaves the records, its requests are refused and late announcements of it ignored.

--- a/damaskpier/application.py
+++ b/damaskpier/application.py
@@ -55,6 +55,11 @@
         """Return whether a service with a name is registered."""
         return name in self._registry
 
+    def apply_settings(self, cfg: config.Settings) -> None:
+        """Replace the settings and emit ``settings-changed(before)``."""
+        before, self.cfg = self.cfg, cfg
+        self.events.emit('settings-changed', before)
+
     async def start(self) -> None:
         """Start all services in order, then emit ``started``.
 
--- a/damaskpier/config.py
+++ b/damaskpier/config.py
@@ -12,6 +12,7 @@
 from damaskpier import settings
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     import pathlib
 
 
@@ -59,6 +60,21 @@
         values = self._values[section, name]
         return tuple(parse_address(value) for value in values)
 
+    def changes_since(self, before: Settings) -> list[tuple[str, str]]:
+        """Return the sections and names of the values that differ."""
+        return [
+            key
+            for key, value in self._values.items()
+            if before._values.get(key) != value
+        ]
+
+    def with_values_of(
+        self, other: Settings, keys: Iterable[tuple[str, str]]
+    ) -> Settings:
+        """Return these settings with some values of others."""
+        kept = {key: other._values[key] for key in keys}
+        return Settings({**self._values, **kept})
+
 
 def parse_address(text: str) -> Address:
     """Return the address in a text of the form ``IP:PORT``.
--- a/damaskpier/fleet/allowance_exchange.py
+++ b/damaskpier/fleet/allowance_exchange.py
@@ -30,6 +30,7 @@
     from collections.abc import Coroutine
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.fleet import model
 
 LOG = logging.getLogger(__name__)
@@ -75,11 +76,7 @@
         self._app = app
         self._clock = clock
         cfg = app.cfg
-        self._bounds = allowance_terms.Bounds(
-            cfg.number('fleet', 'allowance_window'),
-            cfg.number('fleet', 'allowance_over'),
-            cfg.number('fleet', 'allowance_slack'),
-        )
+        self._bounds = _bounds_in(cfg)
         now = clock()
         self._node_id = cfg.text('node', 'id')
         self._entry = allowances.EntryNode(self._node_id, now)
@@ -100,6 +97,7 @@
         self._labelled: set[str] = set()
         app.events.connect('config-applied', self._config_applied)
         app.events.connect('membership-delta', self._membership_changed)
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Start to report to the owner, if a team has a limit."""
@@ -189,6 +187,16 @@
             team, terms, self._node_count, self._clock()
         )
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        bounds = _bounds_in(self._app.cfg)
+        if bounds == self._bounds:
+            return
+        self._bounds = bounds
+        self._owner.window_s = bounds.window_s
+        cfg = self._app.service('configuration').current()
+        if cfg is not None:
+            self._config_applied(cfg)
+
     def _config_applied(self, cfg: model.Configuration) -> None:
         had_terms = bool(self._terms)
         self._terms = {
@@ -390,6 +398,14 @@
         self._app.service('metrics').increment('allowance_refusals', team=team)
 
 
+def _bounds_in(cfg: config.Settings) -> allowance_terms.Bounds:
+    return allowance_terms.Bounds(
+        cfg.number('fleet', 'allowance_window'),
+        cfg.number('fleet', 'allowance_over'),
+        cfg.number('fleet', 'allowance_slack'),
+    )
+
+
 def setup(app: application.Application) -> None:
     """Register the service ``allowances``."""
     app.add_service(
--- a/damaskpier/fleet/evacuations.py
+++ b/damaskpier/fleet/evacuations.py
@@ -17,6 +17,7 @@
     from collections.abc import Iterable
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.mesh import model as mesh_model
     from damaskpier.rpc import mesh_pb2
 
@@ -46,11 +47,14 @@
         self._task: asyncio.Task[None] | None = None
         # Ends the evacuations that are held after a restore of the store.
         self._hold_timer: asyncio.TimerHandle | None = None
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Start to follow the store."""
-        if not self._is_enabled:
-            return
+        if self._is_enabled:
+            self._start_following()
+
+    def _start_following(self) -> None:
         self._app.service('metrics').register_gauge(
             'evacuated_domains',
             lambda: len(self._known.domains),
@@ -64,6 +68,19 @@
         if self._hold_timer is not None:
             self._hold_timer.cancel()
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        is_enabled = self._app.cfg.flag('fleet', 'evacuations')
+        if is_enabled == self._is_enabled:
+            return
+        self._is_enabled = is_enabled
+        if is_enabled:
+            self._start_following()
+            return
+        if self._task is not None:
+            self._task.cancel()
+        self._known = evacuation.Evacuations(self._clock())
+        self._notify()
+
     def local_refusal(self) -> errors.Refusal | None:
         """Return why the local worker gets no requests; None if it does."""
         if not self._is_enabled:
--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.fleet import header_codec
 
 LOG = logs.get_logger(__name__)
@@ -163,6 +164,7 @@
         self._retries_until = 0.0
         self._stop = _Stop()
         self._lag = loop_lag.LoopLag()
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -230,6 +232,10 @@
             or len(self._app.service('membership').nodes()) > 1
         )
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        self._grace_s = self._app.cfg.number('fleet', 'grace')
+        self._heartbeat_s = self._app.cfg.number('fleet', 'heartbeat')
+
     def _abandon_requests(self) -> None:
         LOG.warning(
             'ingress: %d requests are still running and get a failure',
@@ -273,6 +279,8 @@
         self, request: http_messages.Request
     ) -> http_messages.Response:
         began = self._last_request_at = self._clock()
+        # The service may change while the request waits.
+        service = self._app.service('worker').service.name
         metadata = self._codec.decode_caller_headers(request)
         table = self._app.service('configuration').table()
         if table is None:
@@ -330,7 +338,7 @@
                 depth=0,
                 repeatable=route.repeatable,
                 priority=caller.priority(route),
-                caller=self._app.cfg.text('node', 'service'),
+                caller=service,
                 objective=began + route.objective_s,
                 team=team,
             ),
--- a/damaskpier/fleet/local_pace.py
+++ b/damaskpier/fleet/local_pace.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.fleet import header_codec
     from damaskpier.fleet import model
     from damaskpier import metrics
@@ -76,6 +77,7 @@
                 clock(), app.cfg.number('fleet', 'cold_slack')
             )
         app.events.connect('config-applied', self._config_applied)
+        app.events.connect('settings-changed', self._settings_changed)
 
     def register_gauges(self, metrics_service: metrics.Metrics) -> None:
         """Register the gauges of the pace."""
@@ -108,6 +110,14 @@
         self._was_removed = True
         self._learn(math.inf)
 
+    def service_changed(self, service: str) -> None:
+        """Apply that the worker is one of another service."""
+        self._service = service
+        self._usual = adaptive_pace.UsualTimes()
+        cfg = self._app.service('configuration').current()
+        if cfg is not None:
+            self._config_applied(cfg)
+
     def evacuated(
         self, is_evacuated: bool, announcement: model.Announcement | None
     ) -> None:
@@ -235,6 +245,14 @@
             LOG.info('pace: the limit has ended')
         self._admission.start_waiting()
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        is_enabled = self._app.cfg.flag('fleet', 'adaptive_pace')
+        if is_enabled != before.flag('fleet', 'adaptive_pace'):
+            self._is_enabled = is_enabled
+        cfg = self._app.service('configuration').current()
+        if cfg is not None:
+            self._config_applied(cfg)
+
     def _config_applied(self, cfg: model.Configuration) -> None:
         spec = cfg.services.get(self._service)
         bound_per_s = None
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.mesh import model as mesh_model
     from damaskpier.traffic.balancer import base
 
@@ -182,6 +183,7 @@
         self._abandoned: asyncio.Future[None] | None = None
         self._choices = distances.ChoiceCounts(app.service('metrics'), clock)
         app.events.connect('workers-changed', self._workers_changed)
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Start without requests to abandon."""
@@ -523,19 +525,26 @@
     def _budget(self, service: str) -> retry.FleetRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            cfg = self._app.cfg
             budget = self._budgets[service] = retry.FleetRetryBudget(
-                retry.FleetRetryLimit(
-                    cfg.number('fleet', 'retry_ratio'),
-                    cfg.number('fleet', 'retry_slack'),
-                    cfg.number('fleet', 'retry_window'),
-                ),
+                self._retry_limit(),
                 lambda: len(self._app.service('membership').nodes()),
                 self._app.service('worker').recent_retry_ratio,
                 self._clock,
             )
         return budget
 
+    def _retry_limit(self) -> retry.FleetRetryLimit:
+        cfg = self._app.cfg
+        return retry.FleetRetryLimit(
+            cfg.number('fleet', 'retry_ratio'),
+            cfg.number('fleet', 'retry_slack'),
+            cfg.number('fleet', 'retry_window'),
+        )
+
+    def _settings_changed(self, before: config.Settings) -> None:
+        for budget in self._budgets.values():
+            budget.limit = self._retry_limit()
+
     def _record_response_size(
         self, route: model.Route, answer: messages.Answer
     ) -> None:
--- a/damaskpier/fleet/startup_check.py
+++ b/damaskpier/fleet/startup_check.py
@@ -61,7 +61,8 @@
             self._start(cfg)
 
     def _start(self, cfg: model.Configuration) -> None:
-        spec = cfg.services.get(self._app.cfg.text('node', 'service'))
+        service = self._app.service('worker').service.name
+        spec = cfg.services.get(service)
         if spec is not None and spec.health_path:
             self._task = asyncio.ensure_future(self._check(spec.health_path))
 
@@ -69,6 +70,7 @@
         worker = self._app.service('worker')
         if not worker.needs_check():
             return
+        service = worker.service.name
         address = self._app.cfg.address('upstream', 'address')
         worker.record_check()
         outcome = await health_check.request(
@@ -77,6 +79,13 @@
         if isinstance(outcome, messages.Failure):
             LOG.info('worker: no answer to the startup check: %s', outcome)
             return
+        if worker.service.name != service:
+            LOG.info(
+                'worker: the startup check was of %s, the upstream is of %s',
+                service,
+                worker.service.name,
+            )
+            return
         health = self._codec.decode_health(outcome)
         if health is None:
             LOG.info(
--- a/damaskpier/fleet/store_contact.py
+++ b/damaskpier/fleet/store_contact.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier import config
     from damaskpier.rpc import mesh_pb2
 
 LOG = logging.getLogger(__name__)
@@ -54,11 +55,14 @@
         self._is_reported_lost = False
         self._task: asyncio.Task[None] | None = None
         app.events.connect('store-answered', self._record_store)
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Start to ask other nodes when the store does not answer."""
-        if not self._is_strict:
-            return
+        if self._is_strict:
+            self._start_asking()
+
+    def _start_asking(self) -> None:
         self._app.service('metrics').register_gauge(
             'store_contact_age', lambda: self._contact.age_s(self._clock())
         )
@@ -69,6 +73,16 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        cfg = self._app.cfg
+        self._contact.limit_s = cfg.number('fleet', 'revoke')
+        was_strict = self._is_strict
+        self._is_strict = cfg.flag('fleet', 'strict_revoke')
+        if self._is_strict and not was_strict:
+            self._start_asking()
+        elif was_strict and not self._is_strict and self._task is not None:
+            self._task.cancel()
+
     def accepts_keys(self) -> bool:
         """Return whether keys may be accepted now."""
         if not self._is_strict:
--- a/damaskpier/fleet/store_watch.py
+++ b/damaskpier/fleet/store_watch.py
@@ -5,6 +5,7 @@
 import abc
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import math
 import random
 from typing import Any
@@ -63,7 +64,9 @@
 
 
 async def changes(
-    reader: ObjectReader, apply_limit_s: float, rng: random.Random
+    reader: ObjectReader,
+    apply_limit_s: Callable[[], float],
+    rng: random.Random,
 ) -> AsyncIterator[list[Any] | errors.Refusal]:
     """Yield all objects and then those that change.
 
@@ -71,12 +74,14 @@
     out. Each failed call yields a refusal and is retried with backoff. If the
     store has lost the history, all objects are read again without one.
 
-    :param apply_limit_s: time within which a change has to be in force, in
-        seconds
+    :param apply_limit_s: returns the time within which a change has to be in
+        force, in seconds
     :param rng: source of the backoff's jitter
     """
     loop = asyncio.get_running_loop()
-    pacer = _Pacer(WATCH_PAUSE_RATIO * apply_limit_s, reader.reads_bursts)
+    pacer = _Pacer(
+        lambda: WATCH_PAUSE_RATIO * apply_limit_s(), reader.reads_bursts
+    )
     revision: int | None = None
     backoff_s = INITIAL_BACKOFF_S
     while True:
@@ -112,12 +117,15 @@
 class _Pacer:
     """Recognizes bursts of changes and spaces the calls.
 
-    :param pause_s: minimum interval between calls during a burst in seconds
+    :param pause_s: returns the minimum interval between calls during a burst
+        in seconds
     :param reads_bursts: whether a burst is read; otherwise each watch that
         returns changes is followed by a pause
     """
 
-    def __init__(self, pause_s: float, reads_bursts: bool) -> None:
+    def __init__(
+        self, pause_s: Callable[[], float], reads_bursts: bool
+    ) -> None:
         self.is_burst = False
         self._pause_s = pause_s
         self._reads_bursts = reads_bursts
@@ -134,7 +142,7 @@
         # A read delivers all objects to the node, changed or not.
         self._received_at = began
         if self.is_burst or not self._reads_bursts:
-            self._next_call_at = began + self._pause_s
+            self._next_call_at = began + self._pause_s()
 
     def record_watch(self, count: int, began: float, taken_at: float) -> None:
         """Record a watch; objects soon after the last ones begin a burst.
@@ -146,17 +154,17 @@
         if not count:
             return
         if not self._reads_bursts:
-            self._next_call_at = began + self._pause_s
+            self._next_call_at = began + self._pause_s()
             return
         # A single change is followed by a watch without a pause, so that the
         # next change arrives alone. Several changes in one response have
         # accumulated, for example while the store was slow.
         self.is_burst = (
-            count > 1 or taken_at - self._received_at < self._pause_s
+            count > 1 or taken_at - self._received_at < self._pause_s()
         )
         self._received_at = taken_at
         if self.is_burst:
-            self._next_call_at = taken_at + self._pause_s
+            self._next_call_at = taken_at + self._pause_s()
 
     def delay_s(self, now: float) -> float:
         """Return the time until the next call in seconds."""
--- a/damaskpier/fleet/worker.py
+++ b/damaskpier/fleet/worker.py
@@ -20,6 +20,7 @@
 from damaskpier.fleet import header_codec
 from damaskpier.fleet import health_check
 from damaskpier.fleet import local_pace
+from damaskpier.fleet import local_service
 from damaskpier.fleet import model
 from damaskpier.fleet import region_check
 from damaskpier.fleet import reported_load
@@ -37,6 +38,7 @@
     from collections.abc import Callable
 
     from damaskpier import application
+    from damaskpier import config
 
 LOG = logs.get_logger(__name__)
 
@@ -123,6 +125,9 @@
         self._report = admission_report.AdmissionReport(clock)
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcement: model.Announcement | None = None
+        self.service = local_service.LocalService(
+            app.cfg.text('node', 'service')
+        )
         self._app = app
         self._codec = codec
         self._clock = clock
@@ -149,10 +154,13 @@
         )
         self._recent_retries = 0
         self._node_draining = False
+        # Service of the upstream that the admission has learned about.
+        self._admitted_service = self.service.name
         self._heartbeat_s = app.cfg.number('fleet', 'heartbeat')
         app.events.connect('left-worker-learned', self._learn_left)
         app.events.connect('departures-known', self._apply_held)
         app.events.connect('evacuations-changed', self._evacuations_changed)
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def start(self) -> None:
         """Register the gauges of the load."""
@@ -189,7 +197,9 @@
 
         :returns: whether the announcement was applied
         """
-        if self._is_stale(announcement):
+        if self._is_stale(announcement) or self.service.has_ended(
+            announcement
+        ):
             LOG.info(
                 'worker: ignored a stale announcement of %s, sequence %d',
                 announcement.instance,
@@ -201,6 +211,7 @@
             return False
         self._held = None
         known = self.announcement
+        self._set_service(announcement)
         self.announcement = announcement
         self._local_pace.announced(announcement)
         self._connect_failures = 0
@@ -242,7 +253,7 @@
         self.apply_announcement(
             model.Announcement(
                 health.instance,
-                self._app.cfg.text('node', 'service'),
+                self.service.name,
                 '',
                 address.host,
                 address.port,
@@ -409,6 +420,38 @@
         if held is not None:
             self.apply_announcement(held)
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        cfg = self._app.cfg
+        self._heartbeat_s = cfg.number('fleet', 'heartbeat')
+        if self.announcement is not None:
+            self._restart_expiry()
+        service = cfg.text('node', 'service')
+        if service == before.text('node', 'service'):
+            return
+        self.service.configure(service, int(self._wall() * 1000))
+        held = self._held
+        if held is not None and self.service.has_ended(held):
+            self._held = None
+        known = self.announcement
+        if known is not None and self.service.has_ended(known):
+            self._remove_instance(f'was replaced by one of {service}')
+
+    def _set_service(self, announcement: model.Announcement) -> None:
+        if announcement.service != self.service.name:
+            LOG.info(
+                'worker: %s announced itself for %s, after %s',
+                announcement.instance,
+                announcement.service,
+                self.service.name or 'no service',
+            )
+        cfg = self._app.service('configuration').current()
+        if cfg is None or announcement.service in cfg.services:
+            self.service.announced(announcement)
+        if announcement.service != self._admitted_service:
+            self._admitted_service = announcement.service
+            self.admission.forget_service_times()
+            self._local_pace.service_changed(announcement.service)
+
     def _evacuations_changed(self, is_local: bool) -> None:
         if is_local:
             refusal = self._app.service('evacuations').local_refusal()
--- a/damaskpier/http1/client.py
+++ b/damaskpier/http1/client.py
@@ -143,6 +143,8 @@
         self._max_idle = max_idle
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[Connection] = []
+        self._busy: set[Connection] = set()
+        self._is_abandoned = False
         self._silent_since: float | None = None
 
     async def request(
@@ -173,6 +175,13 @@
         for conn in idle:
             conn.close()
 
+    def abandon(self, reason: str) -> None:
+        """Fail all requests, those that are still to connect included."""
+        self._is_abandoned = True
+        self.close_idle()
+        for conn in tuple(self._busy):
+            conn.fail(reason)
+
     def record_silence(self, now: float) -> None:
         """Use no idle connection until the server is heard again.
 
@@ -205,12 +214,18 @@
     async def _send_and_receive(
         self, conn: Connection, data: bytes, options: Options
     ) -> messages.Response | messages.Failure:
+        if self._is_abandoned:
+            conn.abort()
+            return messages.Failure('the pool is not used any more', False)
         fut = conn.send(data, options)
+        self._busy.add(conn)
         try:
             outcome = await fut
         except asyncio.CancelledError:
             conn.abort()
             raise
+        finally:
+            self._busy.discard(conn)
         if isinstance(outcome, messages.Failure):
             conn.abort()
             if outcome.silent:
@@ -401,6 +416,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def fail(self, reason: str) -> None:
+        """Fail the running request, which closes the connection."""
+        self._fail(reason)
+
     def abort(self) -> None:
         """Close the connection at once; a running request gets no result."""
         self._cancel_timers()
--- a/damaskpier/platform/node.py
+++ b/damaskpier/platform/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import logging
 import os
 import pathlib
 import sys
@@ -34,10 +33,9 @@
 from damaskpier.platform import headers
 from damaskpier.platform import settings
 from damaskpier.platform import store
+from damaskpier import settings_file
 from damaskpier.util import garbage
 
-LOG = logging.getLogger(__name__)
-
 EXIT_BAD_SETTINGS = 2
 
 
@@ -84,22 +82,13 @@
         return EXIT_BAD_SETTINGS
     logs.configure(cfg, sys.stdout)
     app = make_node(cfg)
-    app.events.connect(
-        'reload-requested', functools.partial(_reload, app, path)
+    settings_file.setup(
+        app, path, functools.partial(settings.loads, source=str(path))
     )
     garbage.reduce_collections()
     uvloop.run(app.run())
     return 0
 
 
-def _reload(app: application.Application, path: pathlib.Path) -> None:
-    try:
-        app.cfg = settings.load(path)
-    except errors.SettingsError as exc:
-        LOG.error('kernel: kept the old settings: %s', exc)
-        return
-    LOG.info('kernel: reloaded the settings')
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/damaskpier/platform/settings.py
+++ b/damaskpier/platform/settings.py
@@ -24,18 +24,33 @@
     :raises SettingsError: if the file can not be read or is invalid
     """
     try:
-        boot = tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+        content = path.read_bytes()
+    except OSError as exc:
         raise errors.SettingsError(
             errors.SETTINGS_UNREADABLE, f'{path}: {exc}'
         ) from exc
+    return loads(content, str(path))
+
+
+def loads(content: bytes, source: str) -> config.Settings:
+    """Return the settings in the content of a boot file.
+
+    :param source: name of the file in error messages
+    :raises SettingsError: if the content is invalid
+    """
+    try:
+        boot = tomllib.loads(content.decode())
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise errors.SettingsError(
+            errors.SETTINGS_UNREADABLE, f'{source}: {exc}'
+        ) from exc
     try:
         text = _render(_sections(boot))
     except (KeyError, TypeError, ValueError) as exc:
         raise errors.SettingsError(
-            errors.SETTINGS_INVALID, f'{path}: {exc!r}'
+            errors.SETTINGS_INVALID, f'{source}: {exc!r}'
         ) from exc
-    return config.loads(text, str(path))
+    return config.loads(text, source)
 
 
 def _sections(boot: dict[str, Any]) -> dict[str, dict[str, object]]:
--- a/damaskpier/platform/store.py
+++ b/damaskpier/platform/store.py
@@ -115,23 +115,27 @@
         app: application.Application,
         rng: random.Random | None = None,
     ) -> None:
-        address = app.cfg.address('platform', 'address')
         self._app = app
         self._rng = rng or random.Random()
-        self._host = str(address)
-        self._pool = client.Pool(address.host, address.port, max_idle=2)
-        self._apply_limit_s = app.cfg.number('fleet', 'apply')
+        self._pool = _make_pool(app.cfg)
         # Done at the next restore of the store.
         self._restored: asyncio.Future[None] | None = None
         self._generations = store_generation.GenerationTracker(
             self._store_restored
         )
-        self._max_config_wait_ms = _max_config_wait_ms(app.cfg)
+        app.events.connect('settings-changed', self._settings_changed)
 
     async def stop(self) -> None:
         """Close the connections."""
         self._pool.close_idle()
 
+    def _settings_changed(self, before: config.Settings) -> None:
+        cfg = self._app.cfg
+        if cfg['platform', 'address'] != before['platform', 'address']:
+            pool, self._pool = self._pool, _make_pool(cfg)
+            # A watch would wait for the old address until its limit.
+            pool.abandon('the store has another address')
+
     async def configurations(
         self,
     ) -> AsyncIterator[model.Configuration | errors.Refusal]:
@@ -306,7 +310,11 @@
         # Orders are small, and each one is soon followed by the write of its
         # status, so that a read would cost a call and save nothing.
         reader.reads_bursts = kind == objects.CONFIG_KIND
-        return store_watch.changes(reader, self._apply_limit_s, self._rng)
+        return store_watch.changes(
+            reader,
+            lambda: self._app.cfg.number('fleet', 'apply'),
+            self._rng,
+        )
 
     async def list_objects(
         self, kind: str, silence_timeout_s: float | None = None
@@ -408,7 +416,7 @@
     ) -> store_watch.Page | errors.Refusal:
         wait_ms = WATCH_WAIT_MS
         if kind == objects.CONFIG_KIND:
-            wait_ms = min(wait_ms, self._max_config_wait_ms)
+            wait_ms = min(wait_ms, _max_config_wait_ms(self._app.cfg))
         query = parse.urlencode({'watch': revision, 'waitMs': wait_ms})
         answer = await self._call(
             'GET',
@@ -476,7 +484,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         silence_timeout_s: float = 0.0,
     ) -> _Response | errors.Refusal:
-        fields: messages.Headers = (('Host', self._host),)
+        host, port = self._pool.address
+        fields: messages.Headers = (('Host', f'{host}:{port}'),)
         body = b''
         if content is not None:
             body = msgspec.json.encode(content)
@@ -567,6 +576,11 @@
         return found
 
 
+def _make_pool(cfg: config.Settings) -> client.Pool:
+    address = cfg.address('platform', 'address')
+    return client.Pool(address.host, address.port, max_idle=2)
+
+
 def _max_config_wait_ms(cfg: config.Settings) -> float:
     """Return how long a watch of the configuration may wait for a change.
 
--- a/damaskpier/settings.py
+++ b/damaskpier/settings.py
@@ -28,6 +28,23 @@
     choices: tuple[str, ...] = ()
 
 
+# What a running node keeps: its identity, its place and its ports.
+FIXED_WHILE_RUNNING = frozenset(
+    {
+        ('node', 'id'),
+        ('node', 'region'),
+        ('node', 'failure_domain'),
+        ('node', 'host'),
+        ('node', 'http_port'),
+        ('node', 'rpc_port'),
+        ('node', 'admin_port'),
+        ('node', 'health_port'),
+        ('node', 'metrics_port'),
+        ('log', 'level'),
+        ('log', 'format'),
+    }
+)
+
 TABLE: tuple[Setting, ...] = (
     Setting('node', 'id', 'text', REQUIRED, 'Unique name of the node.'),
     Setting('node', 'region', 'text', REQUIRED, 'Region of the instance.'),
--- a/damaskpier/teams/allowance_owner.py
+++ b/damaskpier/teams/allowance_owner.py
@@ -33,7 +33,7 @@
     """
 
     def __init__(self, window_s: float, now: float) -> None:
-        self._window_s = window_s
+        self.window_s = window_s
         self._started_at = now
         self._last_heard_at = now
         self._changes: list[tuple[str, bool]] = []
@@ -109,7 +109,7 @@
                 )
         self._prune(terms, part, now)
         return allowance_messages.Reply(
-            now < self._started_at + self._window_s,
+            now < self._started_at + self.window_s,
             self._pack_limited(),
             grants,
         )
@@ -133,7 +133,7 @@
     ) -> allowance_account.Account:
         account = self._accounts.get(team)
         if account is None:
-            is_new = now < self._started_at + self._window_s
+            is_new = now < self._started_at + self.window_s
             account = self._accounts[team] = allowance_account.Account(
                 part * terms.start
                 if is_new
@@ -165,7 +165,7 @@
             heard = len(self._heard_at)
             self._part = heard / max(1, node_count, heard)
             self._parts.append((now, self._part))
-            while self._parts[0][0] < now - self._window_s:
+            while self._parts[0][0] < now - self.window_s:
                 self._parts.popleft()
             self._advance_limited(terms, self._part, now)
         return self._part
--- a/damaskpier/teams/contact.py
+++ b/damaskpier/teams/contact.py
@@ -23,7 +23,7 @@
     """
 
     def __init__(self, limit_s: float) -> None:
-        self._limit_s = limit_s
+        self.limit_s = limit_s
         self._as_of = -math.inf
 
     def record_store(self, asked_at: float) -> None:
@@ -60,8 +60,8 @@
 
     def is_lost(self, now: float) -> bool:
         """Return whether no key may be accepted."""
-        return self.age_s(now) >= self._limit_s
+        return self.age_s(now) >= self.limit_s
 
     def needs_question(self, now: float) -> bool:
         """Return whether other nodes are to be asked."""
-        return self.age_s(now) >= ASK_AGE_RATIO * self._limit_s
+        return self.age_s(now) >= ASK_AGE_RATIO * self.limit_s
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -184,6 +184,11 @@
         self._arrival_numbers = itertools.count()
         self._order = order.Order()
 
+    def forget_service_times(self) -> None:
+        """Forget how long requests take, as the upstream is another one."""
+        self.service_s = 0.0
+        self._route_service_s.clear()
+
     def configure(self, slots: int, queue: int) -> None:
         """Set the limits.
 
--- a/damaskpier/traffic/retry.py
+++ b/damaskpier/traffic/retry.py
@@ -118,7 +118,7 @@
         repeat_ratio: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._limit = limit
+        self.limit = limit
         self._nodes = nodes
         self._repeat_ratio = repeat_ratio
         self._clock = clock
@@ -140,9 +140,9 @@
         """
         now = self._clock()
         self._drop_expired(now)
-        allowed = self._limit.ratio * len(
+        allowed = self.limit.ratio * len(
             self._requests
-        ) + self._limit.slack / max(1, self._nodes())
+        ) + self.limit.slack / max(1, self._nodes())
         repeated = self._repeat_ratio() * len(self._requests)
         max_retries = min(
             RETRY_PART_OF_LIMIT * allowed,
@@ -158,7 +158,7 @@
         return True
 
     def _drop_expired(self, now: float) -> None:
-        oldest = now - self._limit.window_s
+        oldest = now - self.limit.window_s
         for times in (self._requests, self._retries, self._repeats):
             while times and times[0] < oldest:
                 times.popleft()
--- a/tests/test_fleet/test_store_watch.py
+++ b/tests/test_fleet/test_store_watch.py
@@ -151,7 +151,9 @@
         refusals: list[errors.Refusal] = []
 
         async def follow() -> None:
-            found = store_watch.changes(reader, APPLY_S, random.Random(1))
+            found = store_watch.changes(
+                reader, lambda: APPLY_S, random.Random(1)
+            )
             async for update in found:
                 if isinstance(update, errors.Refusal):
                     refusals.append(update)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from damaskpier import config
 from damaskpier import errors
 from damaskpier.fleet import model
 from damaskpier.fleet import store_watch
@@ -807,3 +808,24 @@
     assert f'waitMs={store.WATCH_WAIT_MS}' in fake.calls[1][1]
     watching.cancel()
     await asyncio.wait((watching,))
+
+
+async def test_watch_moves_to_a_changed_address_of_the_store(
+    fake, app, client, operator_config
+):
+    """A watch waited for the old address, until its limit of up to 30 s."""
+    fake.put('config', 'main', operator_config('0000000c'))
+    found = client.configurations()
+    assert (await _next_good(found)).version == 12
+    waiting = asyncio.create_task(_next_good(found))
+    await _wait_for_calls(fake, 2)
+    moved = conftest.FakeStore()
+    moved.put('config', 'main', operator_config('0000000d'))
+    await moved.server.listen(conftest.HOST, 0)
+    address = f'{conftest.HOST}:{moved.server.port}'
+    values = {**app.cfg._values, ('platform', 'address'): address}
+    calls = len(fake.calls)
+    app.apply_settings(config.Settings(values))
+    assert (await waiting).version == 13
+    assert len(fake.calls) == calls
+    await moved.server.stop(0.0)
