Raise the share of a new version only as far as it is known

Cause: the schedule of the share depended on the time alone. At 20 requests a second, some 10 of the new version were compared before the share was 0.95, where one request a second is left to compare with. A node that sends counts to no one, or requests that do not end, raised the share all the same. Change: services with few requests start with a share at which about 30 requests are compared before the next step, and stay at 0.45 for longer. The schedule of all others is as before. A node does not raise its share while no evaluator replies to its counts, or while none of its requests to the new version has ended. Its estimate of the requests of the fleet no longer falls in a pause of its own requests.

--- a/damaskpier/fleet/exchange.py
+++ b/damaskpier/fleet/exchange.py
@@ -213,12 +213,14 @@
         self,
         cells: list[rollout_model.EvidenceCell],
         evaluators: Iterable[str],
+        on_received: Callable[[], None] | None = None,
     ) -> None:
         """Send counts of requests during a move to its evaluators.
 
         They are sent again to evaluators that do not reply.
 
         :param evaluators: identifiers of nodes; this node is skipped
+        :param on_received: called when one of them replies
         """
         gossip = mesh_pb2.Gossip()
         gossip.evidence.CopyFrom(rollout_wire.delta_to_message(cells))
@@ -229,7 +231,9 @@
         for node_id in evaluators:
             record = membership.get(node_id)
             if record is not None and node_id != self._node_id:
-                self._spawn(self._deliver_evidence(record, gossip))
+                self._spawn(
+                    self._deliver_evidence(record, gossip, on_received)
+                )
 
     def broadcast_state(self, state: rollout_model.MoveState) -> None:
         """Send the state of a move to all nodes."""
@@ -693,7 +697,10 @@
         self._dissemination.broadcast(gossip)
 
     async def _deliver_evidence(
-        self, record: mesh_model.NodeRecord, gossip: mesh_pb2.Gossip
+        self,
+        record: mesh_model.NodeRecord,
+        gossip: mesh_pb2.Gossip,
+        on_received: Callable[[], None] | None,
     ) -> None:
         """Send counts to a node until it replies, a limited number of times.
 
@@ -704,6 +711,8 @@
             if number:
                 await asyncio.sleep(EVIDENCE_RETRY_PAUSE_S)
             if await self._send(record, gossip) is not None:
+                if on_received is not None:
+                    on_received()
                 return
             current = membership.get(record.node_id)
             if (
--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -8,29 +8,14 @@
 
 from damaskpier.fleet import comparison
 from damaskpier.fleet import model
+from damaskpier.fleet import move_evidence
 from damaskpier.fleet import regression
 from damaskpier.fleet import service_comparison
+from damaskpier.fleet import share_schedule
 from damaskpier.rollout import latency
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rollout import sequential_test
 
-# The first share of the new version is chosen within these bounds so that it
-# gets about FIRST_REQUESTS_PER_S requests per second in the whole fleet.
-FIRST_SHARE_MIN = 0.03
-FIRST_SHARE_MAX = 0.08
-FIRST_REQUESTS_PER_S = 14.0
-# Schedule of the share: (elapsed ratio of the move's duration, share). The
-# steps at medium shares are short because some faults appear only under load:
-# the requests exposed before such a fault stay below the exposure bound.
-SHARE_STEPS = (
-    (0.40, 0.10),
-    (0.43, 0.25),
-    (0.46, 0.45),
-    # The versions can be compared only while some requests still go to the
-    # old one.
-    (0.49, 0.95),
-    (0.72, 1.0),
-)
 # Upper bounds of the probability that random variation alone makes the
 # versions differ significantly: in one comparison, and on any of the routes.
 FALSE_POSITIVE_RATE = 0.001
@@ -57,6 +42,11 @@
         self.first_answer_at: float | None = None
         self.is_writing_decision = False
         self.is_writing_status = False
+        self.evidence = move_evidence.MoveEvidence()
+        self._created_at = now
+        # Requests of the service on this node since then.
+        self._requests = 0
+        self._share = 0.0
         self._schedule = sequential_test.CapitalSchedule(
             now, now + order.duration_s
         )
@@ -72,6 +62,12 @@
         """Return the identifier of the move, which is unique in the fleet."""
         return move_id(self.order)
 
+    def record_choice(self, is_new: bool) -> None:
+        """Record that a version has been chosen for a request."""
+        self._requests += 1
+        if is_new:
+            self.evidence.record_sent()
+
     def record(
         self, route: str, is_new: bool, failed: bool, ms: float, share: float
     ) -> None:
@@ -87,6 +83,7 @@
         counts = cell[is_new]
         counts[0] += 1
         counts[1] += failed
+        self.evidence.record_ends(not is_new, is_new)
         bucket = latency.bucket_of(ms)
         counts[2][bucket] = counts[2].get(bucket, 0) + 1
 
@@ -114,6 +111,7 @@
     def merge_cell(self, cell: rollout_model.EvidenceCell) -> None:
         """Merge counts of any node into those of the next evaluation."""
         key = cell.route, cell.share
+        self.evidence.record_ends(cell.old.requests, cell.new.requests)
         known = self._pending_cells.get(key)
         self._pending_cells[key] = cell if known is None else known.plus(cell)
 
@@ -157,21 +155,26 @@
         recent = regression.Counts(cell.old, cell.new)
         route_comparison.merge_cell(cell, recent, now, is_warm)
 
+    def mean_requests_per_s(self, now: float) -> float:
+        """Return the requests of the service that this node had a second.
+
+        Without requests, the rate is taken to be such that one more would have
+        been the first.
+        """
+        return (self._requests + 1) / max(now - self._created_at, 1.0)
+
     def share(self, now: float, requests_per_s: float) -> float:
         """Return the share of requests that the new version gets.
 
         :param requests_per_s: requests of the service per second in the
             whole fleet
         """
-        share = FIRST_REQUESTS_PER_S / max(requests_per_s, 1.0)
-        # Evidence is kept by share, so the share is rounded to few values.
-        share = round(min(max(share, FIRST_SHARE_MIN), FIRST_SHARE_MAX), 2)
-        elapsed_ratio = (now - self.started_at) / max(
-            self.order.duration_s, 1.0
+        share = share_schedule.share_at(
+            now - self.started_at, self.order.duration_s, requests_per_s
         )
-        for since, step in SHARE_STEPS:
-            if elapsed_ratio >= since:
-                share = step
+        if 0.0 < self._share < share and self.evidence.is_missing(now):
+            return self._share
+        self._share = share
         return share
 
 
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -80,6 +80,7 @@
         self._moves: dict[str, moves.Move] = {}
         self._shares: dict[str, float] = {}
         self._request_counts: collections.Counter[str] = collections.Counter()
+        self._recent_requests_per_s: dict[str, float] = {}
         self._requests_per_s: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._write_tasks: set[asyncio.Task[None]] = set()
@@ -113,6 +114,17 @@
             return rollout_model.VersionChoice('', 0.0)
         self._request_counts[service] += 1
         target = move.order.version
+        choice = self._choose(move, allowed)
+        # The ends of other requests are not recorded.
+        is_compared = 0.0 < choice.share < 1.0
+        move.record_choice(is_compared and choice.version == target)
+        return choice
+
+    def _choose(
+        self, move: moves.Move, allowed: regions.Allowed
+    ) -> rollout_model.VersionChoice:
+        service = move.order.service
+        target = move.order.version
         if move.phase is model.Phase.DONE:
             return rollout_model.VersionChoice(target, 1.0)
         old = self._old_version(move.order, allowed)
@@ -297,12 +309,16 @@
             return
         if not move.order.has_status:
             self._schedule_status_write(move)
-        self._update_request_rate(service)
+        self._update_request_rate(service, move.mean_requests_per_s(now))
         evaluators = self._evaluators(move)
         cells = move.drain_cells(self._failure_domain(), now)
-        if cells:
-            self._app.service('exchange').send_evidence(cells, evaluators)
         is_evaluator = self._local_node_id() in evaluators
+        if cells:
+            if not is_evaluator:
+                move.evidence.record_counts_sent(now)
+            self._app.service('exchange').send_evidence(
+                cells, evaluators, move.evidence.record_counts_received
+            )
         if is_evaluator:
             for cell in cells:
                 move.merge_cell(cell)
@@ -443,15 +459,21 @@
     def _local_node_id(self) -> str:
         return self._app.cfg.text('node', 'id')
 
-    def _update_request_rate(self, service: str) -> None:
+    def _update_request_rate(self, service: str, mean_per_s: float) -> None:
+        """Estimate the requests of a service in the whole fleet.
+
+        :param mean_per_s: mean on this node since it learned of the move
+        """
         nodes = len(self._app.service('membership').nodes())
         requests_per_s = (
             self._request_counts.pop(service, 0) / TICK_INTERVAL_S * nodes
         )
-        previous = self._requests_per_s.get(service, requests_per_s)
-        self._requests_per_s[service] = previous + 0.3 * (
-            requests_per_s - previous
-        )
+        previous = self._recent_requests_per_s.get(service, requests_per_s)
+        recent = previous + 0.3 * (requests_per_s - previous)
+        self._recent_requests_per_s[service] = recent
+        # A pause of the requests on this node does not mean that there are
+        # few in the fleet.
+        self._requests_per_s[service] = max(recent, mean_per_s * nodes)
 
     def _max_timeout_s(self) -> float:
         cfg = self._app.service('configuration').current()
--- a/tests/test_fleet/test_comparison.py
+++ b/tests/test_fleet/test_comparison.py
@@ -117,6 +117,7 @@
 # Each route alone has too few requests to compare the versions.
 MANY_ROUTES = tuple(f'r{number}' for number in range(24))
 CALM_MANY = CALM._replace(routes=MANY_ROUTES)
+FEW = CALM._replace(per_s=20.0)
 
 
 def _from(at: float, rate: float) -> Callable[[float, float], float]:
@@ -156,6 +157,11 @@
     'errors-amid-trouble': BUSY._replace(
         fails=_from(0.0, 0.6), old_fails=lambda at, share: 0.1
     ),
+    'errors-few-requests': FEW._replace(fails=_from(0.0, 0.5)),
+    'errors-few-requests-many-routes': FEW._replace(
+        fails=_from(0.0, 0.5), routes=MANY_ROUTES
+    ),
+    'slow-few-requests': FEW._replace(slower=lambda at, share: 8.0),
     # Case 8 of the review.
     'errors-many-routes': CALM_MANY._replace(fails=_from(0.0, 0.5)),
     'late-many-routes': CALM_MANY._replace(fails=_from(3.0, 0.5)),
@@ -192,6 +198,9 @@
     ),
     'single-workers-fail': BUSY._replace(fails=lambda at, share: 0.06),
     'single-workers-slow': CALM._replace(slower=lambda at, share: 1.6),
+    'few-requests': FEW,
+    'few-requests-many-routes': FEW._replace(routes=MANY_ROUTES),
+    'hardly-any-requests': CALM._replace(per_s=3.0),
     'many-routes': CALM_MANY,
     'unlike-routes': CALM_MANY._replace(route_slower=_unlike),
     # Nearly all requests of the old version came before those of the new one,
--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
 from damaskpier.fleet import exchange
 from damaskpier.fleet import model
-from damaskpier.fleet import moves
+from damaskpier.fleet import move_evidence
 from damaskpier.fleet import rollouts
+from damaskpier.fleet import share_schedule
 from damaskpier.rollout import model as rollout_model
 
 from tests.test_fleet import conftest
@@ -27,7 +29,7 @@
     monkeypatch.setattr(rollouts, 'TICK_INTERVAL_S', 0.02)
     monkeypatch.setattr(rollouts, 'DECISION_STAGGER_S', 0.02)
     monkeypatch.setattr(exchange, 'ANTI_ENTROPY_INTERVAL_S', 0.05)
-    monkeypatch.setattr(moves, 'SHARE_STEPS', ((0.0, 0.5),))
+    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 0.5)
 
 
 async def _load(node: conftest.Node, count: int) -> None:
@@ -96,7 +98,7 @@
 
 
 async def test_good_version_is_completed(fleet, short_intervals, monkeypatch):
-    monkeypatch.setattr(moves, 'SHARE_STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 1.0)
     monkeypatch.setattr(rollouts, 'MIN_DONE_TIME_RATIO', 0.0)
     fleet.store.put(
         conftest.make_configuration(
@@ -117,7 +119,7 @@
 async def test_move_without_workers_of_the_new_version_is_not_done(
     fleet, short_intervals, monkeypatch
 ):
-    monkeypatch.setattr(moves, 'SHARE_STEPS', ((0.0, 1.0),))
+    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 1.0)
     monkeypatch.setattr(rollouts, 'MIN_DONE_TIME_RATIO', 0.0)
     node = await fleet.add(version='v1')
     await fleet.wait_converged()
@@ -316,7 +318,7 @@
     fleet, short_intervals, monkeypatch
 ):
     """Nothing is known of a version whose order was replaced undecided."""
-    monkeypatch.setattr(moves, 'SHARE_STEPS', ((0.0, 0.0),))
+    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 0.0)
     for version in ('v1', 'v2', 'v2'):
         await fleet.add(version=version)
     await fleet.wait_converged()
@@ -384,3 +386,41 @@
     unknown = model.VersionHistory()
     assert unknown.merged(stored) == stored
     assert stored.merged(unknown) == stored
+
+
+async def test_share_does_not_rise_while_no_evaluator_gets_counts(
+    fleet, short_intervals, monkeypatch
+):
+    """A node that is cut off moved its requests to a version unseen."""
+    await _fleet_with_two_versions(fleet)
+    node = fleet.nodes[0]
+    monkeypatch.setattr(move_evidence, 'MAX_UNRECEIVED_S', 0.1)
+    monkeypatch.setattr(
+        rollouts.Rollouts,
+        '_evaluators',
+        lambda service, move: ['node-3'],
+    )
+    exchange_ = node.app.service('exchange')
+    send = exchange_._send
+    is_cut = True
+
+    async def send_unless_cut(record, gossip):
+        if is_cut and gossip.evidence.cells:
+            return None
+        return await send(record, gossip)
+
+    exchange_._send = send_unless_cut
+    fleet.store.order(ORDER)
+    shares = node.app.service('rollouts')._shares
+    await conftest.wait_until(lambda: shares.get('reads') == 0.5)
+    await _load(node, 32)
+    move = node.app.service('rollouts')._moves['reads']
+    await conftest.wait_until(
+        lambda: move.evidence.is_missing(time.monotonic())
+    )
+    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 0.9)
+    await asyncio.sleep(0.2)
+    assert shares['reads'] == 0.5
+    is_cut = False
+    await _load(node, 16)
+    await conftest.wait_until(lambda: shares['reads'] == 0.9)
--- /dev/null
+++ b/tests/test_fleet/test_share_schedule.py
@@ -0,0 +1,106 @@
+"""Schedule of the share, and what holds it.
+
+The tests guard against a share that rises while nothing is known of the new
+version, and against one that a good version does not reach in time.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpier.fleet import model
+from damaskpier.fleet import moves
+from damaskpier.fleet import share_schedule
+from damaskpier.rollout import model as rollout_model
+
+DURATION_S = 15.0
+ORDER = model.Order('s', 1, 'v2', DURATION_S, model.Phase.RUNNING, 1)
+# Bound on the requests of a bad version, for any service.
+EXPOSE_SLACK = 50
+
+
+def _cell(old: int, new: int) -> rollout_model.EvidenceCell:
+    return rollout_model.EvidenceCell(
+        's/v2/1',
+        'r',
+        'a',
+        1,
+        rollout_model.VersionCounts(old, 0, {60: old}),
+        rollout_model.VersionCounts(new, 0, {60: new}),
+        0.08,
+    )
+
+
+@pytest.mark.parametrize('per_s', [1.0, 5.0, 12.0, 25.0, 84.0, 600.0])
+def test_share_rises_to_all_requests_in_time(per_s):
+    shares = [
+        share_schedule.share_at(tick / 4, DURATION_S, per_s)
+        for tick in range(61)
+    ]
+    assert shares == sorted(shares)
+    assert shares[0] > 0
+    # The rest of the time is for the last requests of the old version.
+    assert shares[int(4 * 0.72 * DURATION_S) + 1] == 1.0
+
+
+@pytest.mark.parametrize('per_s', [1.0, 5.0, 12.0, 20.0, 28.0])
+def test_first_requests_of_a_service_with_few_are_compared(per_s):
+    """With a share of 0.08 there were too few before the first step."""
+    step_s = share_schedule.FEW_STEPS[0].since_ratio * DURATION_S
+    share = share_schedule.share_at(0.0, DURATION_S, per_s)
+    requests = per_s * step_s * share
+    assert requests <= 0.7 * EXPOSE_SLACK
+    assert share == 0.35 or requests >= 25
+
+
+def test_share_is_held_while_no_request_to_the_new_version_ends():
+    """All of them may hang until a long deadline."""
+    move = moves.Move(ORDER, 0.0)
+    assert move.share(0.0, 84.0) == 0.08
+    for _ in range(3):
+        move.record_choice(True)
+    assert move.share(7.0, 84.0) == 0.08
+    move.record('r', True, False, 900.0, 0.08)
+    assert move.share(7.0, 84.0) == 0.45
+
+
+def test_share_is_held_while_only_the_old_version_answers_anywhere():
+    move = moves.Move(ORDER, 0.0)
+    assert move.share(0.0, 84.0) == 0.08
+    move.merge_cell(_cell(100, 0))
+    assert move.share(7.0, 84.0) == 0.08
+    move.merge_cell(_cell(10, 1))
+    assert move.share(7.0, 84.0) == 0.45
+
+
+def test_share_is_held_while_counts_are_not_received():
+    move = moves.Move(ORDER, 0.0)
+    assert move.share(0.0, 84.0) == 0.08
+    move.record('r', True, False, 90.0, 0.08)
+    move.evidence.record_counts_sent(6.0)
+    move.evidence.record_counts_sent(7.0)
+    assert move.share(7.1, 84.0) == 0.45
+    assert move.share(7.4, 84.0) == 0.45
+    move.evidence.record_counts_received()
+    assert move.share(7.4, 84.0) == 0.95
+
+
+def test_requests_without_a_comparison_hold_nothing():
+    """Their ends are not recorded, for example where only v2 may serve."""
+    move = moves.Move(ORDER, 0.0)
+    move.share(0.0, 84.0)
+    for _ in range(100):
+        move.record_choice(False)
+    assert move.share(7.4, 84.0) == 0.95
+
+
+def test_pause_on_one_node_does_not_mean_few_requests():
+    move = moves.Move(ORDER, 0.0)
+    for _ in range(20):
+        move.record_choice(False)
+    assert move.mean_requests_per_s(5.0) == pytest.approx(4.2)
+    assert move.mean_requests_per_s(6.0) == pytest.approx(3.5)
+    # Before a node has had any request, the estimate falls with time.
+    idle = moves.Move(ORDER, 0.0)
+    assert idle.mean_requests_per_s(0.1) == 1.0
+    assert idle.mean_requests_per_s(10.0) == 0.1
