Evaluate only moves with failures; explain the comparison

Cause: each tick added up the recent latencies of all routes, although without four failures or a significant difference no finding is possible. Change: such comparisons end at once.

--- a/damaskpier/fleet/comparison.py
+++ b/damaskpier/fleet/comparison.py
@@ -36,16 +36,16 @@
     """Compares the versions of a move on a group of requests.
 
     :param schedule: spread of the test's capital over the move
-    :param has_few: whether the group may have few requests
+    :param has_long_window: whether ``LONG_WINDOW_S`` is compared, too
     """
 
     def __init__(
         self,
         schedule: sequential_test.CapitalSchedule,
         *,
-        has_few: bool = False,
+        has_long_window: bool = False,
     ) -> None:
-        self._long_windows_s = (LONG_WINDOW_S,) if has_few else ()
+        self._long_windows_s = (LONG_WINDOW_S,) if has_long_window else ()
         self._kept_s = max(*RECENT_WINDOWS_S, *self._long_windows_s)
         self.baseline = baseline.Baseline()
         self._test = sequential_test.RouteTest(schedule)
@@ -97,6 +97,9 @@
         windows_s = RECENT_WINDOWS_S
         if is_significant:
             windows_s += self._long_windows_s
+        elif not self._has_failures():
+            # Adding up the latencies of all routes would take long.
+            return ''
         for window_s in windows_s:
             counts = self._recent_counts(now - window_s)
             found = regression.find_failures(counts, is_significant)
@@ -106,6 +109,11 @@
                 return f'{found}; capital {capital:.3g}'
         return ''
 
+    def _has_failures(self) -> bool:
+        """Return whether there may be enough failures for a finding."""
+        failures = sum(item.counts.new.failures for item in self._recent)
+        return failures >= regression.MIN_FAILURE_COUNT
+
     def _recent_counts(self, since: float) -> dict[float, regression.Counts]:
         """Return the outcomes since a time, by share."""
         total: dict[float, regression.Counts] = {}
--- a/damaskpier/fleet/move_evidence.py
+++ b/damaskpier/fleet/move_evidence.py
@@ -13,7 +13,7 @@
 # So many requests to the new version without an end, or so many ends with the
 # old one and none with the new one, are no coincidence.
 MIN_SENT = 3
-MIN_OLD_ENDS = 40
+MIN_OLD_ENDS = 80
 
 
 class MoveEvidence:
@@ -30,7 +30,10 @@
         self._sent_to_new += 1
 
     def record_ends(self, old: int, new: int) -> None:
-        """Record the ends of requests of both versions, of any node."""
+        """Record the ends of requests of both versions, of any node.
+
+        An evaluator records those of its own requests twice.
+        """
         self._old_ends += old
         self._new_ends += new
 
--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -158,8 +158,8 @@
     def mean_requests_per_s(self, now: float) -> float:
         """Return the requests of the service that this node had a second.
 
-        Without requests, the rate is taken to be such that one more would have
-        been the first.
+        One is added to their number, so that the rate of a node without
+        requests is not 0.
         """
         return (self._requests + 1) / max(now - self._created_at, 1.0)
 
--- a/damaskpier/fleet/regression.py
+++ b/damaskpier/fleet/regression.py
@@ -64,7 +64,8 @@
     :param is_significant: whether the versions differ significantly
     :returns: description; empty if there are not clearly more failures
     """
-    old, new, *expected = _total(by_share.values())
+    total = _total(by_share.values())
+    old, new = total.old, total.new
     new_rate = new.failures / max(1, new.requests)
     old_rate = old.failures / max(1, old.requests)
     # With few requests, the old version's failure rate is uncertain.
@@ -72,11 +73,11 @@
     uncertainty = OLD_RATE_DEVIATIONS * math.sqrt(
         smoothed_old_rate * (1.0 - smoothed_old_rate) / (old.requests + 2)
     )
-    excess_of_routes = expected[1] / max(1, new.requests) - expected[0] / max(
-        1, old.requests
-    )
+    rate_of_new_routes = total.new_expected / max(1, new.requests)
+    rate_of_old_routes = total.old_expected / max(1, old.requests)
     comparable_rate = _rate_at_same_shares(
-        by_share.values(), smoothed_old_rate + excess_of_routes
+        by_share.values(),
+        smoothed_old_rate + rate_of_new_routes - rate_of_old_routes,
     )
     tolerated_rate = comparable_rate + uncertainty + MIN_EXCESS_RATIO
     if tolerated_rate >= 1.0:
@@ -102,7 +103,8 @@
     :param by_share: recent outcomes by share
     :returns: description; empty if the median is not clearly higher
     """
-    old, new, *_ = _total(by_share.values())
+    total = _total(by_share.values())
+    old, new = total.old, total.new
     if new.requests < MIN_MEDIAN_REQUEST_COUNT or not old.requests:
         return ''
     new_median = latency.quantile_bucket(new.latency, 0.5)
@@ -133,9 +135,9 @@
     recent_rate = min(max(recent_rate, 0.0), 1.0)
     expected = 0.0
     requests = 0
-    for old, new, *_ in counts:
+    for item in counts:
         # A single failure may be random.
-        rate = max(0, old.failures - 1) / (old.requests + 1)
-        expected += new.requests * max(rate, recent_rate)
-        requests += new.requests
+        rate = max(0, item.old.failures - 1) / (item.old.requests + 1)
+        expected += item.new.requests * max(rate, recent_rate)
+        requests += item.new.requests
     return expected / requests if requests else recent_rate
--- a/damaskpier/fleet/service_comparison.py
+++ b/damaskpier/fleet/service_comparison.py
@@ -33,7 +33,9 @@
     """
 
     def __init__(self, schedule: sequential_test.CapitalSchedule) -> None:
-        self._comparison = comparison.Comparison(schedule, has_few=True)
+        self._comparison = comparison.Comparison(
+            schedule, has_long_window=True
+        )
         self._levels = route_levels.RouteLevels()
 
     def merge(
