--- a/tests/test_platform/test_settings_file.py
+++ b/tests/test_platform/test_settings_file.py
@@ -23,6 +23,8 @@
 
 from tests.test_platform import conftest
 
+# Nothing else listens on this address, so that ports that were free stay free.
+HOST = '127.0.0.77'
 BOOT = """
 node = "side-1"
 ip = "{host}"
@@ -44,7 +46,7 @@
 retrySlack = 58
 retryWindow = "10s"
 [platform]
-address = "{host}:{store}"
+address = "{store_host}:{store}"
 """
 PORT_NAMES = ('metrics', 'inbound', 'outbound', 'ready', 'control')
 
@@ -63,13 +65,18 @@
 
     def write_settings(self, service: str) -> None:
         """Replace the settings file."""
-        text = BOOT.format(host=conftest.HOST, service=service, **self.ports)
+        text = BOOT.format(
+            host=HOST,
+            store_host=conftest.HOST,
+            service=service,
+            **self.ports,
+        )
         self.path.write_text(text)
 
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the process of the node."""
-        await self.upstream.listen(conftest.HOST, 0)
+        await self.upstream.listen(HOST, 0)
         self.ports['app'] = self.upstream.port
         self.write_settings('s1')
         process = await asyncio.create_subprocess_exec(
@@ -88,7 +95,7 @@
     async def announce(self, service: str, instance: str, born: int) -> bool:
         """Send a heartbeat; returns whether it was acknowledged."""
         content = {
-            'address': f'{conftest.HOST}:{self.upstream.port}',
+            'address': f'{HOST}:{self.upstream.port}',
             'born': born,
             'info': {'service': service, 'version': 'v1', 'slots': 4},
             'status': {'state': 'ready', 'sequence': 1},
@@ -108,7 +115,7 @@
         return self.callers[-1] if len(self.callers) > count else ''
 
     async def _request(self, port, method, target, body=b''):
-        pool = http_client.Pool(conftest.HOST, self.ports[port])
+        pool = http_client.Pool(HOST, self.ports[port])
         fields = (('Host', 'h.example'), (headers.REQUEST_ID, 'r1'))
         return await pool.request(
             messages.encode_request(method, target, fields, body),
@@ -127,7 +134,7 @@
         ports = {}
         for name in PORT_NAMES:
             sock = stack.enter_context(socket.socket())
-            sock.bind((conftest.HOST, 0))
+            sock.bind((HOST, 0))
             ports[name] = sock.getsockname()[1]
         return ports
 
