Wait for ticks instead of a time in a test of the share

Cause: test_share_does_not_rise_while_no_evaluator_gets_counts slept for 0.2 s to give the nodes time to raise their share; on a slow machine it could have passed without a tick. Change: it waits for ten ticks of each node, counted where the share is planned.

--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -418,8 +418,15 @@
     await conftest.wait_until(
         lambda: move.evidence.is_missing(time.monotonic())
     )
-    monkeypatch.setattr(share_schedule, 'share_at', lambda *_: 0.9)
-    await asyncio.sleep(0.2)
+    planned = []
+
+    def plan(*_) -> float:
+        planned.append(0.9)
+        return planned[-1]
+
+    monkeypatch.setattr(share_schedule, 'share_at', plan)
+    # Several ticks of each node.
+    await conftest.wait_until(lambda: len(planned) >= 10 * len(fleet.nodes))
     assert shares['reads'] == 0.5
     is_cut = False
     await _load(node, 16)
