Give the server of a test for uploads a memory limit of its own

Cause: the limit is that of all servers of the process. A message of another node that was under way when the test looked made the number "before" too large for good. Why the test was wrong: it took the bytes of other messages for its own. Change: the server has its own limit, and the test waits for exactly no bytes.

--- a/tests/test_fleet/test_uploads.py
+++ b/tests/test_fleet/test_uploads.py
@@ -8,6 +8,7 @@
 from damaskpier.http1 import client
 from damaskpier.http1 import messages
 from damaskpier.platform import headers
+from damaskpier.util import memory
 
 from tests import streams
 from tests.test_fleet import conftest
@@ -26,12 +27,13 @@
     other = await fleet.add('reads')
     await fleet.wait_converged()
     server = caller.app.service('ingress').server
-    before = server.memory.used_bytes
+    # The usual limit counts the messages of all nodes of the test.
+    server.memory = memory.MemoryLimit(2 * len(BODY))
     _, writer = await asyncio.open_connection(conftest.HOST, server.port)
     writer.write(_encode()[: len(BODY) // 2])
-    await conftest.wait_until(lambda: server.memory.used_bytes > before)
+    await conftest.wait_until(lambda: server.memory.used_bytes)
     await streams.abort(writer)
-    await conftest.wait_until(lambda: server.memory.used_bytes == before)
+    await conftest.wait_until(lambda: not server.memory.used_bytes)
     assert (await caller.request()).status == 200
     assert [request.path for request in other.upstream.ran] == ['/read/1']
 
