Show that leaving requesters grow nodes over their memory

Requesters that leave before their time limit leave their 5 MB uploads in reference cycles, which the cyclic collector frees late because reduce_collections runs it rarely, and the node counts those bytes as free. Over 300 MB the stand-in platform kills the process, and requests of kept connections that workers ran are lost.

--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -538,16 +538,24 @@
         )
 
     def send(
-        self, request_id: str, path: str, deadline_ms: int, method: str = 'GET'
+        self,
+        request_id: str,
+        path: str,
+        deadline_ms: int,
+        method: str = 'GET',
+        body: bytes = b'',
     ) -> None:
-        """Send a request without a body."""
-        lines = (
+        """Send a request."""
+        lines = [
             f'{method} {path} HTTP/1.1',
             f'Host: {HOST}',
             f'X-Request-Id: {request_id}',
             f'X-Deadline-Ms: {deadline_ms}',
-        )
+        ]
+        if method == 'POST':
+            lines.append(f'Content-Length: {len(body)}')
         self._writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        self._writer.write(body)
 
     async def receive(self, timeout_s: float) -> Answer:
         """Read an answer, or what there is of it."""
@@ -640,6 +648,7 @@
         self.ip = f'127.{system.net}.1.{number}'
         self.ports = system.ports
         self.log = system.folder / f'{self.name}.log'
+        self.kills = 0
         self._system = system
         self._settings = system.folder / f'{self.name}.toml'
         self._process: asyncio.subprocess.Process | None = None
@@ -686,8 +695,26 @@
         )
         self._process.send_signal(signum)
 
+    def memory_mb(self) -> int:
+        """Return the memory that the node uses now; 0 if it has ended."""
+        return self._memory_mb('VmRSS:')
+
+    def peak_memory_mb(self) -> int:
+        """Return the most memory that this process of the node has used."""
+        return self._memory_mb('VmHWM:')
+
+    def _memory_mb(self, name: str) -> int:
+        status = pathlib.Path(f'/proc/{self._process.pid}/status')
+        try:
+            lines = status.read_text().splitlines()
+        except OSError:
+            return 0
+        found = [line.split()[1] for line in lines if line.startswith(name)]
+        return int(found[0]) // 1024 if found else 0
+
     async def kill(self) -> None:
         """Kill the node and wait for its end."""
+        self.kills += 1
         self.send_signal(signal.SIGKILL)
         await self._process.wait()
 
