--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -632,7 +632,7 @@
     sockets = [socket.socket() for _ in Ports._fields]
     try:
         for sock in sockets:
-            sock.bind(('0.0.0.0', 0))  # noqa: S104 - only to find free ports
+            sock.bind(('127.0.0.1', 0))
         return Ports(*(sock.getsockname()[1] for sock in sockets))
     finally:
         for sock in sockets:
