--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -951,15 +951,14 @@
 
 
 def main(
-    case: str, play: Callable[[System], Awaitable[bool]], **options: Any
+    record_path: str, play: Callable[[System], Awaitable[bool]], **options: Any
 ) -> int:
     """Play a case and return its exit status.
 
-    :param case: path of the case's program
+    :param record_path: path of the file for the record
     :param play: returns whether the rule held
     """
-    folder = pathlib.Path(case).resolve().parent
-    record = Record(folder / 'record.txt')
+    record = Record(pathlib.Path(record_path))
 
     async def run() -> int:
         with tempfile.TemporaryDirectory() as temporary:
@@ -968,16 +967,12 @@
                 async with asyncio.timeout(110):
                     await system.start_store()
                     held = await play(system)
-            except (OSError, TimeoutError) as exc:
+            except Exception as exc:  # noqa: BLE001
+                # Python would end with the status of a broken rule.
                 record.add(f'the case could not run: {exc!r}')
                 return NOT_RUN
             finally:
                 await system.end()
-                keep = os.environ.get('KEEP_LOGS')
-                if keep:
-                    for machine in system.machines:
-                        target = pathlib.Path(keep) / machine.log.name
-                        target.write_bytes(machine.log.read_bytes())
         record.add('the rule held' if held else 'the rule was broken')
         return HOLDS if held else BROKEN
 
