--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -800,7 +800,7 @@
             'maxStretch = "5000ms"\n'
             'retryRatio = 0.2\n'
             'retryWindow = "10s"\n'
-            'retrySlack = 56\n'
+            f'retrySlack = {self._system.retry_slack}\n'
             'exposeShare = 0.1\n'
             'exposeSlack = 50\n'
             'rollback = "5000ms"\n'
@@ -827,13 +827,15 @@
         self,
         record: Record,
         folder: pathlib.Path,
-        heartbeat_s: float = 1.0,
+        heartbeat_s: float = 0.87,
         link_mbps: float = 1000.0,
+        retry_slack: int = 56,
     ) -> None:
         self.record = record
         self.folder = folder
         self.heartbeat_s = heartbeat_s
         self.link_mbps = link_mbps
+        self.retry_slack = retry_slack
         self.net = random.randrange(16, 250)  # noqa: S311
         self.ports = choose_ports()
         self.store = Store()
@@ -961,19 +963,24 @@
     record = Record(pathlib.Path(record_path))
 
     async def run() -> int:
+        # The nodes are ended also when the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         with tempfile.TemporaryDirectory() as temporary:
             system = System(record, pathlib.Path(temporary), **options)
             try:
                 async with asyncio.timeout(110):
                     await system.start_store()
                     held = await play(system)
-            except Exception as exc:  # noqa: BLE001
-                # Python would end with the status of a broken rule.
-                record.add(f'the case could not run: {exc!r}')
-                return NOT_RUN
             finally:
                 await system.end()
         record.add('the rule held' if held else 'the rule was broken')
         return HOLDS if held else BROKEN
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as exc:  # noqa: BLE001
+        # Python would end with the status of a broken rule.
+        record.add(f'the case could not run: {exc!r}')
+        return NOT_RUN
