Find small faults of a version, and those under load, at a small share

Cause: callers of a bad version got failures or slow answers until it was completed, or long after its bound. At a share of 0.95, the bound was spent in 1.3 s. Change: evidence names the worker of the new version. A difference from the usual outcomes counts, however small, if the old version does not have it at the same time and most workers of the new one show it. While the share is small, the requests of the new version go to so few workers, in turns, that each is loaded. The share of the comparison is chosen by what the bound allows, lasts for a quarter of the move, and stays while the versions are in doubt. Where the new version fails at a large share, the share steps back until the old one shows whether it fails as well. Limits of the share are sent by the evaluators and end unless repeated.

--- a/damaskpier/fleet/comparison.py
+++ b/damaskpier/fleet/comparison.py
@@ -11,7 +11,9 @@
 import collections
 from typing import NamedTuple
 
+from damaskpier.fleet import canaries
 from damaskpier.fleet import regression
+from damaskpier.fleet import version_outcomes
 from damaskpier.rollout import baseline
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rollout import sequential_test
@@ -52,6 +54,8 @@
         self._pending_baseline: list[rollout_model.VersionCounts] = []
         self._baseline_updated_at = 0.0
         self._recent: collections.deque[_TimedCounts] = collections.deque()
+        self._outcomes = version_outcomes.VersionOutcomes()
+        self._at_large_shares = version_outcomes.VersionOutcomes()
 
     def merge_cell(
         self,
@@ -84,8 +88,49 @@
             self._test.update(int(now), cell.share, '', gains)
         self._pending_baseline.append(cell.old)
 
+    def merge_worker(
+        self,
+        cell: rollout_model.EvidenceCell,
+        counts: regression.Counts,
+        is_warm: bool,
+    ) -> None:
+        """Merge counts into the outcomes by worker.
+
+        :param counts: the counts of the cell as the recent outcomes
+        :param is_warm: whether latency is compared as well
+        """
+        for outcomes in (self._outcomes, self._at_large_shares):
+            outcomes.add_usual(counts.old, counts.old_expected, is_warm)
+        is_small = cell.share <= canaries.MAX_SHARE
+        outcomes = self._outcomes if is_small else self._at_large_shares
+        outcomes.add(
+            cell.share,
+            cell.worker,
+            counts.old,
+            counts.new,
+            counts.new_expected,
+            is_warm,
+        )
+
+    def find_fault(
+        self, false_positive_rate: float
+    ) -> version_outcomes.Finding:
+        """Look for a fault of the new version at small shares.
+
+        :param false_positive_rate: probability that random variation alone
+            looks like one
+        """
+        return self._outcomes.find(false_positive_rate)
+
+    def find_excess_failures(self, false_positive_rate: float) -> str:
+        """Look for more failures at large shares than were usual before.
+
+        See :meth:`version_outcomes.VersionOutcomes.find_excess_failures`.
+        """
+        return self._at_large_shares.find_excess_failures(false_positive_rate)
+
     def find_regression(self, now: float, false_positive_rate: float) -> str:
-        """Look for a regression of the new version.
+        """Look for a regression of the new version in the recent outcomes.
 
         :param now: time of the clock in seconds
         :param false_positive_rate: probability that random variation alone
@@ -102,13 +147,21 @@
             return ''
         for window_s in windows_s:
             counts = self._recent_counts(now - window_s)
-            found = regression.find_failures(counts, is_significant)
+            found = ''
+            if self._at_large_shares.are_failures_spread():
+                found = regression.find_failures(counts, is_significant)
             if not found and is_significant:
                 found = regression.find_slowdown(counts)
             if found:
                 return f'{found}; capital {capital:.3g}'
         return ''
 
+    def totals_at_large_shares(
+        self,
+    ) -> tuple[rollout_model.VersionCounts, rollout_model.VersionCounts]:
+        """Return the outcomes of the old and of the new version."""
+        return self._at_large_shares.totals()
+
     def _has_failures(self) -> bool:
         """Return whether there may be enough failures for a finding."""
         failures = sum(item.counts.new.failures for item in self._recent)
@@ -119,6 +172,14 @@
         total: dict[float, regression.Counts] = {}
         for at, share, counts in self._recent:
             if at >= since:
+                if (
+                    share <= canaries.MAX_SHARE
+                    and self._outcomes.are_workers_known
+                ):
+                    # Few workers got them, maybe a single bad one.
+                    counts = counts._replace(
+                        new=rollout_model.VersionCounts(), new_expected=0.0
+                    )
                 known = total.get(share)
                 total[share] = counts if known is None else known.plus(counts)
         return total
--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+import math
+
 from damaskpier.fleet import comparison
 from damaskpier.fleet import model
 from damaskpier.fleet import move_evidence
 from damaskpier.fleet import regression
 from damaskpier.fleet import service_comparison
 from damaskpier.fleet import share_schedule
+from damaskpier.fleet import step_back
 from damaskpier.rollout import latency
 from damaskpier.rollout import model as rollout_model
 from damaskpier.rollout import sequential_test
@@ -23,6 +27,8 @@
 # Latency is compared only from this time after the first answer of the new
 # version, because workers that have just started are slow.
 LATENCY_WARMUP_S = 4.0
+# A limit of the share ends after this time unless it is stated again.
+LIMIT_DURATION_S = 0.75
 
 
 class Move:
@@ -52,9 +58,17 @@
         )
         self._service = service_comparison.ServiceComparison(self._schedule)
         self._routes: dict[str, comparison.Comparison] = {}
-        self._local_counts: dict[tuple[str, float], tuple[list, list]] = {}
+        self.is_doubtful = False
+        self._step_back = step_back.StepBack()
+        self.limit_sent_at = -math.inf
+        self._limit = 1.0
+        self._limited_until = -math.inf
+        self._requests_per_s = 0.0
+        self._local_counts: dict[
+            tuple[str, float, str], tuple[list, list]
+        ] = {}
         self._pending_cells: dict[
-            tuple[str, float], rollout_model.EvidenceCell
+            tuple[str, float, str], rollout_model.EvidenceCell
         ] = {}
 
     @property
@@ -69,16 +83,25 @@
             self.evidence.record_sent()
 
     def record(
-        self, route: str, is_new: bool, failed: bool, ms: float, share: float
+        self,
+        route: str,
+        is_new: bool,
+        failed: bool,
+        ms: float,
+        share: float,
+        worker: str = '',
     ) -> None:
         """Record the outcome of a request that this node routed.
 
         :param is_new: whether the request went to the new version
         :param ms: time to the answer in milliseconds
         :param share: share of the new version when the request was routed
+        :param worker: worker that the outcome is of, if it is known; it is
+            kept for the new version only
         """
         cell = self._local_counts.setdefault(
-            (route, share), ([0, 0, {}], [0, 0, {}])
+            (route, share, worker if is_new else ''),
+            ([0, 0, {}], [0, 0, {}]),
         )
         counts = cell[is_new]
         counts[0] += 1
@@ -104,13 +127,14 @@
                 rollout_model.VersionCounts(*old),
                 rollout_model.VersionCounts(*new),
                 share,
+                worker,
             )
-            for (route, share), (old, new) in counts.items()
+            for (route, share, worker), (old, new) in counts.items()
         ]
 
     def merge_cell(self, cell: rollout_model.EvidenceCell) -> None:
         """Merge counts of any node into those of the next evaluation."""
-        key = cell.route, cell.share
+        key = cell.route, cell.share, cell.worker
         self.evidence.record_ends(cell.old.requests, cell.new.requests)
         known = self._pending_cells.get(key)
         self._pending_cells[key] = cell if known is None else known.plus(cell)
@@ -130,19 +154,55 @@
             self.first_answer_at is not None
             and now >= self.first_answer_at + LATENCY_WARMUP_S
         )
-        for cell in cells:
+        for cell in _over_workers(cells):
             self._compare_route(cell, now, is_warm)
+        for cell in cells:
+            self._routes[cell.route].merge_worker(
+                cell, regression.Counts(cell.old, cell.new), is_warm
+            )
         self._service.merge(cells, now, is_warm)
+        if self._step_back.is_active:
+            self._step_back.record(self._service.latest_at_small_shares)
+        found = self._find_fault()
+        if found:
+            return found
+        old, new = self._service.totals_at_large_shares()
+        if self._step_back.is_active:
+            return self._step_back.verdict(new, now)
+        found = self._find_regression(now)
+        if found and self._step_back.begin(found, old, new, now):
+            return ''
+        return found
+
+    def _find_fault(self) -> str:
+        """Look for a fault of the new version at small shares."""
+        self.is_doubtful = False
+        for route, compared, rate in self._comparisons():
+            found = compared.find_fault(rate)
+            if found.text:
+                return f'{route}: {found.text}'
+            self.is_doubtful |= found.is_doubtful
+        return ''
+
+    def _find_regression(self, now: float) -> str:
+        """Look for a regression in the recent outcomes."""
+        for route, compared, rate in self._comparisons():
+            found = compared.find_regression(
+                now, rate
+            ) or compared.find_excess_failures(rate)
+            if found:
+                return f'{route}: {found}'
+        return ''
+
+    def _comparisons(self):
+        """Return what is compared, each with its false positive rate."""
         route_rate = min(
             FALSE_POSITIVE_RATE,
             ROUTES_FALSE_POSITIVE_RATE / max(1, len(self._routes)),
         )
-        for route, route_comparison in self._routes.items():
-            found = route_comparison.find_regression(now, route_rate)
-            if found:
-                return f'{route}: {found}'
-        found = self._service.find_regression(now, FALSE_POSITIVE_RATE)
-        return f'all routes: {found}' if found else ''
+        for route, compared in self._routes.items():
+            yield route, compared, route_rate
+        yield 'all routes', self._service, FALSE_POSITIVE_RATE
 
     def _compare_route(
         self, cell: rollout_model.EvidenceCell, now: float, is_warm: bool
@@ -169,14 +229,53 @@
         :param requests_per_s: requests of the service per second in the
             whole fleet
         """
+        self._requests_per_s = requests_per_s
         share = share_schedule.share_at(
             now - self.started_at, self.order.duration_s, requests_per_s
         )
+        if now < self._limited_until:
+            share = min(share, self._limit)
         if 0.0 < self._share < share and self.evidence.is_missing(now):
             return self._share
         self._share = share
         return share
 
+    def share_limit(self, now: float) -> float:
+        """Return the limit of the share that the evidence calls for.
+
+        While it is in doubt whether the new version has a fault, it gets no
+        more requests than at first, and the versions go on to be compared. A
+        fault of both versions does not remain in doubt, as the old one then
+        shows it, too.
+
+        :returns: 1 for no limit
+        """
+        latest = share_schedule.LATEST_HOLD_RATIO * self.order.duration_s
+        is_held = self.is_doubtful and now < self.started_at + latest
+        if not is_held and not self._step_back.is_active:
+            return 1.0
+        return share_schedule.canary_share(
+            self.order.duration_s, self._requests_per_s
+        )
+
+    def limit_share(self, limit: float, now: float) -> None:
+        """Limit the share for ``LIMIT_DURATION_S``."""
+        if limit < 1.0:
+            self._limit = limit
+            self._limited_until = now + LIMIT_DURATION_S
+
+
+def _over_workers(
+    cells: Iterable[rollout_model.EvidenceCell],
+) -> Iterable[rollout_model.EvidenceCell]:
+    """Return one cell for each route and share."""
+    total: dict[tuple[str, float], rollout_model.EvidenceCell] = {}
+    for cell in cells:
+        key = cell.route, cell.share
+        known = total.get(key)
+        total[key] = cell if known is None else known.plus(cell)
+    return total.values()
+
 
 def move_id(order: model.Order) -> str:
     """Return the identifier of an order's move, unique in the fleet."""
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -20,6 +20,7 @@
 
 from damaskpier.balancing import regions
 from damaskpier import errors
+from damaskpier.fleet import canaries
 from damaskpier.fleet import model
 from damaskpier.fleet import moves
 from damaskpier.fleet import restored_orders
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Coroutine
 
     from damaskpier import application
@@ -56,6 +58,8 @@
 # Revision of an order that this node has only from other nodes. It sends
 # nothing to the new version until the store has supplied the duration.
 UNKNOWN_REVISION = 0
+# Key of a limit of the share in the state of a move.
+ALL_ROUTES = ''
 # A difference between the start times of a move on two nodes up to this is
 # ignored.
 START_TOLERANCE_S = 0.3
@@ -79,6 +83,7 @@
         self._rng = rng or random.Random()
         self._moves: dict[str, moves.Move] = {}
         self._shares: dict[str, float] = {}
+        self._canaries: dict[str, frozenset[str]] = {}
         self._request_counts: collections.Counter[str] = collections.Counter()
         self._recent_requests_per_s: dict[str, float] = {}
         self._requests_per_s: dict[str, float] = {}
@@ -139,6 +144,20 @@
             return rollout_model.VersionChoice(target, share)
         return rollout_model.VersionChoice(old, share)
 
+    def canaries(self, service: str, version: str) -> Collection[str]:
+        """Return the workers that are to get the requests of a version.
+
+        :returns: their nodes; empty if any worker of the version may
+        """
+        move = self._moves.get(service)
+        if (
+            move is None
+            or move.phase is not model.Phase.RUNNING
+            or version != move.order.version
+        ):
+            return ()
+        return self._canaries.get(service, ())
+
     def accepts_worker(
         self, service: str, version: str, worker_version: str
     ) -> bool:
@@ -168,17 +187,19 @@
         failed: bool,
         ms: float,
         share: float,
+        worker: str = '',
     ) -> None:
         """Record the outcome of a request that had a choice of version.
 
         :param ms: time to the answer in milliseconds
         :param share: share of the new version used to choose the version
+        :param worker: node of the worker that the outcome is of
         """
         move = self._moves.get(service)
         if move is None or move.phase is not model.Phase.RUNNING:
             return
         is_new = version == move.order.version
-        move.record(route, is_new, failed, ms, share)
+        move.record(route, is_new, failed, ms, share, worker)
 
     def merge_evidence(self, cells: list[rollout_model.EvidenceCell]) -> None:
         """Merge counts of another node into the moves that they belong to."""
@@ -217,6 +238,9 @@
                 move, order.phase, f'another node says so: {state.reason}'
             )
             return
+        limit = state.shares.get(ALL_ROUTES)
+        if limit is not None:
+            move.limit_share(limit, now)
         started_at = now - state.seq / 1000
         if started_at < move.started_at - START_TOLERANCE_S:
             move.started_at = started_at
@@ -276,6 +300,7 @@
         )
         self._moves[order.service] = moves.Move(order, self._clock())
         self._shares.pop(order.service, None)
+        self._canaries.pop(order.service, None)
 
     def _set_phase(
         self, move: moves.Move, phase: model.Phase, reason: str
@@ -326,8 +351,43 @@
             if regression:
                 self._decide(move, model.Phase.TAKEN_BACK, regression)
                 return
+            self._limit_share(move, now)
         self._advance_share(move, now, is_evaluator)
 
+    def _limit_share(self, move: moves.Move, now: float) -> None:
+        """Limit the share on all nodes if the evidence calls for it."""
+        limit = move.share_limit(now)
+        if limit >= 1.0:
+            return
+        move.limit_share(limit, now)
+        if now >= move.limit_sent_at + moves.LIMIT_DURATION_S:
+            LOG.info(
+                'rollout: share of %s is limited to %.2f, as it is in doubt '
+                'whether the version is good',
+                move.move_id,
+                limit,
+            )
+        move.limit_sent_at = now
+        state = _state_from_move(move, now)
+        self._app.service('exchange').broadcast_state(
+            state._replace(shares={ALL_ROUTES: limit})
+        )
+
+    def _choose_canaries(self, move: moves.Move, now: float) -> None:
+        service = move.order.service
+        mean_s = self._app.service('router').mean_latency_s(service) or 0.0
+        self._canaries[service] = canaries.choose(
+            move.move_id,
+            [
+                canaries.Worker(record.node_id, record.slots)
+                for record in self._workers(service, None)
+                if record.version == move.order.version
+            ],
+            now - move.started_at,
+            self._shares[service],
+            self._requests_per_s.get(service, 0.0) * mean_s,
+        )
+
     def _advance_share(
         self, move: moves.Move, now: float, is_evaluator: bool
     ) -> None:
@@ -346,6 +406,7 @@
                 move.order.duration_s,
             )
         self._shares[service] = share
+        self._choose_canaries(move, now)
         if share < 1:
             move.full_share_since = None
             return
--- a/damaskpier/fleet/router.py
+++ b/damaskpier/fleet/router.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     from damaskpier import application
     from damaskpier import config
@@ -97,6 +98,7 @@
         # Number of attempts that may have run, and whether one failed.
         self.runs = 0
         self.has_failed = False
+        self.failed_worker = ''
         self._answer: messages.Answer | None = None
         self._refusal = refusal
         self._run_state = errors.RunState.NOT_RUN
@@ -110,15 +112,22 @@
         if isinstance(result, messages.Answer):
             self._answer = result
             self._run_state = errors.RunState.RUN
-            self.has_failed |= result.status >= 500
+            has_failed = result.status >= 500
         else:
             self._run_state = retry.merge_run_states(
                 self._run_state, result.run
             )
             self._refusal = result._replace(run=self._run_state)
-            self.has_failed |= result.run is not errors.RunState.NOT_RUN
+            has_failed = result.run is not errors.RunState.NOT_RUN
+        if has_failed and not self.has_failed:
+            self.has_failed = True
+            self.failed_worker = worker
         self.runs += _may_have_run(result)
 
+    def responsible_worker(self) -> str:
+        """Return the node of the worker that the outcome is of."""
+        return self.failed_worker or self._last_worker
+
     def is_answered(self) -> bool:
         """Return whether an upstream has answered."""
         return self._answer is not None
@@ -261,7 +270,11 @@
             while True:
                 allowed = region_check.allowed_regions(self._app, request)
                 worker = selector_.pick(
-                    size, attempts.tried, allowed, route.objective_s
+                    size,
+                    attempts.tried,
+                    allowed,
+                    route.objective_s,
+                    self._preferred(attempts),
                 )
                 if worker is not None:
                     max_wait_s = self._max_wait_s(
@@ -290,6 +303,14 @@
                 if not attempts.is_answered():
                     attempts.add_result(attempt.worker.key, _GIVEN_UP)
 
+    def _preferred(self, attempts: _Attempts) -> Collection[str]:
+        """Return the workers to which the next attempt goes if possible."""
+        if attempts.tried:
+            return ()
+        request = attempts.request
+        rollouts = self._app.service('rollouts')
+        return rollouts.canaries(request.service, request.version)
+
     def _start_attempt(
         self,
         selector_: selector.Selector,
@@ -574,6 +595,7 @@
             attempts.has_failed,
             (self._clock() - began) * 1000,
             version_choice.share,
+            attempts.responsible_worker(),
         )
 
     def _workers_changed(self, service: str) -> None:
--- a/damaskpier/fleet/selector.py
+++ b/damaskpier/fleet/selector.py
@@ -123,6 +123,7 @@
         exclude: Collection[str] = (),
         allowed: regions.Allowed = None,
         objective_s: float = 0.0,
+        preferred: Collection[str] = (),
     ) -> WorkerState | None:
         """Return the worker for the next attempt; None if there is none.
 
@@ -130,11 +131,15 @@
         :param exclude: keys of the workers that have been tried
         :param allowed: regions of the workers
         :param objective_s: latency objective of the request; 0 if unknown
+        :param preferred: keys of the workers to compare, as long as any of
+            them can be used and has a free slot
         """
         now = self._clock()
         if allowed is not None:
             exclude = self._outside(allowed).union(exclude)
-        candidates = self._candidates(exclude, now)
+        candidates = self._free(preferred, exclude, now)
+        if not candidates:
+            candidates = self._candidates(exclude, now)
         if not candidates:
             # Ejected workers are used only if there are no others.
             candidates = [
@@ -149,6 +154,17 @@
             candidates, size, now, self._rng.random, objective_s
         )
 
+    def _free(
+        self, keys: Collection[str], exclude: Collection[str], now: float
+    ) -> list[WorkerState]:
+        """Return those of some workers that can start a request at once."""
+        workers = [self._workers[key] for key in keys if key in self._workers]
+        return [
+            worker
+            for worker in self._usable(workers, exclude, now)
+            if not self._costs.is_full(worker, now)
+        ]
+
     def _candidates(
         self, exclude: Collection[str], now: float
     ) -> list[WorkerState]:
--- a/damaskpier/fleet/share_schedule.py
+++ b/damaskpier/fleet/share_schedule.py
@@ -4,11 +4,19 @@
 
 from typing import NamedTuple
 
-# The first share is chosen within these bounds so that the new version gets
-# about FIRST_REQUESTS_PER_S requests per second in the whole fleet.
-FIRST_SHARE_MIN = 0.03
-FIRST_SHARE_MAX = 0.08
-FIRST_REQUESTS_PER_S = 14.0
+# The requests during the warm-up and those at the canary share are about these
+# parts of those to which a bad version is bound: EXPOSED_RATIO of all requests
+# until the time limit, and EXPOSED_COUNT more. The warm-up is the time for
+# which workers that have just started are slow; the canary share lasts from
+# then on until the first step.
+EXPOSED_RATIO = 0.1
+EXPOSED_COUNT = 50.0
+WARMUP_EXPOSED_RATIO = 0.07
+CANARY_EXPOSED_RATIO = 0.4
+FEW_CANARY_EXPOSED_RATIO = 0.5
+CANARY_SINCE_RATIO = 0.33
+MIN_SHARE = 0.02
+MAX_CANARY_SHARE = 0.5
 
 
 class Step(NamedTuple):
@@ -18,31 +26,23 @@
     share: float
 
 
-# The steps at medium shares are short because some faults appear only under
-# load: the requests exposed before such a fault stay below the exposure bound.
+# Faults that show under load show at the canary share, too (see
+# :mod:`damaskpier.fleet.canaries`). The versions can be compared only while
+# some requests still go to the old one.
 STEPS = (
-    Step(0.40, 0.10),
-    Step(0.43, 0.25),
-    Step(0.46, 0.45),
-    # The versions can be compared only while some requests still go to the
-    # old one.
-    Step(0.49, 0.95),
+    Step(0.58, 0.95),
     Step(0.72, 1.0),
 )
 # Services with few requests: those that go to the old version at a share of
-# 0.95 are too few to compare with. The first share is higher, so that about
-# FEW_FIRST_REQUESTS are compared before the next step, and the medium shares
-# last longer. All these requests are within the exposure that is allowed for a
-# service with any number of requests.
+# 0.95 are too few to compare with, so that the share before it lasts longer.
 FEW_STEPS = (
-    Step(0.40, 0.25),
-    Step(0.46, 0.45),
+    Step(0.58, 0.45),
     Step(0.66, 0.95),
     Step(0.72, 1.0),
 )
-FEW_FIRST_SHARE_MAX = 0.35
-FEW_FIRST_REQUESTS = 30.0
 MIN_OLD_REQUESTS = 5.0
+# The share is not held back from this part of the duration on.
+LATEST_HOLD_RATIO = 0.66
 
 
 def share_at(
@@ -57,32 +57,56 @@
     """
     duration_s = max(duration_s, 1.0)
     requests_per_s = max(requests_per_s, 1.0)
-    has_few = _old_requests(duration_s, requests_per_s) < MIN_OLD_REQUESTS
-    share = _first_share(duration_s, requests_per_s, has_few)
+    if elapsed_s < CANARY_SINCE_RATIO * duration_s:
+        return _exposing(
+            WARMUP_EXPOSED_RATIO,
+            CANARY_SINCE_RATIO * duration_s,
+            duration_s,
+            requests_per_s,
+        )
+    share = canary_share(duration_s, requests_per_s)
+    has_few = _has_few_requests(duration_s, requests_per_s)
     for step in FEW_STEPS if has_few else STEPS:
         if elapsed_s >= step.since_ratio * duration_s:
             share = max(share, step.share)
     return share
 
 
-def _first_share(
-    duration_s: float, requests_per_s: float, has_few: bool
+def canary_share(duration_s: float, requests_per_s: float) -> float:
+    """Return the share at which the versions are compared first.
+
+    :param duration_s: time by which the move has to be finished
+    :param requests_per_s: requests of the service per second in the whole
+        fleet
+    """
+    duration_s = max(duration_s, 1.0)
+    requests_per_s = max(requests_per_s, 1.0)
+    return _exposing(
+        FEW_CANARY_EXPOSED_RATIO
+        if _has_few_requests(duration_s, requests_per_s)
+        else CANARY_EXPOSED_RATIO,
+        (STEPS[0].since_ratio - CANARY_SINCE_RATIO) * duration_s,
+        duration_s,
+        requests_per_s,
+    )
+
+
+def _exposing(
+    ratio: float, length_s: float, duration_s: float, requests_per_s: float
 ) -> float:
-    """Return the share before the first step."""
-    limit = FIRST_SHARE_MAX
-    if has_few:
-        until_step_s = FEW_STEPS[0].since_ratio * duration_s
-        limit = min(
-            FEW_FIRST_SHARE_MAX,
-            FEW_FIRST_REQUESTS / (requests_per_s * until_step_s),
-        )
-    share = min(FIRST_REQUESTS_PER_S / requests_per_s, limit)
+    """Return the share that exposes a part of the bound in some time.
+
+    :param ratio: part of the bound on the exposure
+    """
+    bound = EXPOSED_RATIO * requests_per_s * duration_s + EXPOSED_COUNT
+    share = ratio * bound / (requests_per_s * length_s)
     # Evidence is kept by share, so the share is rounded to few values.
-    return round(max(share, FIRST_SHARE_MIN), 2)
+    return round(min(max(share, MIN_SHARE), MAX_CANARY_SHARE), 2)
 
 
-def _old_requests(duration_s: float, requests_per_s: float) -> float:
-    """Return the requests of the old version at the last share below 1."""
+def _has_few_requests(duration_s: float, requests_per_s: float) -> bool:
+    """Return whether too few go to the old version at the last share."""
     last, full = STEPS[-2:]
     length_s = (full.since_ratio - last.since_ratio) * duration_s
-    return (1.0 - last.share) * requests_per_s * length_s
+    old_requests = (1.0 - last.share) * requests_per_s * length_s
+    return old_requests < MIN_OLD_REQUESTS
--- a/damaskpier/rollout/model.py
+++ b/damaskpier/rollout/model.py
@@ -101,7 +101,8 @@
     ``window`` is the whole second in which the requests were sent, and
     ``share`` the share of the new version when each of them was sent.
     Requests of one cell were therefore assigned to a version at random
-    with the same probability.
+    with the same probability. ``worker`` is the worker of the new version
+    that the counts of ``new`` are of; empty if they are of any.
     """
 
     move: str
@@ -111,6 +112,7 @@
     old: VersionCounts
     new: VersionCounts
     share: float = 0.0
+    worker: str = ''
 
     @property
     def key(self) -> CellKey:
--- a/damaskpier/rollout/wire.py
+++ b/damaskpier/rollout/wire.py
@@ -20,6 +20,7 @@
         old=_counts_to_message(cell.old),
         new=_counts_to_message(cell.new),
         share_ppm=round(cell.share * PPM),
+        worker=cell.worker,
     )
 
 
@@ -33,6 +34,7 @@
         _counts_from_message(message.old),
         _counts_from_message(message.new),
         message.share_ppm / PPM,
+        message.worker,
     )
 
 
--- a/tools/fleet_moves.py
+++ b/tools/fleet_moves.py
@@ -1,85 +1,139 @@
-"""Measures the comparison of versions of a fleet over many seeded moves.
+"""Measures the decisions on moves over many simulated ones.
 
-Run ``python -m tools.fleet_moves [--seeds N] [--kind TEXT]``. Each move runs
-on a virtual clock without nodes. A line states how many bad versions got more
-requests than the bound on exposure allows, or how many good ones were taken
-back or did not get all requests in time.
+Run ``python -m tools.fleet_moves [--seeds N] [--kind TEXT]``. A row states
+for one kind of versions, and each rate and number of routes, how many of the
+moves ended wrong: a bad version got more requests than its bound allows, or a
+good one was taken back or did not get all requests in time. The last line has
+the sums of the bad and the good versions.
 """
 
 from __future__ import annotations
 
 import argparse
 from collections.abc import Callable
-import functools
-import itertools
 import multiprocessing
 import random
 from typing import NamedTuple
 
-from damaskpier.fleet import model
-from damaskpier.fleet import moves
-from damaskpier.fleet import rollouts
-
-DURATION_S = 15.0
-MEDIAN_MS = 160.0
-USUAL_FAILURE_RATE = 0.004
-EXPOSE_SHARE = 0.1
-EXPOSE_SLACK = 50
-# Workers that have just started answer slowly for this time.
-COLD_S = 4.0
+from tools import move_simulation
+
 PROCESS_COUNT = 3
-RATES_PER_S = (20.0, 36.0, 84.0, 600.0)
-ROUTE_COUNTS = (1, 24, 100, 350)
+RATES_PER_S = (20.0, 36.0, 100.0, 600.0)
+ROUTE_COUNTS = (1, 24)
+USES = (0.15, 0.4)
+SIZES = (0.1, 0.15, 0.2, 0.35, 0.5)
+LATE_S = 4.5
+# The fault of one class is on each route of which the number is divisible by
+# this.
+CLASS_ROUTES = 3
+
+Run = move_simulation.Run
+Effect = move_simulation.Effect
 
-Rate = Callable[[float, float], float]
 
+class Kind(NamedTuple):
+    """Behavior of the versions, and the factor of a burst of requests."""
 
-def _usual(at: float, share: float) -> float:
-    return USUAL_FAILURE_RATE
+    name: str
+    is_good: bool
+    fault: move_simulation.Fault
+    burst: float = 1.0
 
 
-class Kind(NamedTuple):
-    """Behavior of the versions.
+def _new_fails(
+    rate: float, when: Callable[[Run], bool]
+) -> move_simulation.Fault:
+    return lambda run: Effect(rate if run.is_new and when(run) else 0.0)
 
-    ``fails`` and ``old_fails`` return the failure rate, given the time since
-    the order and the share. ``slower`` is the factor of the latency.
-    """
 
-    name: str
-    fails: Rate = _usual
-    old_fails: Rate = _usual
-    slower: float = 1.0
-    is_good: bool = False
+def _new_slow(ratio: float, factor: float) -> move_simulation.Fault:
+    def fault(run: Run) -> Effect:
+        drawn = random.Random(f'{run.at} {run.worker}').random()
+        is_slow = run.is_new and drawn < ratio
+        return Effect(slower=factor if is_slow else 1.0)
+
+    return fault
+
+
+def _is_loaded(run: Run) -> bool:
+    return 2 * run.in_use >= run.slots
+
+
+def _bad_kinds(size: float) -> list[Kind]:
+    faults = {
+        'errors': _new_fails(size, lambda run: True),
+        'late': _new_fails(size, lambda run: run.at >= LATE_S),
+        'under load': _new_fails(size, _is_loaded),
+        'one class': _new_fails(
+            size, lambda run: run.route % CLASS_ROUTES == 0
+        ),
+        'slow by 4': _new_slow(size, 4.0),
+        'slow by 8': _new_slow(size, 8.0),
+    }
+    return [
+        Kind(f'{name} {size:g}', False, fault)
+        for name, fault in faults.items()
+    ]
+
+
+def _both_fail(rate: float, since_s: float) -> Kind:
+    return Kind(
+        f'both fail {rate:g} from {since_s:g} s',
+        True,
+        lambda run: Effect(rate if run.at >= since_s else 0.0),
+    )
+
+
+def _both_slow(since_s: float, until_s: float) -> Kind:
+    return Kind(
+        f'both slow by 4 from {since_s:g} to {until_s:g} s',
+        True,
+        lambda run: Effect(slower=4.0 if since_s <= run.at < until_s else 1.0),
+    )
+
 
+def _workers_fail(count: int, rate: float) -> Kind:
+    return Kind(
+        f'{count} new workers fail {rate:g}',
+        True,
+        _new_fails(rate, lambda run: run.worker < count),
+    )
 
-def _from(at: float, rate: float) -> Rate:
-    return lambda now, share: rate if now >= at else USUAL_FAILURE_RATE
 
+def _worker_of_each_fails(rate: float) -> Kind:
+    return Kind(
+        f'a worker of each version fails {rate:g}',
+        True,
+        lambda run: Effect(rate if run.worker == 0 else 0.0),
+    )
 
-def _above(limit: float, rate: float) -> Rate:
-    return lambda now, share: rate if share >= limit else USUAL_FAILURE_RATE
 
+def _worker_slow(factor: float) -> Kind:
+    return Kind(
+        f'a new worker slow by {factor:g}',
+        True,
+        lambda run: Effect(
+            slower=factor if run.is_new and run.worker == 0 else 1.0
+        ),
+    )
 
-KINDS = (
-    Kind('good', is_good=True),
+
+GOOD_KINDS = [
+    Kind('good', True, move_simulation.no_fault),
+    Kind('burst of 2.3', True, move_simulation.no_fault, 2.3),
     *(
-        Kind(
-            f'both fail {rate:g} from {at:g} s',
-            _from(at, rate),
-            _from(at, rate),
-            is_good=True,
-        )
-        for at in (6.5, 6.9, 7.4, 8.0)
+        _both_fail(rate, since_s)
         for rate in (0.15, 0.3)
+        for since_s in (4.0, 7.0, 9.0, 9.7, 10.4)
     ),
-    Kind('fails 0.5', _from(0.0, 0.5)),
-    Kind('fails 0.35', _from(0.0, 0.35)),
-    Kind('fails 0.5 from 3 s', _from(3.0, 0.5)),
-    Kind('fails 0.5 above a share of 0.3', _above(0.3, 0.5)),
-    Kind('fails 0.5 above a share of 0.8', _above(0.8, 0.5)),
-    Kind('slower by 8', slower=8.0),
-    Kind('slower by 4', slower=4.0),
-)
+    _both_slow(7.0, 11.0),
+    _both_slow(9.0, 13.0),
+    _workers_fail(1, 0.5),
+    _workers_fail(1, 1.0),
+    _worker_of_each_fails(0.5),
+    _worker_slow(5.0),
+]
+KINDS = [kind for size in SIZES for kind in _bad_kinds(size)] + GOOD_KINDS
 
 
 class Case(NamedTuple):
@@ -88,81 +142,51 @@
     kind: int
     per_s: float
     routes: int
+    use: float
     seed: int
 
 
-class Result(NamedTuple):
-    """Outcome of a move; ``new`` counts requests of the new version."""
-
-    is_taken_back: bool
-    new: int
-    share: float
-
-
-def run(case: Case) -> Result:
-    """Run a move."""
+def is_wrong(case: Case) -> bool:
+    """Run a move and return whether it ended wrong."""
     kind = KINDS[case.kind]
-    rng = random.Random(case.seed)
-    order = model.Order('s', 1, 'v2', DURATION_S, model.Phase.RUNNING, 1)
-    move = moves.Move(order, 0.0)
-    now = tick = share = 0.0
-    new = 0
-    # Counts arrive one tick after they were sent.
-    underway = []
-    while now < DURATION_S:
-        now += rng.expovariate(case.per_s)
-        while tick <= now:
-            tick += rollouts.TICK_INTERVAL_S
-            for cell in underway:
-                move.merge_cell(cell)
-            underway = move.drain_cells('d', now)
-            if move.evaluate(now):
-                return Result(True, new, share)
-            share = move.share(now, case.per_s)
-        is_new = rng.random() < share
-        ms = rng.lognormvariate(0.0, 0.5) * MEDIAN_MS
-        fails = kind.old_fails
-        if is_new:
-            ms *= kind.slower * (2.0 if now < COLD_S else 1.0)
-            fails = kind.fails
-        has_failed = rng.random() < fails(now, share)
-        new += is_new
-        if 0 < share < 1:
-            route = f'r{rng.randrange(case.routes)}'
-            move.record(route, is_new, has_failed, ms, share)
-    return Result(False, new, share)
-
-
-def _is_wrong(case: Case, result: Result) -> bool:
-    if KINDS[case.kind].is_good:
-        return result.is_taken_back or result.share < 1.0
-    allowed = EXPOSE_SHARE * case.per_s * DURATION_S + EXPOSE_SLACK
-    return not result.is_taken_back or result.new > allowed
+    service = move_simulation.Service(
+        case.per_s, case.routes, case.use, burst=kind.burst
+    )
+    result = move_simulation.simulate(service, kind.fault, case.seed)
+    return not result.is_completed if kind.is_good else result.is_exposed
 
 
 def main() -> None:
     """Run the command line."""
     parser = argparse.ArgumentParser(prog='tools.fleet_moves')
-    parser.add_argument('--seeds', type=int, default=40)
+    parser.add_argument('--seeds', type=int, default=10)
     parser.add_argument('--kind', default='', help='part of the names to run')
+    parser.add_argument('--processes', type=int, default=PROCESS_COUNT)
     args = parser.parse_args()
-    kinds = [
-        index for index, kind in enumerate(KINDS) if args.kind in kind.name
-    ]
-    groups = itertools.product(kinds, RATES_PER_S, ROUTE_COUNTS)
-    with multiprocessing.Pool(PROCESS_COUNT) as pool:
-        for kind, per_s, routes in groups:
-            make_case = functools.partial(Case, kind, per_s, routes)
-            cases = [make_case(seed) for seed in range(args.seeds)]
-            results = pool.map(run, cases)
-            wrong = sum(map(_is_wrong, cases, results))
-            print(
-                f'{KINDS[kind].name}, {per_s:g} requests/s, {routes} routes: '
-                f'{wrong} of {len(cases)} wrong, at most '
-                f'{max(result.new for result in results)} requests of the '
-                'new version',
-                flush=True,
-            )
+    columns = [(per_s, n) for per_s in RATES_PER_S for n in ROUTE_COUNTS]
+    headings = [f'{per_s:g}/s, {n}' for per_s, n in columns]
+    print('| versions |', ' | '.join(headings), '|')
+    print('|---' * (len(columns) + 1) + '|')
+    sums = {False: [0, 0], True: [0, 0]}
+    with multiprocessing.Pool(args.processes) as pool:
+        for index, kind in enumerate(KINDS):
+            if args.kind not in kind.name:
+                continue
+            row = []
+            for per_s, routes in columns:
+                cases = [
+                    Case(index, per_s, routes, use, seed)
+                    for use in USES
+                    for seed in range(args.seeds)
+                ]
+                wrong = sum(pool.map(is_wrong, cases, chunksize=1))
+                row.append(str(wrong))
+                sums[kind.is_good][0] += wrong
+                sums[kind.is_good][1] += len(cases)
+            print(f'| {kind.name} |', ' | '.join(row), '|', flush=True)
+    for is_good, (wrong, total) in sums.items():
+        name = 'good' if is_good else 'bad'
+        print(f'{name} versions: {wrong} of {total} wrong')
 
 
 if __name__ == '__main__':
