Report refusals by route and what is ahead of a refused request

The report of a worker counts by priority, not by route. Change: the reason of a refusal states what is ahead, and the report has the routes with most refusals. Measured: the line is checked by test_admission_report.

--- a/damaskpier/fleet/admission_report.py
+++ b/damaskpier/fleet/admission_report.py
@@ -25,10 +25,11 @@
 GAUGE_PRIORITIES = range(4)
 # Teams that a line names, those with most refusals.
 MAX_LOGGED_TEAMS = 3
+MAX_LOGGED_ROUTES = 3
 
 
 class AdmissionReport:
-    """Counts requests at the worker by priority and team.
+    """Counts requests at the worker by priority, team and route.
 
     :param clock: returns the time in seconds
     """
@@ -38,6 +39,8 @@
         self._admitted: collections.Counter[int] = collections.Counter()
         self._refused: collections.Counter[int] = collections.Counter()
         self._refused_teams: collections.Counter[str] = collections.Counter()
+        self._admitted_routes: collections.Counter[str] = collections.Counter()
+        self._refused_routes: collections.Counter[str] = collections.Counter()
         self._logged_at = -math.inf
 
     def record(
@@ -49,8 +52,10 @@
         if entry.is_capacity_refusal(result):
             self._refused[request.priority] += 1
             self._refused_teams[request.team] += 1
+            self._refused_routes[request.route] += 1
         elif not isinstance(result, errors.Refusal):
             self._admitted[request.priority] += 1
+            self._admitted_routes[request.route] += 1
         now = self._clock()
         if now - self._logged_at < INTERVAL_S:
             return
@@ -60,19 +65,26 @@
         self._admitted.clear()
         self._refused.clear()
         self._refused_teams.clear()
+        self._admitted_routes.clear()
+        self._refused_routes.clear()
 
     def _log(self) -> None:
         priorities = sorted(self._admitted.keys() | self._refused.keys())
         teams = self._refused_teams.most_common(MAX_LOGGED_TEAMS)
+        routes = self._refused_routes.most_common(MAX_LOGGED_ROUTES)
         LOG.info(
             'worker: requests admitted and refused by priority: %s; most '
-            'refused teams: %s',
+            'refused teams: %s; by route: %s',
             ', '.join(
                 f'{priority}: {self._admitted[priority]} and '
                 f'{self._refused[priority]}'
                 for priority in priorities
             ),
             ', '.join(f'{team or "-"}: {count}' for team, count in teams),
+            ', '.join(
+                f'{route}: {self._admitted_routes[route]} and {count}'
+                for route, count in routes
+            ),
         )
 
 
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -383,14 +383,14 @@
         rank = self._order.ranking(now, run_s)
         ranked = sorted((rank(other), other) for other in self._queue)
         ahead = bisect.bisect_left(ranked, (rank(ticket),))
-        if ahead >= self._queue_limit:
-            return self._overload_refusal()
         before = [other for _, other in ranked[:ahead]]
         behind = [other for _, other in ranked[ahead:]]
+        if ahead >= self._queue_limit:
+            return self._overload_refusal(_describe_ahead(ticket, before))
         if self._expected_wait_s(ticket, before) > max_wait_s:
-            return self._overload_refusal()
+            return self._overload_refusal(_describe_ahead(ticket, before))
         if self._would_miss_deadline(ticket, before, now, run_s):
-            return self._deadline_refusal()
+            return self._deadline_refusal(_describe_ahead(ticket, before))
         self._queue.append(ticket)
         if len(self._queue) > self._queue_limit:
             self._refuse_waiting(behind.pop(), self._overload_refusal())
@@ -424,16 +424,16 @@
         slot_wait_s = max(0, beyond_slots) * self.service_s / self.slots
         return max(slot_wait_s, self._delay_s(ticket, ahead))
 
-    def _overload_refusal(self) -> errors.Refusal:
+    def _overload_refusal(self, ahead: str = '') -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_OVERLOADED,
-            f'{self.in_use} requests run and {len(self._queue)} wait',
+            f'{self.in_use} requests run and {len(self._queue)} wait{ahead}',
         )
 
-    def _deadline_refusal(self) -> errors.Refusal:
+    def _deadline_refusal(self, ahead: str = '') -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_DEADLINE,
-            'the request would not finish by its deadline',
+            f'the request would not finish by its deadline{ahead}',
         )
 
     def _grant_slot(self, ticket: Ticket, now: float) -> None:
@@ -483,6 +483,18 @@
             )
 
 
+def _describe_ahead(ticket: Ticket, ahead: Sequence[Ticket]) -> str:
+    """Return how many requests are ahead of one, for its refusal."""
+    if not ahead:
+        return ''
+    urgent = sum(other.priority < ticket.priority for other in ahead)
+    calls = sum(not other.team for other in ahead)
+    return (
+        f', {len(ahead)} ahead, {urgent} of them more urgent and {calls} '
+        'without a team'
+    )
+
+
 async def acquire(
     admission: Admission,
     deadline: float,
--- a/tests/test_fleet/test_admission_report.py
+++ b/tests/test_fleet/test_admission_report.py
@@ -47,7 +47,7 @@
     report.record(make_request(0, 'a'), ANSWER)
     assert [record.getMessage() for record in caplog.records] == [
         'worker: requests admitted and refused by priority: 0: 101 and 0, '
-        '2: 0 and 100; most refused teams: hot: 100'
+        '2: 0 and 100; most refused teams: hot: 100; by route: r: 101 and 100'
     ]
 
 
