Give a call of a worker the priority of what the worker runs

A call has no team and so the priority of its route, while requests of callers have that of their team. Requests of urgent teams went before the calls of requests of the same teams; of 5.4 requests ahead of a refused call at the peak, 3.8 were more urgent. Workers then refused most calls, and the entry nodes sent on hardly any. Ruled out: that the expected wait is too long because each request ahead counts with the mean time of all routes. Change: where callers have teams, a request without one that enters beside a worker has the most urgent priority of what this worker runs, if that is more urgent than its own. Within a priority, calls already go first until they have half of the service.

--- a/damaskpier/fleet/ingress.py
+++ b/damaskpier/fleet/ingress.py
@@ -337,7 +337,7 @@
                 deadline=began + limit_s,
                 depth=0,
                 repeatable=route.repeatable,
-                priority=caller.priority(route),
+                priority=self._priority(caller, route),
                 caller=service,
                 objective=began + route.objective_s,
                 team=team,
@@ -347,6 +347,24 @@
             self._app.service('allowances').give_back(team, admitted_at)
         return self._respond(metadata, route, outcome, began)
 
+    def _priority(
+        self, caller: authentication.Caller, route: model.Route
+    ) -> int:
+        """Return the priority of a request.
+
+        Where callers have teams, a request without one may be a call that the
+        local worker makes for a request that it runs. Which one is unknown; if
+        it is the most urgent one, most is lost with the call.
+        """
+        priority = caller.priority(route)
+        if caller.team is not None or not self._has_teams():
+            return priority
+        running = self._app.service('worker').admission.most_urgent_running
+        return priority if running is None else min(priority, running)
+
+    def _has_teams(self) -> bool:
+        return self._app.service('configuration').keys().is_required
+
     async def _take_allowance(
         self,
         metadata: header_codec.CallerMetadata,
--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import bisect
+import collections
 import itertools
 import math
 import time
@@ -181,6 +182,9 @@
         self._queue_limit = 0
         self._adaptive = AdaptiveLimit()
         self._queue: list[Ticket] = []
+        self._running_priorities: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._arrival_numbers = itertools.count()
         self._order = order.Order()
 
@@ -210,6 +214,11 @@
         """Return the waiting requests, in no particular order."""
         return tuple(self._queue)
 
+    @property
+    def most_urgent_running(self) -> int | None:
+        """Return the most urgent priority that runs; None if nothing does."""
+        return min((+self._running_priorities).keys(), default=None)
+
     @property
     def load(self) -> messages.Load:
         """Return the load that replies report to the callers' nodes."""
@@ -286,6 +295,7 @@
             self._queue.remove(ticket)
             return
         self.in_use -= 1
+        self._running_priorities[ticket.priority] -= 1
         for limit in self.limits:
             limit.record_end(ticket)
         if finished:
@@ -438,6 +448,7 @@
 
     def _grant_slot(self, ticket: Ticket, now: float) -> None:
         self.in_use += 1
+        self._running_priorities[ticket.priority] += 1
         ticket.granted_at = now
         service_s = self._expected_service_s(ticket.route)
         self._order.record_start(ticket, now, service_s)
