--- a/damaskpier/traffic/admission.py
+++ b/damaskpier/traffic/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import bisect
+import collections
 import itertools
 import math
 import time
@@ -181,6 +182,9 @@
         self._queue_limit = 0
         self._adaptive = AdaptiveLimit()
         self._queue: list[Ticket] = []
+        self._running_priorities: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._arrival_numbers = itertools.count()
         self._order = order.Order()
 
@@ -210,6 +214,11 @@
         """Return the waiting requests, in no particular order."""
         return tuple(self._queue)
 
+    @property
+    def most_urgent_running(self) -> int | None:
+        """Return the most urgent priority that runs; None if nothing does."""
+        return min((+self._running_priorities).keys(), default=None)
+
     @property
     def load(self) -> messages.Load:
         """Return the load that replies report to the callers' nodes."""
@@ -286,6 +295,7 @@
             self._queue.remove(ticket)
             return
         self.in_use -= 1
+        self._running_priorities[ticket.priority] -= 1
         for limit in self.limits:
             limit.record_end(ticket)
         if finished:
@@ -383,14 +393,14 @@
         rank = self._order.ranking(now, run_s)
         ranked = sorted((rank(other), other) for other in self._queue)
         ahead = bisect.bisect_left(ranked, (rank(ticket),))
-        if ahead >= self._queue_limit:
-            return self._overload_refusal()
         before = [other for _, other in ranked[:ahead]]
         behind = [other for _, other in ranked[ahead:]]
+        if ahead >= self._queue_limit:
+            return self._overload_refusal(_describe_ahead(ticket, before))
         if self._expected_wait_s(ticket, before) > max_wait_s:
-            return self._overload_refusal()
+            return self._overload_refusal(_describe_ahead(ticket, before))
         if self._would_miss_deadline(ticket, before, now, run_s):
-            return self._deadline_refusal()
+            return self._deadline_refusal(_describe_ahead(ticket, before))
         self._queue.append(ticket)
         if len(self._queue) > self._queue_limit:
             self._refuse_waiting(behind.pop(), self._overload_refusal())
@@ -424,20 +434,21 @@
         slot_wait_s = max(0, beyond_slots) * self.service_s / self.slots
         return max(slot_wait_s, self._delay_s(ticket, ahead))
 
-    def _overload_refusal(self) -> errors.Refusal:
+    def _overload_refusal(self, ahead: str = '') -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_OVERLOADED,
-            f'{self.in_use} requests run and {len(self._queue)} wait',
+            f'{self.in_use} requests run and {len(self._queue)} wait{ahead}',
         )
 
-    def _deadline_refusal(self) -> errors.Refusal:
+    def _deadline_refusal(self, ahead: str = '') -> errors.Refusal:
         return errors.Refusal(
             errors.CALL_DEADLINE,
-            'the request would not finish by its deadline',
+            f'the request would not finish by its deadline{ahead}',
         )
 
     def _grant_slot(self, ticket: Ticket, now: float) -> None:
         self.in_use += 1
+        self._running_priorities[ticket.priority] += 1
         ticket.granted_at = now
         service_s = self._expected_service_s(ticket.route)
         self._order.record_start(ticket, now, service_s)
@@ -483,6 +494,18 @@
             )
 
 
+def _describe_ahead(ticket: Ticket, ahead: Sequence[Ticket]) -> str:
+    """Return how many requests are ahead of one, for its refusal."""
+    if not ahead:
+        return ''
+    urgent = sum(other.priority < ticket.priority for other in ahead)
+    calls = sum(not other.team for other in ahead)
+    return (
+        f', {len(ahead)} ahead, {urgent} of them more urgent and {calls} '
+        'without a team'
+    )
+
+
 async def acquire(
     admission: Admission,
     deadline: float,
