--- a/damaskpier/fleet/version_outcomes.py
+++ b/damaskpier/fleet/version_outcomes.py
@@ -44,29 +44,36 @@
 REMAINING_TAIL = 0.002
 
 
-class _Outcomes(NamedTuple):
+class _Outcomes:
     """Outcomes of a version at one share, or of one of its workers.
 
     ``expected`` is the number of failures that the old version would have had.
     Not every request has its latency in ``latency``.
     """
 
-    requests: int = 0
-    failures: int = 0
-    expected: float = 0.0
-    latency: dict[int, int] = {}
-
-    def plus(self, other: _Outcomes) -> _Outcomes:
-        """Return the sum of both; neither of them changes."""
-        histogram = dict(self.latency)
-        for bucket, count in other.latency.items():
-            histogram[bucket] = histogram.get(bucket, 0) + count
-        return _Outcomes(
-            self.requests + other.requests,
-            self.failures + other.failures,
-            self.expected + other.expected,
-            histogram,
-        )
+    __slots__ = ('requests', 'failures', 'expected', 'timed', 'latency')
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.failures = 0
+        self.expected = 0.0
+        self.timed = 0
+        self.latency: dict[int, int] = {}
+
+    def add(
+        self,
+        counts: rollout_model.VersionCounts,
+        expected: float,
+        is_warm: bool,
+    ) -> None:
+        """Add counts, their latencies only if the version is warm."""
+        self.requests += counts.requests
+        self.failures += counts.failures
+        self.expected += expected
+        if is_warm:
+            self.timed += counts.requests
+            for bucket, count in counts.latency.items():
+                self.latency[bucket] = self.latency.get(bucket, 0) + count
 
 
 class _Events(NamedTuple):
@@ -104,6 +111,7 @@
 
     def __init__(self) -> None:
         self._old = _Outcomes()
+        self._new = _Outcomes()
         self._by_worker: dict[str, _Outcomes] = {}
         # Outcomes of the old and the new version by share.
         self._by_share: dict[float, tuple[_Outcomes, _Outcomes]] = {}
@@ -124,7 +132,7 @@
         :param expected: failures that its earlier outcomes let expect
         :param is_warm: whether the latencies of the versions are comparable
         """
-        self._old = self._old.plus(_outcomes(counts, expected, is_warm))
+        self._old.add(counts, expected, is_warm)
 
     def add(
         self,
@@ -141,15 +149,17 @@
         :param expected: failures that ``new`` would have had with the old
             version
         """
-        olds, news = self._by_share.get(share, (_Outcomes(), _Outcomes()))
-        added = _outcomes(new, expected, is_warm)
-        self._by_share[share] = (
-            olds.plus(_outcomes(old, 0.0, is_warm)),
-            news.plus(added),
-        )
+        at_share = self._by_share.get(share)
+        if at_share is None:
+            at_share = self._by_share[share] = _Outcomes(), _Outcomes()
+        at_share[0].add(old, 0.0, is_warm)
+        at_share[1].add(new, expected, is_warm)
+        self._new.add(new, expected, is_warm)
         if worker:
-            known = self._by_worker.get(worker, _Outcomes())
-            self._by_worker[worker] = known.plus(added)
+            outcomes = self._by_worker.get(worker)
+            if outcomes is None:
+                outcomes = self._by_worker[worker] = _Outcomes()
+            outcomes.add(new, expected, is_warm)
 
     def find(self, false_positive_rate: float) -> Finding:
         """Look for a fault of the new version.
@@ -167,13 +177,15 @@
         self,
     ) -> tuple[rollout_model.VersionCounts, rollout_model.VersionCounts]:
         """Return the outcomes of the old and of the new version."""
-        old, new = _Outcomes(), _Outcomes()
-        for olds, news in self._by_share.values():
-            old = old.plus(olds)
-            new = new.plus(news)
+        olds = [old for old, _ in self._by_share.values()]
         return (
-            rollout_model.VersionCounts(old.requests, old.failures),
-            rollout_model.VersionCounts(new.requests, new.failures),
+            rollout_model.VersionCounts(
+                sum(old.requests for old in olds),
+                sum(old.failures for old in olds),
+            ),
+            rollout_model.VersionCounts(
+                self._new.requests, self._new.failures
+            ),
         )
 
     def find_excess_failures(self, false_positive_rate: float) -> str:
@@ -183,14 +195,13 @@
 
         :returns: description; empty if there are none
         """
-        workers = [self._failures(item) for item in self._by_worker.values()]
-        total = _sum(workers)
+        total = self._failures(self._new)
         if (
             total.events <= MIN_COUNT
             or total.excess < TOLERATED_FAILURES * total.requests
             or tails.poisson(total.expected, total.events)
             > false_positive_rate
-            or not _is_spread(workers)
+            or not _is_spread(self._events_of_workers(self._failures))
         ):
             return ''
         return (
@@ -216,22 +227,20 @@
         )
 
     def _find_slowdown(self, rate: float) -> Finding:
-        old_total = sum(self._old.latency.values())
-        if not old_total:
+        if not self._old.timed or not self._new.timed:
             return NOTHING
         bucket = latency.harm_bucket(
             latency.quantile_bucket(self._old.latency, SLOW_LEVEL)
         )
         old_rate = (latency.count_from(self._old.latency, bucket) + 0.5) / (
-            old_total + 1
+            self._old.timed + 1
         )
 
         def events(outcomes: _Outcomes) -> _Events:
-            total = sum(outcomes.latency.values())
             return _Events(
-                total,
+                outcomes.timed,
                 latency.count_from(outcomes.latency, bucket),
-                total * old_rate,
+                outcomes.timed * old_rate,
             )
 
         limit_ms = latency.lower_bound_ms(bucket)
@@ -253,18 +262,18 @@
 
         :param events: returns the events among outcomes
         """
-        workers = [events(item) for item in self._by_worker.values()]
-        if len(workers) < MIN_WORKERS:
-            return NOTHING
-        total = _sum(workers)
-        total = total._replace(
-            expected=max(total.expected, self._expected_at_same_time(events))
-        )
+        total = events(self._new)
         if (
             total.events < MIN_DOUBT_COUNT
             or total.excess < tolerated * total.requests
+            or len(self._by_worker) < MIN_WORKERS
         ):
             return NOTHING
+        total = total._replace(
+            expected=max(total.expected, self._expected_at_same_time(events))
+        )
+        if total.excess < tolerated * total.requests:
+            return NOTHING
         tail = tails.poisson(total.expected, total.events)
         same_time = self._same_time_tail(events)
         if tail > DOUBT_FACTOR * rate or same_time > 0.5:
@@ -277,12 +286,12 @@
                 total.expected + tolerated * total.requests, total.events
             )
             > TOLERATED_TAIL
-            or not _is_spread(workers)
+            or not _is_spread(self._events_of_workers(events))
         ):
             return Finding(is_doubtful=True)
         return Finding(
             f'{total.events} of {total.requests} {what} on '
-            f'{len(workers)} workers, {total.expected:.1f} expected'
+            f'{len(self._by_worker)} workers, {total.expected:.1f} expected'
         )
 
     def are_failures_spread(self) -> bool:
@@ -290,11 +299,14 @@
 
         Without any known worker, they may have.
         """
-        workers = [
-            _Events(item.requests, item.failures, item.expected)
-            for item in self._by_worker.values()
-        ]
-        return not workers or _is_spread(workers)
+        return not self._by_worker or _is_spread(
+            self._events_of_workers(self._failures)
+        )
+
+    def _events_of_workers(
+        self, events: Callable[[_Outcomes], _Events]
+    ) -> list[_Events]:
+        return [events(outcomes) for outcomes in self._by_worker.values()]
 
     def _expected_at_same_time(
         self, events: Callable[[_Outcomes], _Events]
@@ -358,14 +370,3 @@
         sum(item.events for item in items),
         sum(item.expected for item in items),
     )
-
-
-def _outcomes(
-    counts: rollout_model.VersionCounts, expected: float, is_warm: bool
-) -> _Outcomes:
-    return _Outcomes(
-        counts.requests,
-        counts.failures,
-        expected,
-        counts.latency if is_warm else {},
-    )
