Name the worker in the key of evidence and end a step back in time

Cause: test_merge_is_associative_and_commutative failed: cells of two workers with one key were added up as one. A step back that began late kept the share small until 0.78 of the time. Change: the worker is part of the key. A step back ends at 0.76 of the time, and none begins after it. A simulated good version has to have all requests 3.5 s before the time limit, for the longest route and the write of the verdict; it was a quarter of the duration before. Measured: tests/test_rollout and test_step_back pass.

--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -59,7 +59,9 @@
         self._service = service_comparison.ServiceComparison(self._schedule)
         self._routes: dict[str, comparison.Comparison] = {}
         self.is_doubtful = False
-        self._step_back = step_back.StepBack()
+        self._step_back = step_back.StepBack(
+            now + share_schedule.LATEST_STEP_BACK_RATIO * order.duration_s
+        )
         self.limit_sent_at = -math.inf
         self._limit = 1.0
         self._limited_until = -math.inf
--- a/damaskpier/fleet/share_schedule.py
+++ b/damaskpier/fleet/share_schedule.py
@@ -43,6 +43,8 @@
 MIN_OLD_REQUESTS = 5.0
 # The share is not held back from this part of the duration on.
 LATEST_HOLD_RATIO = 0.66
+# A step back ends by this part of it.
+LATEST_STEP_BACK_RATIO = 0.76
 
 
 def share_at(
--- a/damaskpier/fleet/step_back.py
+++ b/damaskpier/fleet/step_back.py
@@ -27,9 +27,13 @@
     """Decides by the old version's outcomes at a small share.
 
     ``is_active`` is set while the share is to be small.
+
+    :param ends_by: time of the clock in seconds at which it ends in any case,
+        so that a good version gets all requests in time
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ends_by: float) -> None:
+        self._ends_by = ends_by
         self.is_active = False
         self._reason = ''
         self._began_at = 0.0
@@ -49,7 +53,8 @@
         :param old: outcomes of the old version at large shares
         :param new: outcomes of the new version at large shares
         :param now: time of the clock in seconds
-        :returns: False if the old version is known not to fail as well
+        :returns: False if the old version is known not to fail as well, or if
+            it is too late
         """
         if self.is_active:
             return True
@@ -57,6 +62,8 @@
             _rate(new) <= EXCESS_FACTOR * self._shared_rate + EXCESS_RATIO
         ):
             return True
+        if now >= self._ends_by:
+            return False
         self._reason = reason
         if old.requests >= MIN_REQUESTS and _is_less(old, new):
             return False
@@ -85,7 +92,7 @@
             if rate >= ALIKE_RATIO * _rate(new):
                 self._shared_rate = rate
                 self.is_active = False
-        if now >= self._began_at + MAX_DURATION_S:
+        if now >= min(self._began_at + MAX_DURATION_S, self._ends_by):
             self.is_active = False
         return ''
 
--- a/damaskpier/rollout/model.py
+++ b/damaskpier/rollout/model.py
@@ -93,6 +93,7 @@
     failure_domain: str
     window: int
     share: float
+    worker: str = ''
 
 
 class EvidenceCell(NamedTuple):
@@ -123,6 +124,7 @@
             self.failure_domain,
             self.window,
             self.share,
+            self.worker,
         )
 
     def plus(self, other: EvidenceCell) -> EvidenceCell:
--- a/tools/move_simulation.py
+++ b/tools/move_simulation.py
@@ -40,8 +40,11 @@
 ROLLBACK_S = 5.0
 # Time for a verdict to reach all nodes.
 DECISION_S = 0.1
-# Part of the duration by which a good version has to get all requests.
-FULL_BY_RATIO = 0.75
+# A good version has to get all requests early enough for the last ones of the
+# old version to end, and for the verdict to be written.
+MAX_TIMEOUT_S = 3.0
+WRITE_S = 0.5
+FULL_BY_S = DURATION_S - MAX_TIMEOUT_S - WRITE_S
 
 
 class Run(NamedTuple):
@@ -125,9 +128,7 @@
     @property
     def is_completed(self) -> bool:
         """Return whether a good version got all requests in time."""
-        return (
-            not self.regression and self.full_at <= FULL_BY_RATIO * DURATION_S
-        )
+        return not self.regression and self.full_at <= FULL_BY_S
 
 
 class _Worker:
