Keep canaries out of large shares and split the evaluation of a move

At shares above 0.5, all workers of the new version were compared for each request instead of those near and a sample, and a node that learned late of a move let a step back end late. Change: there are canaries up to a share of 0.5 only; the end of a step back follows the start of the move.

--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 import math
@@ -68,10 +69,8 @@
         )
         self._service = service_comparison.ServiceComparison(self._schedule)
         self._routes: dict[str, comparison.Comparison] = {}
-        self.is_doubtful = False
-        self._step_back = step_back.StepBack(
-            now + share_schedule.LATEST_STEP_BACK_RATIO * order.duration_s
-        )
+        self._is_doubtful = False
+        self._step_back = step_back.StepBack()
         self.limit_sent_at = -math.inf
         self._limit = 1.0
         self._limited_until = -math.inf
@@ -157,7 +156,26 @@
         :returns: description of a regression; empty if there is none
         """
         received, self._pending_cells = self._pending_cells, {}
-        cells = received.values()
+        self._merge(received.values(), now)
+        found = self._find_fault()
+        if found:
+            return found
+        old, new = self._service.totals_at_large_shares()
+        if self._step_back.is_active:
+            return self._step_back.verdict(new, now)
+        found = self._find_regression(now)
+        ends_by = self._time_at(share_schedule.LATEST_STEP_BACK_RATIO)
+        if now >= ends_by:
+            return found
+        found = found or self._find_excess_failures()
+        if found and self._step_back.begin(found, old, new, now, ends_by):
+            return ''
+        return found
+
+    def _merge(
+        self, cells: Collection[rollout_model.EvidenceCell], now: float
+    ) -> None:
+        """Merge counts into all comparisons."""
         if self.first_answer_at is None and any(
             cell.new.requests for cell in cells
         ):
@@ -175,28 +193,15 @@
         self._service.merge(cells, now, is_warm)
         if self._step_back.is_active:
             self._step_back.record(self._service.latest_at_small_shares)
-        found = self._find_fault()
-        if found:
-            return found
-        old, new = self._service.totals_at_large_shares()
-        if self._step_back.is_active:
-            return self._step_back.verdict(new, now)
-        found = self._find_regression(now)
-        if not self._step_back.may_begin(now):
-            return found
-        found = found or self._find_excess_failures()
-        if found and self._step_back.begin(found, old, new, now):
-            return ''
-        return found
 
     def _find_fault(self) -> str:
         """Look for a fault of the new version at small shares."""
-        self.is_doubtful = False
+        self._is_doubtful = False
         for route, compared, rate in self._comparisons():
             found = compared.find_fault(rate)
             if found.text:
                 return f'{route}: {found.text}'
-            self.is_doubtful |= found.is_doubtful
+            self._is_doubtful |= found.is_doubtful
         return ''
 
     def _find_regression(self, now: float) -> str:
@@ -275,14 +280,18 @@
 
         :returns: 1 for no limit
         """
-        latest = share_schedule.LATEST_HOLD_RATIO * self.order.duration_s
-        is_held = self.is_doubtful and now < self.started_at + latest
+        held_until = self._time_at(share_schedule.LATEST_HOLD_RATIO)
+        is_held = self._is_doubtful and now < held_until
         if not is_held and not self._step_back.is_active:
             return 1.0
         return share_schedule.canary_share(
             self.order.duration_s, self._requests_per_s
         )
 
+    def _time_at(self, ratio: float) -> float:
+        """Return the time of the clock at a part of the duration."""
+        return self.started_at + ratio * self.order.duration_s
+
     def limit_share(self, limit: float, now: float) -> None:
         """Limit the share for ``LIMIT_DURATION_S``."""
         if limit < 1.0:
--- a/damaskpier/fleet/rollouts.py
+++ b/damaskpier/fleet/rollouts.py
@@ -373,12 +373,33 @@
             state._replace(shares={ALL_ROUTES: limit})
         )
 
-    def _canary_candidates(self, move: moves.Move) -> list[canaries.Worker]:
-        return [
+    def _share_and_canaries(
+        self, move: moves.Move, now: float
+    ) -> tuple[float, frozenset[str]]:
+        """Return the share of a move and the workers for its requests."""
+        service = move.order.service
+        workers = [
             canaries.Worker(record.node_id, record.slots)
-            for record in self._workers(move.order.service, None)
+            for record in self._workers(service, None)
             if record.version == move.order.version
         ]
+        requests_per_s = self._requests_per_s.get(service, 0.0)
+        mean_s = self._app.service('router').mean_latency_s(service) or 0.0
+        in_progress = requests_per_s * mean_s
+        share = move.share(
+            now,
+            requests_per_s,
+            canaries.loaded_share(workers, in_progress),
+        )
+        if share > canaries.MAX_SHARE:
+            return share, frozenset()
+        return share, canaries.choose(
+            move.move_id,
+            workers,
+            now - move.started_at,
+            share,
+            in_progress,
+        )
 
     def _advance_share(
         self, move: moves.Move, now: float, is_evaluator: bool
@@ -388,15 +409,7 @@
             self._shares[service] = 0.0
             move.full_share_since = None
             return
-        requests_per_s = self._requests_per_s.get(service, 0.0)
-        mean_s = self._app.service('router').mean_latency_s(service) or 0.0
-        in_progress = requests_per_s * mean_s
-        candidates = self._canary_candidates(move)
-        share = move.share(
-            now,
-            requests_per_s,
-            canaries.loaded_share(candidates, in_progress),
-        )
+        share, self._canaries[service] = self._share_and_canaries(move, now)
         if share != self._shares.get(service):
             LOG.info(
                 'rollout: share of %s is %.2f, at %.1f s of %.1f s',
@@ -406,13 +419,6 @@
                 move.order.duration_s,
             )
         self._shares[service] = share
-        self._canaries[service] = canaries.choose(
-            move.move_id,
-            candidates,
-            now - move.started_at,
-            share,
-            in_progress,
-        )
         if share < 1:
             move.full_share_since = None
             return
--- a/damaskpier/fleet/step_back.py
+++ b/damaskpier/fleet/step_back.py
@@ -27,29 +27,22 @@
     """Decides by the old version's outcomes at a small share.
 
     ``is_active`` is set while the share is to be small.
-
-    :param ends_by: time of the clock in seconds at which it ends in any case,
-        so that a good version gets all requests in time
     """
 
-    def __init__(self, ends_by: float) -> None:
-        self._ends_by = ends_by
+    def __init__(self) -> None:
         self.is_active = False
         self._reason = ''
-        self._began_at = 0.0
+        self._ends_by = 0.0
         self._shared_rate = 0.0
         self._old = model.VersionCounts()
 
-    def may_begin(self, now: float) -> bool:
-        """Return whether there is still time for a step back."""
-        return now < self._ends_by
-
     def begin(
         self,
         reason: str,
         old: model.VersionCounts,
         new: model.VersionCounts,
         now: float,
+        ends_by: float,
     ) -> bool:
         """Begin a step back because the new version seems to fail.
 
@@ -57,6 +50,8 @@
         :param old: outcomes of the old version at large shares
         :param new: outcomes of the new version at large shares
         :param now: time of the clock in seconds
+        :param ends_by: time of the clock in seconds at which the step back
+            ends in any case
         :returns: False if the old version is known not to fail as well
         """
         if self.is_active:
@@ -68,7 +63,7 @@
         self._reason = reason
         if _is_less(old, new):
             return False
-        self._began_at = now
+        self._ends_by = min(now + MAX_DURATION_S, ends_by)
         self._old = model.VersionCounts()
         self.is_active = True
         return True
@@ -95,7 +90,7 @@
         ):
             self._shared_rate = rate
             self.is_active = False
-        if now >= min(self._began_at + MAX_DURATION_S, self._ends_by):
+        if now >= self._ends_by:
             self.is_active = False
         return ''
 
--- a/tests/test_fleet/test_step_back.py
+++ b/tests/test_fleet/test_step_back.py
@@ -18,8 +18,10 @@
 
 @pytest.fixture
 def begun():
-    decision = step_back.StepBack(ENDS_BY_S)
-    assert decision.begin('bad', model.VersionCounts(3, 0), NEW, 10.0)
+    decision = step_back.StepBack()
+    assert decision.begin(
+        'bad', model.VersionCounts(3, 0), NEW, 10.0, ENDS_BY_S
+    )
     assert decision.is_active
     return decision
 
@@ -36,7 +38,7 @@
     assert begun.verdict(NEW, 10.5) == ''
     assert not begun.is_active
     # The failures at the large share are still known, and are no news.
-    assert begun.begin('bad', model.VersionCounts(3, 0), NEW, 10.6)
+    assert begun.begin('bad', model.VersionCounts(3, 0), NEW, 10.6, ENDS_BY_S)
     assert not begun.is_active
 
 
@@ -44,17 +46,20 @@
     begun.record(model.VersionCounts(30, 9))
     begun.verdict(NEW, 10.5)
     worse = model.VersionCounts(60, 45)
-    assert begun.begin('worse', model.VersionCounts(3, 1), worse, 11.0)
+    assert begun.begin(
+        'worse', model.VersionCounts(3, 1), worse, 11.0, ENDS_BY_S
+    )
     assert begun.is_active
 
 
 def test_old_version_with_enough_requests_decides_at_once():
-    decision = step_back.StepBack(ENDS_BY_S)
+    decision = step_back.StepBack()
     assert not decision.begin(
         'bad',
         model.VersionCounts(60, 0),
         model.VersionCounts(600, 180),
         10.0,
+        ENDS_BY_S,
     )
     assert not decision.is_active
 
@@ -67,10 +72,9 @@
 
 
 def test_step_back_ends_in_time_for_a_good_version():
-    late = step_back.StepBack(ENDS_BY_S)
-    assert late.begin('bad', model.VersionCounts(3, 0), NEW, 11.0)
+    late = step_back.StepBack()
+    assert late.begin('bad', model.VersionCounts(3, 0), NEW, 11.0, ENDS_BY_S)
     assert late.verdict(NEW, 11.9) == ''
     assert late.is_active
     late.verdict(NEW, ENDS_BY_S)
     assert not late.is_active
-    assert not late.may_begin(ENDS_BY_S)
