--- a/tests/test_fleet/test_rollouts.py
+++ b/tests/test_fleet/test_rollouts.py
@@ -14,6 +14,7 @@
 from damaskpier.fleet import exchange
 from damaskpier.fleet import model
 from damaskpier.fleet import move_evidence
+from damaskpier.fleet import moves
 from damaskpier.fleet import rollouts
 from damaskpier.fleet import share_schedule
 from damaskpier.rollout import model as rollout_model
@@ -431,3 +432,50 @@
     is_cut = False
     await _load(node, 16)
     await conftest.wait_until(lambda: shares['reads'] == 0.9)
+
+
+async def test_limit_of_the_share_reaches_all_nodes(
+    fleet, short_intervals, monkeypatch
+):
+    """Only evaluators know that the versions are in doubt."""
+    await _fleet_with_two_versions(fleet)
+    await fleet.add('pages')
+    await fleet.wait_converged()
+    limit = 0.1
+    monkeypatch.setattr(
+        rollouts.Rollouts, '_evaluators', lambda service, move: ['node-0']
+    )
+    monkeypatch.setattr(moves.Move, 'share_limit', lambda move, now: limit)
+    fleet.store.order(ORDER)
+
+    def shares() -> set[float | None]:
+        return {
+            node.app.service('rollouts')._shares.get('reads')
+            for node in fleet.nodes
+        }
+
+    await conftest.wait_until(lambda: shares() == {limit})
+    limit = 1.0
+    await conftest.wait_until(lambda: shares() == {0.5})
+
+
+async def test_requests_of_a_small_share_go_to_the_canaries(
+    fleet, short_intervals, monkeypatch
+):
+    """Spread over all workers, they would leave each of them idle."""
+    await _fleet_with_two_versions(fleet)
+    monkeypatch.setattr(
+        rollouts.canaries, 'choose', lambda *_: frozenset(['node-3'])
+    )
+    fleet.store.order(ORDER)
+    node = fleet.nodes[0]
+    service = node.app.service('rollouts')
+    await conftest.wait_until(
+        lambda: service.canaries('reads', 'v2') == {'node-3'}
+    )
+    # One at a time, as a canary without a free slot is passed over.
+    for _ in range(24):
+        await node.request()
+    assert fleet.nodes[3].upstream.ran
+    assert not fleet.nodes[2].upstream.ran
+    assert service.canaries('reads', 'v1') == ()
