Decide doubts that are left when the time for them ends

The versions were in doubt from 6.6 s of the move on; the share was held without bursts until 10.6 s, rose to 0.95 and was 1 a second later, after which nothing is compared. A step back at a failure rate of a tenth ended undecided, as chance can not be excluded within 1.5 s. Change: a held share comes in bursts, too. At the last moment of a doubt, a tenfold probability of random variation is accepted. A step back that ends undecided counts against the new version if the old one has less than 0.3 of its failures.

--- a/damaskpier/fleet/moves.py
+++ b/damaskpier/fleet/moves.py
@@ -30,6 +30,9 @@
 # Latency is compared only from this time after the first answer of the new
 # version, because workers that have just started are slow.
 LATENCY_WARMUP_S = 4.0
+# If it is still in doubt at the last moment whether the new version has a
+# fault, a higher probability of random variation is accepted.
+LAST_RATE_FACTOR = 10.0
 # A limit of the share ends after this time unless it is stated again.
 LIMIT_DURATION_S = 0.75
 
@@ -157,7 +160,7 @@
         """
         received, self._pending_cells = self._pending_cells, {}
         self._merge(received.values(), now)
-        found = self._find_fault()
+        found = self._find_fault(now)
         if found:
             return found
         old, new = self._service.totals_at_large_shares()
@@ -194,11 +197,16 @@
         if self._step_back.is_active:
             self._step_back.record(self._service.latest_at_small_shares)
 
-    def _find_fault(self) -> str:
+    def _find_fault(self, now: float) -> str:
         """Look for a fault of the new version at small shares."""
+        factor = 1.0
+        if self._is_doubtful and now >= self._time_at(
+            share_schedule.LATEST_HOLD_RATIO
+        ):
+            factor = LAST_RATE_FACTOR
         self._is_doubtful = False
         for route, compared, rate in self._comparisons():
-            found = compared.find_fault(rate)
+            found = compared.find_fault(factor * rate)
             if found.text:
                 return f'{route}: {found.text}'
             self._is_doubtful |= found.is_doubtful
@@ -264,7 +272,10 @@
             loaded_share,
         )
         if now < self._limited_until:
-            share = min(share, self._limit)
+            held = share_schedule.in_bursts(
+                now - self.started_at, self._limit, loaded_share
+            )
+            share = min(share, held)
         if 0.0 < self._share < share and self.evidence.is_missing(now):
             return self._share
         self._share = share
--- a/damaskpier/fleet/share_schedule.py
+++ b/damaskpier/fleet/share_schedule.py
@@ -77,13 +77,16 @@
     for step in reversed(FEW_STEPS if has_few else STEPS):
         if elapsed_s >= step.since_ratio * duration_s:
             return max(share, step.share)
-    return _in_bursts(elapsed_s, share, loaded_share)
+    return in_bursts(elapsed_s, share, loaded_share)
 
 
-def _in_bursts(elapsed_s: float, share: float, loaded_share: float) -> float:
+def in_bursts(elapsed_s: float, share: float, loaded_share: float) -> float:
     """Return the share that loads a canary for a part of its turn.
 
     As many requests are sent as with a constant share.
+
+    :param share: constant share
+    :param loaded_share: share at which a canary is loaded; 0 if unknown
     """
     if loaded_share <= share:
         return share
--- a/damaskpier/fleet/step_back.py
+++ b/damaskpier/fleet/step_back.py
@@ -16,6 +16,10 @@
 MAX_TAIL = 0.02
 ALIKE_RATIO = 0.6
 MIN_SHARED_FAILURES = 3
+# Where chance can not be excluded in time, the old version does not share a
+# fault of which it has less than this part.
+UNDECIDED_RATIO = 0.3
+MIN_REQUESTS = 20
 MAX_DURATION_S = 1.5
 # After a fault of both versions, the new one is suspected again only if it
 # fails more often than the old one by this factor and by EXCESS_RATIO more.
@@ -90,8 +94,13 @@
         ):
             self._shared_rate = rate
             self.is_active = False
-        if now >= self._ends_by:
+        elif now >= self._ends_by:
             self.is_active = False
+            if (
+                self._old.requests >= MIN_REQUESTS
+                and rate < UNDECIDED_RATIO * _rate(new)
+            ):
+                return f'{self._reason}; hardly with the old version'
         return ''
 
 
